--- /dev/null
+++ b/guise/src/lib.rs
@@ -0,0 +1,9 @@
+pub mod store;
+pub mod world;
+pub mod talk;
+pub mod check;
+pub mod mix;
+pub mod procs;
+pub mod hosts;
+pub mod callers;
+pub mod fleet;
--- /dev/null
+++ b/medium/src/doors.rs
@@ -0,0 +1,142 @@
+use crate::back::Back;
+use crate::calls::Calls;
+use crate::paths::{door, Door};
+use serde_json::{json, Value};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::Sender;
+use std::sync::Arc;
+use tenet::control::{In, Reply};
+use tenet::front::FrontIn;
+use tenet::kind::{Kind, Reject};
+use volo_http::http::{header, HeaderValue, Method, StatusCode, Uri};
+use volo_http::response::Response;
+use volo_http::server::route::Router;
+use volo_http::server::Server;
+
+pub const BODY_LIMIT: usize = 1 << 20;
+
+pub struct App {
+    pub control: Sender<In>,
+    pub control_calls: Arc<Calls<Reply>>,
+    pub front: Option<Sender<FrontIn>>,
+    pub front_calls: Arc<Calls<Result<Value, Reject>>>,
+    pub back: Back,
+    pub stopping: Arc<AtomicBool>,
+    pub drained: Arc<AtomicBool>,
+    pub disk: bool,
+}
+
+pub type Answer = Result<Value, Reject>;
+
+impl App {
+    async fn control(&self, f: impl FnOnce(u64) -> In) -> Result<Reply, Reject> {
+        let (k, rx) = self.control_calls.open();
+        let gone = || Reject::new(Kind::Starting, "control thread is not running");
+        self.control.send(f(k)).map_err(|_| gone())?;
+        rx.await.map_err(|_| gone())
+    }
+
+    async fn show(&self, what: String, arg: String) -> Answer {
+        match self.control(|call| In::Show { call, what, arg }).await? {
+            Reply::Text(t) => Ok(serde_json::from_str(&t).unwrap_or(Value::Null)),
+            Reply::Reject(r) => Err(r),
+            Reply::Verdict(v) => Ok(json!({ "mark": v.mark })),
+        }
+    }
+
+    async fn front(&self, req: tenet::session::Req) -> Answer {
+        let f = self.front.as_ref().ok_or_else(|| Reject::new(Kind::NoRoute, "accord serves no callers"))?;
+        let (call, rx) = self.front_calls.open();
+        let gone = || Reject::new(Kind::Starting, "traffic thread is not running");
+        f.send(FrontIn::Call { call, req }).map_err(|_| gone())?;
+        rx.await.map_err(|_| gone())?
+    }
+
+    async fn verdict(&self, f: impl FnOnce(u64) -> In) -> Answer {
+        match self.control(f).await? {
+            Reply::Verdict(v) => v.reject.map_or(Ok(json!({"accepted": true, "mark": v.mark})), Err),
+            Reply::Reject(r) => Err(r),
+            Reply::Text(_) => Ok(Value::Null),
+        }
+    }
+
+    async fn explain(&self, id: String, here: bool) -> Answer {
+        let own = self.front(tenet::session::Req::Explain { id: id.clone() }).await;
+        if here {
+            return own;
+        }
+        let mut v: Vec<Value> = own.into_iter().collect();
+        let fleet = self.show("fleet".into(), String::new()).await?;
+        let nodes = fleet["nodes"].as_array().cloned().unwrap_or_default();
+        let path = format!("/explain/{id}?here");
+        for n in nodes.iter().skip(1).filter(|n| n["status"] == "alive" && n["disk"] == false) {
+            let a: Option<SocketAddr> = n["http"].as_str().and_then(|s| s.parse().ok());
+            if let Some(a) = a {
+                v.extend(self.back.get(a, &path).await);
+            }
+        }
+        match v.is_empty() {
+            true => Err(Reject::new(Kind::UnknownName, format!("no node remembers request '{id}'"))),
+            false => Ok(json!({"id": id, "nodes": v})),
+        }
+    }
+
+    async fn ready(&self) -> Answer {
+        if self.stopping.load(Ordering::Relaxed) {
+            return Err(Reject::new(Kind::Leaving, "stopping"));
+        }
+        let f = self.show("fleet".into(), String::new()).await?;
+        match f["nodes"][0]["allows"] == true && f["confirmed"] == true {
+            true => Ok(json!({"ready": true})),
+            false => Err(Reject::new(Kind::Starting, "the configuration is not confirmed")),
+        }
+    }
+
+    pub async fn handle(&self, method: &str, path: &str, query: &str, body: &[u8]) -> Answer {
+        if body.len() > BODY_LIMIT {
+            return Err(Reject::new(Kind::TooLarge, format!("{} bytes, {BODY_LIMIT} allowed", body.len())));
+        }
+        match door(method, path, query, body)? {
+            Door::Front(r) => self.front(r).await,
+            Door::Ask(id, op) => self.verdict(|call| In::Ask { call, id, op }).await,
+            Door::Announce(op) => self.verdict(|call| In::Announce { call, op }).await,
+            Door::Show(w, a) => self.show(w, a).await,
+            Door::Explain(id, here) => self.explain(id, here).await,
+            Door::Ready => self.ready().await,
+        }
+    }
+}
+
+pub fn response(a: Answer) -> Response {
+    let (code, retry, v) = match a {
+        Ok(v) => (200, 0, v),
+        Err(r) => {
+            let w = r.kind.row();
+            (w.code, w.retry, json!({"error": w.name, "why": r.why, "kept": w.kept, "retry_after_s": w.retry}))
+        }
+    };
+    let mut r = Response::new(v.to_string().into());
+    *r.status_mut() = StatusCode::from_u16(code).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    r.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if retry > 0 {
+        r.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from(retry));
+    }
+    r
+}
+
+pub async fn serve<F, H, D>(at: SocketAddr, h: H, drain: D) -> eyre::Result<()>
+where
+    H: Fn(String, String, String, Vec<u8>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response> + Send + 'static,
+    D: Future<Output = ()> + Send + 'static,
+{
+    let f = move |m: Method, u: Uri, b: Vec<u8>| {
+        let q = u.query().unwrap_or("").to_string();
+        h(m.to_string(), u.path().to_string(), q, b)
+    };
+    let app: Router = Router::new().fallback(f);
+    let s = Server::new(app).register_shutdown_hook(move || Box::pin(drain));
+    s.run(volo::net::Address::from(at)).await.map_err(|e| eyre::eyre!("http: {e}"))
+}
--- /dev/null
+++ b/medium/src/lib.rs
@@ -0,0 +1,10 @@
+pub mod back;
+pub mod calls;
+pub mod clock;
+pub mod doors;
+pub mod files;
+pub mod net;
+pub mod paths;
+pub mod settings;
+pub mod run;
+pub mod threads;
--- /dev/null
+++ b/medium/src/net.rs
@@ -0,0 +1,116 @@
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tenet::base::Addr;
+use tenet::wire::{decode, encode, Msg, Packet};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::sync::mpsc;
+
+const SMALL: usize = 1200;
+const LARGE: usize = 16 << 20;
+const QUEUE: usize = 4096;
+
+pub struct Net {
+    udp: Arc<UdpSocket>,
+    lines: Mutex<HashMap<Addr, mpsc::Sender<Vec<u8>>>>,
+    rt: tokio::runtime::Handle,
+}
+
+pub type Sink = Arc<dyn Fn(Packet) + Send + Sync>;
+
+impl Net {
+    pub async fn start(at: SocketAddr, sink: Sink) -> std::io::Result<Arc<Net>> {
+        let udp = Arc::new(UdpSocket::bind(at).await?);
+        let tcp = TcpListener::bind(at).await?;
+        let rt = tokio::runtime::Handle::current();
+        tokio::spawn(hear_udp(udp.clone(), sink.clone()));
+        tokio::spawn(hear_tcp(tcp, sink));
+        Ok(Arc::new(Net { udp, lines: Mutex::new(HashMap::new()), rt }))
+    }
+
+    pub fn send(&self, to: Addr, p: &Packet) {
+        let b = encode(p);
+        let stream = b.len() > SMALL || matches!(p.msg, Msg::Carry { .. } | Msg::Carried { .. });
+        if !stream {
+            let _ = self.udp.try_send_to(&b, to.into());
+            return;
+        }
+        if b.len() > LARGE {
+            log::error!("net: a packet of {} bytes is too large to send", b.len());
+            return;
+        }
+        let mut g = self.lines.lock().unwrap_or_else(|e| e.into_inner());
+        let line = g.entry(to).or_insert_with(|| self.line(to));
+        if let Err(mpsc::error::TrySendError::Closed(b)) = line.try_send(b) {
+            let l = self.line(to);
+            let _ = l.try_send(b);
+            g.insert(to, l);
+        }
+    }
+
+    fn line(&self, to: Addr) -> mpsc::Sender<Vec<u8>> {
+        let (tx, mut rx) = mpsc::channel::<Vec<u8>>(QUEUE);
+        self.rt.spawn(async move {
+            let a = SocketAddr::from(to);
+            let c = tokio::time::timeout(Duration::from_millis(500), TcpStream::connect(a)).await;
+            let Ok(Ok(mut s)) = c else { return };
+            let _ = s.set_nodelay(true);
+            while let Some(b) = rx.recv().await {
+                let n = (b.len() as u32).to_le_bytes();
+                if s.write_all(&n).await.is_err() || s.write_all(&b).await.is_err() {
+                    return;
+                }
+            }
+        });
+        tx
+    }
+}
+
+async fn hear_udp(udp: Arc<UdpSocket>, sink: Sink) {
+    let mut b = vec![0u8; 65536];
+    loop {
+        match udp.recv_from(&mut b).await {
+            Ok((n, from)) => match decode(&b[..n]) {
+                Ok(p) => sink(p),
+                Err(e) => log::debug!("net: dropped {n} bytes from {from}: {e}"),
+            },
+            Err(_) => tokio::time::sleep(Duration::from_millis(5)).await,
+        }
+    }
+}
+
+async fn hear_tcp(tcp: TcpListener, sink: Sink) {
+    loop {
+        if let Ok((s, from)) = tcp.accept().await {
+            tokio::spawn(hear_line(s, from, sink.clone()));
+        } else {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+}
+
+async fn hear_line(mut s: TcpStream, from: SocketAddr, sink: Sink) {
+    let _ = s.set_nodelay(true);
+    let mut h = [0u8; 4];
+    while s.read_exact(&mut h).await.is_ok() {
+        let n = u32::from_le_bytes(h) as usize;
+        if n > LARGE {
+            log::warn!("net: {from} announced {n} bytes, line closed");
+            return;
+        }
+        let mut b = Vec::new();
+        let got = (&mut s).take(n as u64).read_to_end(&mut b).await;
+        if !matches!(got, Ok(m) if m == n) {
+            return;
+        }
+        match decode(&b) {
+            Ok(p) => sink(p),
+            Err(e) => {
+                log::warn!("net: {from} sent what does not read, line closed: {e}");
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tenet/src/answer.rs
@@ -0,0 +1,255 @@
+use crate::base::*;
+use crate::front::*;
+use crate::job::*;
+use crate::kind::{Kind, Reject};
+use crate::wire::*;
+use serde_json::Value;
+
+const AGAIN: Time = 100;
+
+fn num(v: &Value, k: &str) -> u64 {
+    v.get(k).and_then(|x| x.as_u64()).unwrap_or(0)
+}
+
+impl Front {
+    pub(crate) fn job_back(&mut self, now: Time, j: usize, token: u64, res: BackRes, out: &mut FrontOut) {
+        if self.jobs[j].token != token {
+            return;
+        }
+        match self.jobs[j].step {
+            Step::Open => self.back_open(now, j, res, out),
+            Step::Reset => match res {
+                BackRes::Ok(_) => self.job_run(now, j, out),
+                _ => {
+                    self.job_discard(now, j, out);
+                    self.again_or(now, j, Reject::new(Kind::Busy, "a connection could not be reset"), out);
+                }
+            },
+            Step::Run => self.back_run(now, j, res, out),
+            Step::LookUp => self.back_look(now, j, res, out),
+            Step::CloseFirst => match res {
+                BackRes::Ok(_) => self.look_up(now, j, Step::LookAfter, out),
+                _ => self.jobs[j].step = Step::Again(now + AGAIN),
+            },
+            Step::LookAfter => match res {
+                BackRes::Ok(v) if v["found"] == true => self.found(now, j, &v, out),
+                BackRes::Ok(_) => {
+                    let r = Reject::new(Kind::Aborted, "the server does not know it and its connection is closed");
+                    self.job_end(now, j, Err(r), out);
+                }
+                _ => self.jobs[j].step = Step::Again(now + AGAIN),
+            },
+            _ => (),
+        }
+    }
+
+    fn back_open(&mut self, now: Time, j: usize, res: BackRes, out: &mut FrontOut) {
+        let s = self.jobs[j].server;
+        match res {
+            BackRes::Ok(v) if v.get("conn").is_some() => {
+                self.pools[s].opened();
+                let (user, setup) = (self.jobs[j].load.session, crate::session::setup_digest(&self.jobs[j].load.setup));
+                self.jobs[j].conn = Some(crate::pool::Conn { id: num(&v, "conn"), user, setup, idle: now });
+                self.reset_now(now, j, out);
+            }
+            r => {
+                self.pools[s].not_opened();
+                let e = match r {
+                    BackRes::Rejected(429, _) => Reject::new(Kind::Busy, "the server allows no more connections"),
+                    r => Reject::new(Kind::NoPrimary, format!("no connection to the server: {}", word(&r))),
+                };
+                self.job_end(now, j, Err(e), out);
+                self.pump(now, s, out);
+            }
+        }
+    }
+
+    fn again_or(&mut self, now: Time, j: usize, r: Reject, out: &mut FrontOut) {
+        self.jobs[j].tries += 1;
+        match self.jobs[j].tries < 3 {
+            true => self.job_take(now, j, out),
+            false => self.job_end(now, j, Err(r), out),
+        }
+    }
+
+    fn back_run(&mut self, now: Time, j: usize, res: BackRes, out: &mut FrontOut) {
+        let act = self.jobs[j].load.act.clone();
+        let writes = self.jobs[j].load.writes;
+        let inside = matches!(act, Act::Step | Act::Commit | Act::Rollback);
+        match res {
+            BackRes::Ok(v) => self.ran(now, j, act, &v, out),
+            BackRes::Rejected(410, _) if !inside => {
+                self.job_discard(now, j, out);
+                self.again_or(now, j, Reject::new(Kind::Busy, "its connections were closed by the server"), out);
+            }
+            BackRes::Rejected(422, w) => {
+                match act {
+                    Act::Step => self.txn_free(now, j),
+                    Act::Commit => {
+                        let k = self.jobs[j].load.txn;
+                        self.txns.remove(&k);
+                        self.job_put(now, j, out);
+                    }
+                    _ => self.job_put(now, j, out),
+                }
+                self.job_end(now, j, Err(Reject::new(Kind::Failed, w)), out);
+            }
+            BackRes::Rejected(409, w) if !inside => {
+                self.job_put(now, j, out);
+                self.job_end(now, j, Err(Reject::new(Kind::OtherBody, w)), out);
+            }
+            BackRes::Rejected(403, w) => {
+                self.job_discard(now, j, out);
+                let k = if inside { Kind::Aborted } else { Kind::NoPrimary };
+                self.job_end(now, j, Err(Reject::new(k, w)), out);
+            }
+            BackRes::Lost if writes || act == Act::Commit => {
+                self.jobs[j].lost = self.jobs[j].conn.as_ref().map_or(0, |c| c.id);
+                self.job_discard(now, j, out);
+                let id = self.jobs[j].load.id.clone();
+                self.traces.tell(now, &id, "its answer vanished, looking it up by its id".into());
+                self.close_first(now, j, out);
+            }
+            r => {
+                self.job_discard(now, j, out);
+                let k = if inside { Kind::Aborted } else { Kind::NoPrimary };
+                self.job_end(now, j, Err(Reject::new(k, format!("the server did not take it: {}", word(&r)))), out);
+            }
+        }
+    }
+
+    fn txn_free(&mut self, now: Time, j: usize) {
+        let job = &mut self.jobs[j];
+        job.conn = None;
+        if let Some(x) = self.txns.get_mut(&job.load.txn) {
+            x.busy = false;
+            x.last = now;
+        }
+    }
+
+    fn ran(&mut self, now: Time, j: usize, act: Act, v: &Value, out: &mut FrontOut) {
+        let job = &mut self.jobs[j];
+        job.pos = num(v, "pos");
+        job.body = v.get("result").map_or("null".into(), |r| r.to_string());
+        job.repeat = v["repeat"] == true;
+        let key = job.load.txn;
+        match act {
+            Act::Begin => {
+                let life = self.t.as_ref().map_or(0, |t| t.servers[job.server].life);
+                if let Some(c) = job.conn.take() {
+                    let x = TxnHeld {
+                        conn: c.id,
+                        setup: c.setup,
+                        server: job.server,
+                        db: job.db,
+                        epoch: job.epoch,
+                        session: job.load.session,
+                        last: now,
+                        busy: false,
+                        life,
+                    };
+                    self.txns.insert(key, x);
+                }
+                self.job_end(now, j, Ok(()), out);
+            }
+            Act::Step => {
+                self.txn_free(now, j);
+                self.job_end(now, j, Ok(()), out);
+            }
+            Act::Rollback => {
+                self.txns.remove(&key);
+                self.job_put(now, j, out);
+                self.job_end(now, j, Ok(()), out);
+            }
+            Act::Commit => {
+                self.txns.remove(&key);
+                self.job_put(now, j, out);
+                self.wait_acks(now, j, out);
+            }
+            _ => {
+                self.job_put(now, j, out);
+                match self.jobs[j].load.writes {
+                    true => self.wait_acks(now, j, out),
+                    false => self.job_end(now, j, Ok(()), out),
+                }
+            }
+        }
+    }
+
+    fn back_look(&mut self, now: Time, j: usize, res: BackRes, out: &mut FrontOut) {
+        let job = &self.jobs[j];
+        let commit = job.load.act == Act::Commit;
+        match res {
+            BackRes::Ok(v) if v["found"] == true => self.found(now, j, &v, out),
+            BackRes::Ok(_) if !commit => self.job_take(now, j, out),
+            BackRes::Ok(_) if job.load.epoch < job.epoch => {
+                let r = Reject::new(Kind::Aborted, "the new primary does not hold it");
+                self.job_end(now, j, Err(r), out);
+            }
+            BackRes::Ok(_) => self.jobs[j].step = Step::Again(now + AGAIN),
+            r => self.job_end(now, j, Err(Reject::new(Kind::NoPrimary, format!("no look-up: {}", word(&r)))), out),
+        }
+    }
+
+    fn found(&mut self, now: Time, j: usize, v: &Value, out: &mut FrontOut) {
+        let job = &mut self.jobs[j];
+        job.pos = num(v, "pos");
+        job.body = v.get("result").map_or("null".into(), |r| r.to_string());
+        job.repeat = true;
+        let id = job.load.id.clone();
+        self.traces.tell(now, &id, "found under its id, not run again".into());
+        self.wait_acks(now, j, out);
+    }
+
+    fn wait_acks(&mut self, now: Time, j: usize, out: &mut FrontOut) {
+        self.jobs[j].step = Step::Acks;
+        self.job_wait(now, j, out);
+    }
+
+    pub(crate) fn close_first(&mut self, now: Time, j: usize, out: &mut FrontOut) {
+        let conn = self.jobs[j].lost;
+        let body = serde_json::json!({ "conn": conn });
+        self.job_call(now, j, Step::CloseFirst, "/close", body, out);
+    }
+
+    pub(crate) fn job_wait(&mut self, now: Time, j: usize, out: &mut FrontOut) {
+        let Some(t) = self.t.clone() else { return };
+        let job = &self.jobs[j];
+        let fenced = matches!(job.owner, Owner::Carry(..));
+        let sent = job.load.writes || job.load.act == Act::Commit;
+        let unknown = |w: &str| Err(Reject::new(Kind::Unknown, w));
+        match job.step {
+            Step::Acks if !self.still(now, job.db, job.epoch) => {
+                self.job_end(now, j, unknown("the permit ended before a replica held it"), out);
+            }
+            Step::Acks if self.acked(&t.dbs[job.db], job.pos) => self.job_end(now, j, Ok(()), out),
+            Step::Again(_) if fenced && !self.still(now, job.db, job.epoch) => {
+                self.job_end(now, j, unknown("the permit ended before it could be looked up"), out);
+            }
+            Step::Again(at) if now >= at && now < job.deadline => match job.lost {
+                0 => self.look_up(now, j, Step::LookUp, out),
+                _ => self.close_first(now, j, out),
+            },
+            Step::Queue if now >= job.deadline => {
+                self.job_end(now, j, Err(Reject::new(Kind::Busy, "no connection came free in time")), out);
+            }
+            Step::Acks | Step::Again(_) if now >= job.deadline => {
+                let r = match sent {
+                    true => unknown("no replica confirmed it in time"),
+                    false => Err(Reject::new(Kind::TooLate, "the deadline passed")),
+                };
+                self.job_end(now, j, r, out);
+            }
+            _ => (),
+        }
+    }
+}
+
+fn word(r: &BackRes) -> String {
+    match r {
+        BackRes::Ok(_) => "an answer without sense".into(),
+        BackRes::Rejected(c, w) => format!("{c} {w}"),
+        BackRes::NotSent => "not reached".into(),
+        BackRes::Lost => "no answer".into(),
+    }
+}
--- /dev/null
+++ b/tenet/src/apply.rs
@@ -0,0 +1,241 @@
+use crate::base::*;
+use crate::chart;
+use crate::config::Config;
+use crate::kind::{Kind, Reject};
+use crate::state::*;
+
+type Res = Result<Mark, Reject>;
+
+fn stale(why: impl Into<String>) -> Reject {
+    Reject::new(Kind::StaleBase, why)
+}
+
+impl State {
+    pub fn step(&mut self, a: &Ask) -> Res {
+        let m = self.mark;
+        match &a.op {
+            Op::Config { base, text } => self.config(a.at, *base, text),
+            Op::Evacuate { domain, on } => {
+                let was = self.evacuated.contains_key(domain);
+                if *on && !was {
+                    self.evacuated.insert(domain.clone(), m);
+                    self.tell(a.at, domain, format!("domain {domain} evacuated by an operator"));
+                }
+                if !*on && was {
+                    self.evacuated.remove(domain);
+                    self.tell(a.at, domain, format!("domain {domain} taken back by an operator"));
+                }
+                Ok(m)
+            }
+            Op::Drain { server, on } => {
+                self.servers.get(server).ok_or_else(|| Reject::new(Kind::UnknownName, server.clone()))?;
+                let was = self.drained.contains_key(server);
+                if *on && !was {
+                    self.drained.insert(server.clone(), m);
+                    self.tell(a.at, server, format!("server {server} draining, an operator asked"));
+                }
+                if !*on && was {
+                    self.drained.remove(server);
+                    self.tell(a.at, server, format!("server {server} taken back by an operator"));
+                }
+                Ok(m)
+            }
+            Op::Enrol { id, addr, http, domain, disk } => {
+                let v = Member {
+                    id: *id,
+                    addr: *addr,
+                    http: *http,
+                    domain: domain.clone(),
+                    disk: *disk,
+                    phase: chart::member().start().into(),
+                    at: m,
+                };
+                self.members.entry(*id).or_insert(v);
+                Ok(m)
+            }
+            Op::Phase { id, event } => self.phase(*id, event),
+            Op::Announce { .. } => self.announce(a),
+            Op::Place { db, fencers, gateways } => {
+                let d = self.dbs.entry(db.clone()).or_insert_with(|| Db {
+                    phase: chart::failover().start().into(),
+                    ..Db::default()
+                });
+                d.fencers = fencers.clone();
+                d.gateways = gateways.clone();
+                let t = format!("{db}: fencing on {fencers:x?}, gateways on {gateways:x?}");
+                self.tell(a.at, db, t);
+                Ok(m)
+            }
+            _ => self.failover(a),
+        }
+    }
+
+    fn config(&mut self, at: u64, base: Mark, text: &str) -> Res {
+        if base == self.cfg_base && text == self.cfg && self.cfg_mark > 0 {
+            return Ok(self.cfg_mark);
+        }
+        if base != self.cfg_mark {
+            return Err(stale(format!("base {base}, current {}", self.cfg_mark)));
+        }
+        self.cfg_base = base;
+        self.cfg_mark = self.mark;
+        self.cfg = text.into();
+        self.tell(at, "configuration", format!("configuration {} accepted over {base}", self.cfg_mark));
+        Ok(self.mark)
+    }
+
+    fn phase(&mut self, id: NodeId, event: &str) -> Res {
+        let m = self.mark;
+        let p = self.members.get_mut(&id).ok_or_else(|| Reject::new(Kind::UnknownName, "member"))?;
+        let to = chart::member().step(&p.phase, event).ok_or_else(|| stale(event))?;
+        p.phase = to.into();
+        p.at = m;
+        if to == "gone" {
+            self.members.remove(&id);
+        }
+        Ok(m)
+    }
+
+    fn announce(&mut self, a: &Ask) -> Res {
+        if let Op::Announce { server, addr, domain, labels, life, leads, leaving } = &a.op {
+            let s = Server {
+                name: server.clone(),
+                addr: *addr,
+                domain: domain.clone(),
+                labels: labels.clone(),
+                life: *life,
+                leads: *leads,
+                leaving: *leaving,
+            };
+            let o = self.servers.insert(server.clone(), s);
+            let born = o.as_ref().is_none_or(|o| o.life != *life);
+            if born {
+                self.drained.remove(server);
+                self.tell(a.at, server, format!("server {server} announced itself at {addr}, life {life:x}"));
+            }
+            if *leaving && o.is_none_or(|o| !o.leaving) {
+                self.tell(a.at, server, format!("server {server} says it is leaving"));
+            }
+        }
+        Ok(self.mark)
+    }
+
+    fn failover(&mut self, a: &Ask) -> Res {
+        let m = self.mark;
+        let (n, ep, ev, text) = match &a.op {
+            Op::Adopt { db, server } => (db, None, "adopt", format!("{server} adopted as first primary")),
+            Op::Close { db, epoch, why } => (db, Some(*epoch), "close", format!("closing: {why}")),
+            Op::Reopen { db, epoch, why } => (db, Some(*epoch), "reopen", format!("reopened: {why}")),
+            Op::Offline { db, epoch, why } => (db, Some(*epoch), "offline", format!("old primary offline: {why}")),
+            Op::Target { db, epoch, server, .. } => {
+                (db, Some(*epoch), "target", format!("{server} chosen, holds every acknowledged commit"))
+            }
+            Op::Asker { db, epoch, asker } => (db, Some(*epoch), "asker", format!("{asker:x} asks for the promotion now")),
+            Op::Promoted { db, epoch, server } => (db, Some(*epoch), "promoted", format!("{server} takes writes")),
+            Op::HeirJoin { db, epoch, server } => return self.turn_heir(db, *epoch, server, 0),
+            Op::HeirFull { db, epoch, server } => return self.turn_heir(db, *epoch, server, 1),
+            Op::HeirLeave { db, epoch, server, why } => {
+                self.tell(a.at, db, format!("{db}: {server} counts no longer: {why}"));
+                return self.turn_heir(db, *epoch, server, 2);
+            }
+            _ => return Err(Kind::BadRequest.into()),
+        };
+        let n = n.clone();
+        let heir = match &a.op {
+            Op::Target { server, .. } => self.dbs.get(&n).is_some_and(|d| self.heir(d, server)),
+            _ => true,
+        };
+        let d = self.db(&n)?;
+        if ep.is_some_and(|e| e != d.epoch) {
+            return Err(stale(format!("epoch is {}", d.epoch)));
+        }
+        let to = chart::failover().step(&d.phase, ev).ok_or_else(|| stale(format!("{ev} in {}", d.phase)))?;
+        match &a.op {
+            Op::Promoted { server, .. } if d.target.as_ref() != Some(server) => return Err(stale("another target")),
+            Op::Target { .. } if !heir => return Err(stale("no heir")),
+            Op::Reopen { .. } if d.phase == "fenced" => {
+                d.primary = d.old.take();
+                d.epoch = m;
+            }
+            _ => (),
+        }
+        d.phase = to.into();
+        d.since = m;
+        self.failover_set(a, &n);
+        self.tell(a.at, &n, format!("{n}: {text}"));
+        Ok(m)
+    }
+
+    fn failover_set(&mut self, a: &Ask, n: &str) {
+        let m = self.mark;
+        let lives: Vec<(String, u64)> = self.servers.values().map(|s| (s.name.clone(), s.life)).collect();
+        let Ok(d) = self.db(n) else { return };
+        match &a.op {
+            Op::Adopt { server, .. } => {
+                d.primary = Some(server.clone());
+                d.epoch = m;
+            }
+            Op::Close { .. } => d.planned = true,
+            Op::Reopen { .. } => d.planned = false,
+            Op::Offline { .. } => {
+                d.old = d.primary.take();
+                d.epoch = m;
+            }
+            Op::Target { server, asker, .. } => {
+                d.target = Some(server.clone());
+                d.asker = *asker;
+            }
+            Op::Asker { asker, .. } => d.asker = *asker,
+            Op::Promoted { server, .. } => {
+                d.primary = Some(server.clone());
+                d.target = None;
+                d.planned = false;
+                d.epoch = m;
+                d.heirs.remove(server);
+                d.joining.clear();
+                d.retired.remove(server);
+                let o = d.old.take();
+                if let Some((s, l)) = o.and_then(|o| lives.into_iter().find(|(s, _)| *s == o)) {
+                    d.retired.insert(s, l);
+                }
+            }
+            _ => (),
+        }
+    }
+
+    fn turn_heir(&mut self, db: &str, epoch: Mark, server: &str, how: u8) -> Res {
+        let m = self.mark;
+        let life = self.servers.get(server).map(|s| s.life);
+        let d = self.db(db)?;
+        if d.epoch != epoch || d.phase != "steady" || life.is_none() || d.primary.as_deref() == Some(server) {
+            return Err(stale(format!("epoch is {}, {}", d.epoch, d.phase)));
+        }
+        match how {
+            0 => {
+                d.joining.entry(server.into()).or_insert(m);
+            }
+            1 => {
+                d.joining.remove(server).ok_or_else(|| stale("not joining"))?;
+                d.heirs.insert(server.into(), life.unwrap_or(0));
+            }
+            _ => {
+                d.joining.remove(server);
+                d.heirs.remove(server);
+            }
+        }
+        Ok(m)
+    }
+
+    pub fn check(&self, op: &Op) -> Result<(), Reject> {
+        match op {
+            Op::Config { text, .. } => Config::parse(text)
+                .map(|_| ())
+                .map_err(|e| Reject::new(Kind::BadConfig, e.join("; "))),
+            Op::Evacuate { domain, .. } => Config::parse(&self.cfg)
+                .ok()
+                .and_then(|c| c.domains.get(domain).map(|_| ()))
+                .ok_or_else(|| Reject::new(Kind::UnknownName, format!("no domain '{domain}'"))),
+            _ => Ok(()),
+        }
+    }
+}
--- /dev/null
+++ b/tenet/src/base.rs
@@ -0,0 +1,74 @@
+use speedy::{Readable, Writable};
+use std::fmt;
+use std::net::{IpAddr, Ipv6Addr, SocketAddr};
+
+pub type Time = u64;
+pub type Mark = u64;
+pub type NodeId = u64;
+
+pub const PERMIT: Time = 1500;
+pub const PERMIT_DRIFT: Time = 150;
+pub const TAIL_PERMIT: Time = 600;
+pub const TAIL_DRIFT: Time = 60;
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Readable, Writable)]
+pub struct Addr {
+    pub ip: [u8; 16],
+    pub port: u16,
+}
+
+impl Addr {
+    pub const NONE: Addr = Addr { ip: [0; 16], port: 0 };
+}
+
+impl From<SocketAddr> for Addr {
+    fn from(a: SocketAddr) -> Self {
+        let ip = match a.ip() {
+            IpAddr::V4(v) => v.to_ipv6_mapped(),
+            IpAddr::V6(v) => v,
+        };
+        Addr { ip: ip.octets(), port: a.port() }
+    }
+}
+
+impl From<Addr> for SocketAddr {
+    fn from(a: Addr) -> Self {
+        let v = Ipv6Addr::from(a.ip);
+        let ip = v.to_ipv4_mapped().map(IpAddr::V4).unwrap_or(IpAddr::V6(v));
+        SocketAddr::new(ip, a.port)
+    }
+}
+
+impl fmt::Display for Addr {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "{}", SocketAddr::from(*self))
+    }
+}
+
+pub fn mix(mut x: u64) -> u64 {
+    x = x.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+pub fn digest(b: &[u8]) -> u64 {
+    b.iter().fold(0xcbf2_9ce4_8422_2325, |h, c| {
+        mix((h ^ *c as u64).wrapping_mul(0x0100_0000_01b3))
+    })
+}
+
+pub struct Ids {
+    seed: u64,
+    n: u64,
+}
+
+impl Ids {
+    pub fn new(seed: u64) -> Self {
+        Ids { seed, n: 0 }
+    }
+    pub fn take(&mut self) -> u64 {
+        self.n += 1;
+        mix(self.seed ^ mix(self.n)) & 0x001f_ffff_ffff_ffff
+    }
+}
--- /dev/null
+++ b/tenet/src/collect.rs
@@ -0,0 +1,296 @@
+use crate::base::*;
+use crate::front::*;
+use crate::kind::{Kind, Reject};
+use crate::ledger::Plan;
+use crate::route;
+use crate::session::*;
+use crate::table::*;
+use crate::trip::{For, Trip};
+use crate::wire::*;
+use serde_json::{json, Value};
+
+fn reject(k: Kind, why: impl Into<String>) -> Reject {
+    Reject::new(k, why)
+}
+
+const PROOF_MARGIN: Time = 60;
+
+impl Front {
+    pub(crate) fn call(&mut self, now: Time, call: u64, req: Req, out: &mut FrontOut) {
+        let r = match req {
+            Req::Explain { id } => {
+                let v = self.traces.show(&id);
+                v.map(|v| json!({"node": format!("{:x}", self.me), "id": id, "steps": v, "now": now}))
+                    .ok_or_else(|| reject(Kind::UnknownName, format!("no request '{id}' passed here")))
+            }
+            Req::Figures => Ok(self.figures()),
+            Req::Open { db, user, tenant, settings } => self.open(now, db, user, tenant, settings),
+            req => match self.in_session(now, call, req, out) {
+                Ok(None) => return,
+                Ok(Some(v)) => Ok(v),
+                Err(r) => Err(r),
+            },
+        };
+        out.response.push((call, r));
+    }
+
+    fn figures(&self) -> Value {
+        let opened: u64 = self.pools.iter().map(|p| p.opened).sum();
+        let held: u32 = self.pools.iter().map(|p| p.total()).sum();
+        json!({"served": self.served, "sessions": self.sessions.len(), "opened": opened,
+            "connections": held, "trips": self.trips.len(), "jobs": self.jobs.len(), "transactions": self.txns.len()})
+    }
+
+    fn welcome(&self, now: Time) -> Result<std::sync::Arc<Table>, Reject> {
+        let t = self.table()?;
+        if self.stopping {
+            return Err(reject(Kind::Leaving, "this node is stopping"));
+        }
+        if !self.allows(now) {
+            return Err(reject(Kind::NotCurrent, "this node could not confirm its configuration in time"));
+        }
+        t.closed.map_or(Ok(t.clone()), |w| Err(reject(Kind::Leaving, w)))
+    }
+
+    fn open(&mut self, now: Time, db: String, user: String, tenant: Option<String>, settings: Vec<(String, String)>) -> Result<Value, Reject> {
+        let t = self.welcome(now)?;
+        let i = *t.db_ix.get(&db).ok_or_else(|| reject(Kind::UnknownDatabase, db))?;
+        if let Some(x) = tenant.as_ref().filter(|x| !t.dbs[i].tenants.contains_key(*x)) {
+            return Err(reject(Kind::UnknownName, format!("no tenant '{x}'")));
+        }
+        let id = self.ids.take();
+        let setup = SetUp { user, settings, prepared: Vec::new() };
+        let s = Session { db: i, tenant, setup, txn: None, mark: 0, last: now, busy: false };
+        self.sessions.insert(id, s);
+        Ok(json!({"session": id, "node": format!("{:x}", self.me), "region": t.region}))
+    }
+
+    fn in_session(&mut self, now: Time, call: u64, req: Req, out: &mut FrontOut) -> Result<Option<Value>, Reject> {
+        let id = req.session().unwrap_or(0);
+        let s = self.sessions.get_mut(&id).ok_or_else(|| reject(Kind::UnknownSession, id.to_string()))?;
+        if s.busy {
+            return Err(reject(Kind::BadState, "the session's earlier request is still under way"));
+        }
+        s.last = now;
+        match req {
+            Req::Set { name, value, .. } => {
+                upsert(&mut s.setup.settings, name, value);
+                Ok(Some(json!({"set": true})))
+            }
+            Req::Prepare { name, text, .. } => {
+                upsert(&mut s.setup.prepared, name, text);
+                Ok(Some(json!({"prepared": true})))
+            }
+            Req::Close { .. } => {
+                let s = self.sessions.remove(&id);
+                if let Some(x) = s.as_ref().and_then(|s| s.txn.as_ref()) {
+                    let load = Load { act: Act::Rollback, ..blank(x.id.clone()) };
+                    let s = s.as_ref().map(|s| s.db).unwrap_or(0);
+                    self.roll_back_for(now, s, x.key, x.fence, load, out);
+                }
+                Ok(Some(json!({"closed": true})))
+            }
+            Req::Run { kind, id: rid, body, prepared, budget, .. } => {
+                self.run(now, call, id, kind, rid, body, prepared, budget, out).map(|_| None)
+            }
+            Req::Begin { kind, id: rid, budget, .. } => {
+                self.begin(now, call, id, kind, rid, budget, out).map(|_| None)
+            }
+            Req::Commit { budget, .. } => self.end_txn(now, call, id, Act::Commit, budget, out).map(|_| None),
+            Req::Rollback { budget, .. } => self.end_txn(now, call, id, Act::Rollback, budget, out).map(|_| None),
+            _ => Err(reject(Kind::BadRequest, "not a session request")),
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn run(
+        &mut self,
+        now: Time,
+        call: u64,
+        sid: u64,
+        kind: String,
+        rid: Option<String>,
+        body: String,
+        prepared: Option<String>,
+        budget: Option<Time>,
+        out: &mut FrontOut,
+    ) -> Result<(), Reject> {
+        let t = self.table()?;
+        let k = *t.kind_ix.get(&kind).ok_or_else(|| reject(Kind::UnknownKind, kind))?;
+        let row = &t.kinds[k];
+        let s = &self.sessions[&sid];
+        if let Some(p) = prepared.as_ref().filter(|p| !s.setup.prepared.iter().any(|(n, _)| n == *p)) {
+            return Err(reject(Kind::UnknownName, format!("nothing prepared as '{p}'")));
+        }
+        let body = match &prepared {
+            Some(p) => json!({"prepared": p, "args": serde_json::from_str::<Value>(&body).unwrap_or(Value::Null)}).to_string(),
+            None => body,
+        };
+        if s.txn.is_some() {
+            return self.step(now, call, sid, body, budget, out);
+        }
+        self.welcome(now)?;
+        let (db, mark) = (s.db, s.mark);
+        let mut load = self.load(&t, sid, rid, Act::Single);
+        load.body = body;
+        load.writes = row.cfg.writes;
+        let loose = !row.cfg.writes && row.cfg.fresh.within_ms.is_some();
+        let bound = row.cfg.fresh.within_ms.filter(|_| loose);
+        let own = if row.cfg.fresh.own_changes { mark } else { 0 };
+        let mut plan = self.plan(now, &t, sid, &load, budget);
+        if let Some(b) = bound {
+            plan.replicas = self.replicas(now, &t, sid, row, &load, b, own);
+        }
+        let db = &t.dbs[db];
+        let barred = db.primary.is_some_and(|p| !row.sel.matches(&t.servers[p].labels));
+        if barred {
+            plan.gateways.clear();
+            plan.none = Kind::NoPrimary;
+        }
+        self.set_off(now, call, sid, load, plan, bound, out);
+        Ok(())
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn replicas(&self, now: Time, t: &Table, sid: u64, row: &KindRow, l: &Load, bound: Time, own: u64) -> Vec<usize> {
+        let db = self.sessions[&sid].db;
+        let d = &t.dbs[db];
+        let lead = d.primary.map(|p| t.servers[p].name.as_str());
+        let mut v: Vec<(bool, u32, usize)> = d
+            .servers
+            .iter()
+            .filter(|i| {
+                let (s, k) = (&t.servers[**i], &self.known[**i]);
+                let fit = s.off.is_none() && s.addr != Addr::NONE && Some(**i) != d.primary;
+                let near = l.regions.contains(&s.region) && row.sel.matches(&s.labels);
+                let good = k.reach && k.life == s.life && Some(k.follows.as_str()) == lead;
+                let age = self.marks[db].age(now, d.epoch, k.pos);
+                fit && near && good && k.pos >= own && age.is_some_and(|a| a + PROOF_MARGIN < bound)
+            })
+            .map(|i| (t.servers[*i].region != t.region, self.pools[*i].used(), *i))
+            .collect();
+        v.sort();
+        v.into_iter().take(2).map(|x| x.2).collect()
+    }
+
+    fn begin(&mut self, now: Time, call: u64, sid: u64, kind: Option<String>, rid: Option<String>, budget: Option<Time>, out: &mut FrontOut) -> Result<(), Reject> {
+        let t = self.welcome(now)?;
+        kind.filter(|k| !t.kind_ix.contains_key(k)).map_or(Ok(()), |k| Err(reject(Kind::UnknownKind, k)))?;
+        if self.sessions[&sid].txn.is_some() {
+            return Err(reject(Kind::BadState, "a transaction is open already"));
+        }
+        let mut load = self.load(&t, sid, rid, Act::Begin);
+        load.txn = self.ids.take();
+        let plan = self.plan(now, &t, sid, &load, budget);
+        self.set_off(now, call, sid, load, plan, None, out);
+        Ok(())
+    }
+
+    fn step(&mut self, now: Time, call: u64, sid: u64, body: String, budget: Option<Time>, out: &mut FrontOut) -> Result<(), Reject> {
+        let (mut load, plan) = self.pinned(now, sid, Act::Step, budget)?;
+        load.body = body;
+        self.set_off(now, call, sid, load, plan, None, out);
+        Ok(())
+    }
+
+    fn end_txn(&mut self, now: Time, call: u64, sid: u64, act: Act, budget: Option<Time>, out: &mut FrontOut) -> Result<(), Reject> {
+        let r = self.pinned(now, sid, act, budget);
+        if let Err(e) = &r {
+            if e.kind == Kind::Aborted {
+                self.sessions.get_mut(&sid).into_iter().for_each(|s| s.txn = None);
+            }
+        }
+        let (load, plan) = r?;
+        self.set_off(now, call, sid, load, plan, None, out);
+        Ok(())
+    }
+
+    fn pinned(&mut self, now: Time, sid: u64, act: Act, budget: Option<Time>) -> Result<(Load, Plan), Reject> {
+        let t = self.table()?;
+        let s = &self.sessions[&sid];
+        let x = s.txn.as_ref().ok_or_else(|| reject(Kind::BadState, "no transaction is open"))?;
+        if let TxnState::Broken(w) = &x.state {
+            return Err(reject(Kind::Aborted, format!("rolled back before: {w}")));
+        }
+        let (id, key, fence, via, epoch) = (x.id.clone(), x.key, x.fence, x.via, x.epoch);
+        let commit = act == Act::Commit;
+        let mut load = self.load(&t, sid, Some(id), act);
+        (load.txn, load.fence, load.epoch) = (key, fence, epoch);
+        let mut plan = self.plan(now, &t, sid, &load, budget);
+        plan.pinned = true;
+        plan.commit = commit;
+        plan.gateways.retain(|g| *g != via);
+        plan.gateways.insert(0, via);
+        Ok((load, plan))
+    }
+
+    pub(crate) fn load(&mut self, t: &Table, sid: u64, rid: Option<String>, act: Act) -> Load {
+        let id = rid.unwrap_or_else(|| format!("r{:x}", self.ids.take()));
+        let s = &self.sessions[&sid];
+        let d = &t.dbs[s.db];
+        Load {
+            db: d.name.clone(),
+            act,
+            setup: s.setup.clone(),
+            regions: route::homes(t, d, s.tenant.as_deref()),
+            session: sid,
+            epoch: d.epoch,
+            ..blank(id)
+        }
+    }
+
+    pub(crate) fn plan(&mut self, now: Time, t: &Table, sid: u64, l: &Load, budget: Option<Time>) -> Plan {
+        self.turn += 1;
+        let d = &t.dbs[self.sessions[&sid].db];
+        let c = &t.cfg.timeouts;
+        Plan {
+            gateways: route::gateways(t, d, l, self.turn),
+            replicas: Vec::new(),
+            writes: l.writes,
+            pinned: false,
+            commit: false,
+            deadline: now + budget.unwrap_or(c.request_ms).min(c.request_ms),
+            patience: now + c.patience_ms,
+            none: if d.gateways.is_empty() { Kind::NoPrimary } else { Kind::NoHome },
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn set_off(&mut self, now: Time, call: u64, sid: u64, load: Load, plan: Plan, bound: Option<Time>, out: &mut FrontOut) {
+        self.sessions.get_mut(&sid).into_iter().for_each(|s| s.busy = true);
+        let owner = For::Caller { call, session: sid };
+        self.traces.tell(now, &load.id, format!("taken in at {:x}: {:?} on {}", self.me, load.act, load.db));
+        let t = Trip {
+            owner,
+            load,
+            plan,
+            gos: Vec::new(),
+            go_id: 0,
+            born: now,
+            wake: now,
+            bound,
+            done: None,
+            why: String::new(),
+        };
+        self.trip_start(now, t, out);
+    }
+}
+
+pub fn blank(id: String) -> Load {
+    Load {
+        db: String::new(),
+        id,
+        act: Act::Single,
+        txn: 0,
+        writes: false,
+        look_up: false,
+        budget: 0,
+        setup: SetUp { user: String::new(), settings: Vec::new(), prepared: Vec::new() },
+        body: "null".into(),
+        regions: Vec::new(),
+        hops: Vec::new(),
+        fence: 0,
+        session: 0,
+        epoch: 0,
+    }
+}
--- /dev/null
+++ b/tenet/src/config.rs
@@ -0,0 +1,194 @@
+use crate::labels::{Labels, Selector};
+use garde::Validate;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+#[derive(Clone, Serialize, Deserialize, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct Config {
+    #[garde(length(min = 1, max = 64))]
+    pub name: String,
+    #[garde(length(min = 1), dive)]
+    pub domains: BTreeMap<String, Domain>,
+    #[garde(length(min = 1), dive)]
+    pub databases: BTreeMap<String, Database>,
+    #[garde(length(min = 1), dive)]
+    pub kinds: BTreeMap<String, RequestKind>,
+    #[serde(default)]
+    #[garde(dive)]
+    pub pool: PoolCfg,
+    #[serde(default)]
+    #[garde(dive)]
+    pub timeouts: Timeouts,
+}
+
+#[derive(Clone, Serialize, Deserialize, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct Domain {
+    #[garde(length(min = 1, max = 64))]
+    pub region: String,
+    #[serde(default)]
+    #[garde(skip)]
+    pub labels: Labels,
+}
+
+#[derive(Clone, Serialize, Deserialize, Validate, Default)]
+#[serde(deny_unknown_fields)]
+pub struct Database {
+    #[garde(length(min = 1))]
+    pub servers: String,
+    #[garde(length(min = 1))]
+    pub homes: Vec<String>,
+    #[garde(range(min = 2, max = 100000))]
+    pub cap: u32,
+    #[serde(default)]
+    #[garde(skip)]
+    pub tenants: BTreeMap<String, Vec<String>>,
+}
+
+#[derive(Clone, Serialize, Deserialize, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct RequestKind {
+    #[serde(default)]
+    #[garde(skip)]
+    pub writes: bool,
+    #[serde(default)]
+    #[garde(skip)]
+    pub servers: String,
+    #[serde(default)]
+    #[garde(dive)]
+    pub fresh: Freshness,
+    #[serde(default)]
+    #[garde(skip)]
+    pub labels: Labels,
+}
+
+#[derive(Clone, Serialize, Deserialize, Validate, Default)]
+#[serde(deny_unknown_fields)]
+pub struct Freshness {
+    #[serde(default)]
+    #[garde(inner(range(min = 100, max = 600000)))]
+    pub within_ms: Option<u64>,
+    #[serde(default)]
+    #[garde(skip)]
+    pub own_changes: bool,
+}
+
+#[derive(Clone, Serialize, Deserialize, Validate)]
+#[serde(deny_unknown_fields, default)]
+pub struct PoolCfg {
+    #[garde(range(min = 1, max = 100000))]
+    pub queue: u32,
+    #[garde(range(min = 1, max = 1000))]
+    pub warm_start: u32,
+    #[garde(range(min = 1, max = 600000))]
+    pub warm_ms: u64,
+    #[garde(range(min = 100, max = 86400000))]
+    pub keep_idle_ms: u64,
+}
+
+impl Default for PoolCfg {
+    fn default() -> Self {
+        PoolCfg { queue: 200, warm_start: 2, warm_ms: 4000, keep_idle_ms: 600_000 }
+    }
+}
+
+#[derive(Clone, Serialize, Deserialize, Validate)]
+#[serde(deny_unknown_fields, default)]
+pub struct Timeouts {
+    #[garde(range(min = 50, max = 60000))]
+    pub request_ms: u64,
+    #[garde(range(min = 50, max = 60000))]
+    pub statement_ms: u64,
+    #[garde(range(min = 300, max = 60000))]
+    pub detect_ms: u64,
+    #[garde(range(min = 100, max = 60000))]
+    pub transaction_drain_ms: u64,
+    #[garde(range(min = 1000, max = 86400000))]
+    pub session_idle_ms: u64,
+    #[garde(range(min = 0, max = 60000))]
+    pub patience_ms: u64,
+    #[garde(range(min = 100, max = 3600000))]
+    pub transaction_idle_ms: u64,
+}
+
+impl Default for Timeouts {
+    fn default() -> Self {
+        Timeouts {
+            request_ms: 6000,
+            statement_ms: 1500,
+            detect_ms: 1000,
+            transaction_drain_ms: 3000,
+            session_idle_ms: 8 * 3600 * 1000,
+            patience_ms: 2500,
+            transaction_idle_ms: 10_000,
+        }
+    }
+}
+
+fn dangling(at: &str, v: &[String], regions: &[&String], out: &mut Vec<String>) {
+    for (i, h) in v.iter().enumerate() {
+        if !regions.contains(&h) {
+            out.push(format!("{at}[{i}]: region '{h}' belongs to no domain"));
+        }
+        if v[..i].contains(h) {
+            out.push(format!("{at}[{i}]: region '{h}' is named twice"));
+        }
+    }
+}
+
+fn selector(at: &str, s: &str, out: &mut Vec<String>) {
+    Selector::parse(s).err().into_iter().for_each(|e| out.push(format!("{at}: {e}")));
+}
+
+impl Config {
+    pub fn parse(s: &str) -> Result<Config, Vec<String>> {
+        let c: Config = serde_json::from_str(s).map_err(|e| vec![e.to_string()])?;
+        let mut out: Vec<String> = c
+            .validate()
+            .err()
+            .map(|r| r.iter().map(|(p, e)| format!("{p}: {e}")).collect())
+            .unwrap_or_default();
+        c.names(&mut out);
+        out.is_empty().then_some(c).ok_or(out)
+    }
+
+    fn names(&self, out: &mut Vec<String>) {
+        let regions: Vec<&String> = self.domains.values().map(|d| &d.region).collect();
+        for (n, d) in &self.databases {
+            let at = format!("databases.{n}");
+            selector(&format!("{at}.servers"), &d.servers, out);
+            dangling(&format!("{at}.homes"), &d.homes, &regions, out);
+            for (t, h) in &d.tenants {
+                let at = format!("{at}.tenants.{t}");
+                if h.is_empty() {
+                    out.push(format!("{at}: a tenant needs a home"));
+                }
+                dangling(&at, h, &regions, out);
+                h.iter().filter(|r| !d.homes.contains(r)).for_each(|r| {
+                    out.push(format!("{at}: '{r}' is no home of the database"));
+                });
+            }
+            for (m, e) in &self.databases {
+                if m < n && e.servers == d.servers {
+                    out.push(format!("{at}.servers: the same servers as databases.{m}"));
+                }
+            }
+        }
+        for (n, k) in &self.kinds {
+            let at = format!("kinds.{n}");
+            selector(&format!("{at}.servers"), &k.servers, out);
+            let loose = k.fresh.within_ms.is_some() || k.fresh.own_changes;
+            if k.writes && loose {
+                out.push(format!("{at}.fresh: a kind that writes goes to the primary alone"));
+            }
+            if k.fresh.own_changes && k.fresh.within_ms.is_none() {
+                out.push(format!("{at}.fresh.within_ms: own_changes needs a bound"));
+            }
+        }
+    }
+
+    pub fn region<'a>(&'a self, domain: &str) -> Option<&'a str> {
+        self.domains.get(domain).map(|d| d.region.as_str())
+    }
+}
--- /dev/null
+++ b/tenet/src/control.rs
@@ -0,0 +1,342 @@
+use crate::base::*;
+use crate::chain::{Chain, Out};
+use crate::colleagues::Colleagues;
+use crate::config::Config;
+use crate::disk::*;
+use crate::follow::Follow;
+use crate::kind::{Kind, Reject};
+use crate::pilot::{Promote, Sky, Watch};
+use crate::reasons::Reasons;
+use crate::state::*;
+use crate::table::Table;
+use crate::wire::*;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+pub enum In {
+    Wakeup,
+    Packet(Packet),
+    Synced(u64),
+    Ask { call: u64, id: Option<u64>, op: Op },
+    Announce { call: u64, op: Op },
+    Show { call: u64, what: String, arg: String },
+    Sights(Vec<Sight>),
+    Clean { db: String, since: Mark },
+    Promoted { db: String, epoch: Mark, server: String, done: Result<(), bool> },
+    Stopping,
+}
+
+pub enum Reply {
+    Verdict(Verdict),
+    Text(String),
+    Reject(Reject),
+}
+
+#[derive(Default)]
+pub struct Effect {
+    pub send: Vec<(Addr, Packet)>,
+    pub write: Option<(u64, Vec<Rec>)>,
+    pub response: Vec<(u64, Reply)>,
+    pub promote: Vec<Promote>,
+    pub news: Option<(Arc<Table>, Time)>,
+    pub log: Vec<String>,
+    pub wakeup: Time,
+}
+
+pub struct Start {
+    pub addr: Addr,
+    pub http: Addr,
+    pub domain: String,
+    pub disk: bool,
+    pub seeds: Vec<Addr>,
+    pub durable: Option<Durable>,
+    pub seed: u64,
+    pub wall: u64,
+}
+
+pub(crate) struct Pending {
+    pub call: u64,
+    pub ask: Ask,
+    pub born: Time,
+    pub sent: Time,
+}
+
+pub struct Control {
+    pub me: Seat,
+    pub(crate) disk: bool,
+    pub(crate) domain: String,
+    pub(crate) http: Addr,
+    pub(crate) wall: u64,
+    pub(crate) c: Colleagues,
+    pub(crate) chain: Option<Chain>,
+    pub(crate) f: Follow,
+    pub(crate) watch: Watch,
+    pub(crate) pending: BTreeMap<u64, Pending>,
+    pub(crate) ids: Ids,
+    pub(crate) why: Reasons,
+    pub(crate) cfg: Option<(Mark, Arc<Config>)>,
+    pub(crate) table: Option<Arc<Table>>,
+    pub(crate) stopping: bool,
+    stale: bool,
+    pilot_at: Time,
+    table_at: Time,
+}
+
+const GIVE_UP: Time = 5000;
+
+impl Control {
+    pub fn new(s: Start, now: Time) -> (Control, Effect) {
+        let born = s.durable.is_none();
+        let id = s.durable.as_ref().map_or(mix(s.seed) | 1, |d| d.id);
+        let me = Seat { id, addr: s.addr };
+        let sum = Summary {
+            id,
+            addr: s.addr,
+            http: s.http,
+            domain: s.domain.clone(),
+            disk: s.disk,
+            life: (s.wall / 100) as u32,
+            status: 0,
+            view: s.durable.as_ref().map_or(0, |d| d.view.n),
+            mark: 0,
+            allows: false,
+        };
+        let d = s.durable.unwrap_or(Durable { id, ..Durable::default() });
+        let view = d.view.clone();
+        let mut me = Control {
+            me,
+            disk: s.disk,
+            domain: s.domain,
+            http: s.http,
+            wall: s.wall.saturating_sub(now),
+            c: Colleagues::new(sum, s.seeds),
+            chain: s.disk.then(|| Chain::new(me, d, now)),
+            f: Follow::new(view),
+            watch: Watch::default(),
+            pending: BTreeMap::new(),
+            ids: Ids::new(s.seed),
+            why: Reasons::default(),
+            cfg: None,
+            table: None,
+            stopping: false,
+            stale: true,
+            pilot_at: 0,
+            table_at: 0,
+        };
+        let mut out = Out::default();
+        if born && s.disk {
+            out.write.push(Rec::Born(id));
+        }
+        let mut e = Effect::default();
+        me.finish(now, out, &mut e);
+        (me, e)
+    }
+
+    pub fn wall(&self, now: Time) -> u64 {
+        self.wall + now
+    }
+
+    pub fn poll(&mut self, now: Time, i: In) -> Effect {
+        let mut e = Effect::default();
+        let mut out = Out::default();
+        match i {
+            In::Wakeup => (),
+            In::Packet(p) => self.packet(now, p, &mut out, &mut e),
+            In::Synced(s) => {
+                self.chain.as_mut().into_iter().for_each(|c| c.synced(now, s, &mut out));
+            }
+            In::Ask { call, id, op } => self.ask(now, call, id, op, &mut out),
+            In::Announce { call, op } => self.announce(now, call, op, &mut out, &mut e),
+            In::Show { call, what, arg } => {
+                let r = self.show(now, &what, &arg);
+                e.response.push((call, r));
+            }
+            In::Sights(v) => match self.head() {
+                Some(a) if a != self.me.addr => out.send.push((a, Msg::Sights { v })),
+                _ => self.watch.sights(now, self.me.id, v),
+            },
+            In::Clean { db, since } => {
+                out.send.extend(self.head().map(|a| (a, Msg::Clean { db, epoch: since })));
+            }
+            In::Promoted { db, epoch, server, done } => {
+                let t = match done {
+                    Ok(()) => format!("{db}: the platform promoted {server}"),
+                    Err(true) => format!("{db}: promoting {server}, outcome unknown, asking for it again"),
+                    Err(false) => format!("{db}: the platform rejected promoting {server}"),
+                };
+                self.why.tell(now, &db, t);
+                let op = self.watch.promoted(now, &db, epoch, &server, done);
+                op.into_iter().for_each(|op| self.ask(now, 0, None, op, &mut out));
+            }
+            In::Stopping => {
+                self.stopping = true;
+                self.stale = true;
+            }
+        }
+        self.finish(now, out, &mut e);
+        e
+    }
+
+    fn head(&self) -> Option<Addr> {
+        self.f.view.chain.first().map(|s| s.addr)
+    }
+
+    fn packet(&mut self, now: Time, p: Packet, out: &mut Out, e: &mut Effect) {
+        let Packet { from, addr, msg, .. } = p;
+        self.c.take(now, from, addr, &msg, &mut out.send);
+        match msg {
+            Msg::Outcome { id, verdict } => {
+                if let Some(p) = self.pending.remove(&id).filter(|p| p.call != 0) {
+                    e.response.push((p.call, Reply::Verdict(verdict)));
+                }
+            }
+            Msg::Sights { v } => self.watch.sights(now, from, v),
+            Msg::Clean { db, epoch } => {
+                self.watch.clean.insert((from, db), epoch);
+            }
+            Msg::Fresh { seq, have, part, view } => {
+                self.stale |= self.f.fresh(now, seq, have, part, view);
+            }
+            Msg::Nudge { mark } => self.f.nudge(mark),
+            Msg::ViewIs { view } => {
+                self.f.learn(&view);
+                self.to_chain(now, from, addr, Msg::ViewIs { view }, out);
+            }
+            m => self.to_chain(now, from, addr, m, out),
+        }
+    }
+
+    fn to_chain(&mut self, now: Time, from: NodeId, addr: Addr, m: Msg, out: &mut Out) {
+        if let Some(c) = self.chain.as_mut() {
+            c.take(now, from, addr, m, &self.c, out);
+        }
+    }
+
+    pub(crate) fn ask(&mut self, now: Time, call: u64, id: Option<u64>, op: Op, out: &mut Out) {
+        let id = id.unwrap_or_else(|| self.ids.take());
+        let ask = Ask { id, from: self.me.addr, at: self.wall(now), op };
+        self.pending.insert(id, Pending { call, ask: ask.clone(), born: now, sent: now });
+        out.send.extend(self.head().map(|a| (a, Msg::Propose { ask })));
+    }
+
+    pub(crate) fn once(&mut self, now: Time, op: Op, out: &mut Out) {
+        if !self.pending.values().any(|p| p.ask.op == op) {
+            self.ask(now, 0, None, op, out);
+        }
+    }
+
+    fn announce(&mut self, now: Time, call: u64, op: Op, out: &mut Out, e: &mut Effect) {
+        if let Op::Announce { server, addr, domain, labels, life, leads, leaving } = &op {
+            let s = Server {
+                name: server.clone(),
+                addr: *addr,
+                domain: domain.clone(),
+                labels: labels.clone(),
+                life: *life,
+                leads: *leads,
+                leaving: *leaving,
+            };
+            if self.f.state.servers.get(server) == Some(&s) {
+                let verdict = Verdict { mark: self.f.state.mark, reject: None };
+                e.response.push((call, Reply::Verdict(verdict)));
+                return;
+            }
+        }
+        self.ask(now, call, None, op, out);
+    }
+
+    fn resend(&mut self, now: Time, out: &mut Out, e: &mut Effect) {
+        let head = self.head();
+        let mut late = Vec::new();
+        for (id, p) in self.pending.iter_mut() {
+            if now > p.born + GIVE_UP {
+                late.push(*id);
+            } else if now > p.sent + 300 {
+                p.sent = now;
+                out.send.extend(head.map(|a| (a, Msg::Propose { ask: p.ask.clone() })));
+            }
+        }
+        for id in late {
+            if let Some(p) = self.pending.remove(&id).filter(|p| p.call != 0) {
+                let why = format!("the control chain did not answer in time; ask again with id {id}");
+                e.response.push((p.call, Reply::Reject(Reject::new(Kind::Unknown, why))));
+            }
+        }
+    }
+
+    fn pilot(&mut self, now: Time, out: &mut Out) -> Vec<Promote> {
+        let head = self.chain.as_ref().is_some_and(|c| c.is_head());
+        let cfg = self.cfg.as_ref().map(|c| c.1.clone());
+        let Some(cfg) = cfg.filter(|_| head && self.f.holds(now)) else {
+            if !head {
+                self.watch.stopped();
+            }
+            return Vec::new();
+        };
+        let sky = Sky { now, me: self.me.id, st: &self.f.state, cfg: &cfg, c: &self.c };
+        let (ops, calls) = self.watch.tick(&sky);
+        ops.into_iter().for_each(|op| self.once(now, op, out));
+        calls
+    }
+
+    fn finish(&mut self, now: Time, mut out: Out, e: &mut Effect) {
+        let mut wake = self.c.tick(now, &mut out.send);
+        if let Some(c) = self.chain.as_mut() {
+            wake = wake.min(c.tick(now, &self.c, &mut out));
+            self.c.me.view = c.d.view.n;
+            self.f.learn(&c.d.view);
+        }
+        self.f.tick(now, &self.c, &mut out.send);
+        self.resend(now, &mut out, e);
+        self.enrol(now, &mut out);
+        if now >= self.pilot_at {
+            self.pilot_at = now + 50;
+            e.promote = self.pilot(now, &mut out);
+        }
+        let told = std::mem::take(&mut self.c.stories).into_iter().chain(std::mem::take(&mut out.stories));
+        for (topic, t) in told {
+            self.stale = true;
+            e.log.push(t.clone());
+            self.why.tell(now, &topic, t);
+        }
+        if self.stale || now >= self.table_at {
+            self.table_at = now + 250;
+            self.publish(now, e);
+        }
+        if let Some(c) = self.chain.as_mut() {
+            e.write = c.seq(&mut out).map(|s| (s, std::mem::take(&mut out.write)));
+            c.settled(&mut out);
+        }
+        let (from, addr, cluster) = (self.me.id, self.me.addr, self.f.view.cluster);
+        let mut own = Vec::new();
+        for (to, msg) in out.send {
+            let p = Packet { from, addr, cluster, msg };
+            if to == addr {
+                own.push(p);
+            } else {
+                e.send.push((to, p));
+            }
+        }
+        e.wakeup = wake.min(now + 50).max(now + 1);
+        for p in own {
+            let mut x = self.poll(now, In::Packet(p));
+            e.send.append(&mut x.send);
+            e.response.append(&mut x.response);
+            e.promote.append(&mut x.promote);
+            e.log.append(&mut x.log);
+            e.news = x.news.or(e.news.take());
+            if let Some((s, mut v)) = x.write {
+                let mut w = e.write.take().map_or(Vec::new(), |(_, w)| w);
+                w.append(&mut v);
+                e.write = Some((s, w));
+            }
+        }
+    }
+
+    pub(crate) fn fresh_table(&mut self, t: Table) -> Arc<Table> {
+        self.stale = false;
+        let t = Arc::new(t);
+        self.table = Some(t.clone());
+        t
+    }
+}
--- /dev/null
+++ b/tenet/src/follow.rs
@@ -0,0 +1,148 @@
+use crate::base::*;
+use crate::chain::Out;
+use crate::colleagues::Colleagues;
+use crate::config::Config;
+use crate::control::{Control, Effect};
+use crate::disk::View;
+use crate::state::*;
+use crate::table::Maker;
+use crate::wire::{Changes, Msg};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+pub struct Follow {
+    pub state: State,
+    pub view: View,
+    pub until: Time,
+    asks: BTreeMap<u64, Time>,
+    seq: u64,
+    next: Time,
+    wanted: Mark,
+    turn: usize,
+}
+
+impl Follow {
+    pub fn new(view: View) -> Self {
+        Follow {
+            state: State::default(),
+            view,
+            until: 0,
+            asks: BTreeMap::new(),
+            seq: 0,
+            next: 0,
+            wanted: 0,
+            turn: 0,
+        }
+    }
+
+    pub fn holds(&self, now: Time) -> bool {
+        now < self.until
+    }
+
+    pub fn learn(&mut self, v: &View) {
+        let same = self.view.cluster == 0 || v.cluster == self.view.cluster;
+        if v.n > self.view.n && same {
+            self.view = v.clone();
+            self.next = 0;
+        }
+    }
+
+    pub fn nudge(&mut self, m: Mark) {
+        if m > self.state.mark {
+            self.wanted = m;
+            self.next = 0;
+        }
+    }
+
+    pub fn fresh(&mut self, now: Time, seq: u64, have: Mark, part: Changes, view: View) -> bool {
+        self.learn(&view);
+        let asked = self.asks.get(&seq).copied();
+        if view.cluster != self.view.cluster || (seq != 0 && asked.is_none()) {
+            return false;
+        }
+        let was = self.state.mark;
+        match part {
+            Changes::Frame(s) if s.mark >= was => self.state = s,
+            Changes::Frame(_) => (),
+            Changes::Entries(v) => v.iter().for_each(|e| {
+                if e.mark == self.state.mark + 1 {
+                    self.state.apply(e);
+                }
+            }),
+        }
+        if let Some(t) = asked.filter(|_| self.state.mark >= have) {
+            self.until = self.until.max(t + PERMIT);
+        }
+        if self.state.mark < have || seq == 0 {
+            self.next = now;
+        }
+        self.state.mark != was
+    }
+
+    pub fn tick(&mut self, now: Time, c: &Colleagues, send: &mut Vec<(Addr, Msg)>) {
+        if now < self.next {
+            return;
+        }
+        self.next = now + 250;
+        self.asks.retain(|_, t| now < *t + PERMIT);
+        let late = !self.holds(now + PERMIT / 2);
+        if late || self.view.n == 0 {
+            let v: Vec<Addr> = c.live().filter(|s| s.disk).map(|s| s.addr).collect();
+            self.turn += 1;
+            if !v.is_empty() {
+                send.push((v[self.turn % v.len()], Msg::ViewAsk));
+            }
+        }
+        if let Some(t) = self.view.chain.last() {
+            self.seq += 1;
+            self.asks.insert(self.seq, now);
+            let (have, cluster) = (self.state.mark, self.state.cluster);
+            send.push((t.addr, Msg::Refresh { seq: self.seq, have, cluster }));
+        }
+    }
+}
+
+impl Control {
+    pub(crate) fn enrol(&mut self, now: Time, out: &mut Out) {
+        if self.f.holds(now) && !self.stopping && !self.f.state.members.contains_key(&self.me.id) {
+            let op = Op::Enrol {
+                id: self.me.id,
+                addr: self.me.addr,
+                http: self.http,
+                domain: self.domain.clone(),
+                disk: self.disk,
+            };
+            self.once(now, op, out);
+        }
+    }
+
+    pub(crate) fn publish(&mut self, now: Time, e: &mut Effect) {
+        let m = self.f.state.cfg_mark;
+        if m > 0 && self.cfg.as_ref().is_none_or(|c| c.0 != m) {
+            match Config::parse(&self.f.state.cfg) {
+                Ok(c) => self.cfg = Some((m, Arc::new(c))),
+                Err(v) => e.log.push(format!("configuration {m} cannot be read here: {}", v.join("; "))),
+            }
+        }
+        self.c.me.mark = self.f.state.mark;
+        self.c.me.allows = self.f.holds(now) && m > 0 && !self.stopping;
+        let Some((at, cfg)) = self.cfg.clone() else { return };
+        if at != m {
+            self.table = None;
+            return;
+        }
+        let c = &self.c;
+        let t = Maker {
+            me: self.me.id,
+            domain: &self.domain,
+            now,
+            cfg: &cfg,
+            st: &self.f.state,
+            alive: &|n| c.alive(n),
+            old: self.table.as_deref(),
+        }
+        .make();
+        let t = self.fresh_table(t);
+        e.news = Some((t, self.f.until));
+    }
+}
--- /dev/null
+++ b/tenet/src/found.rs
@@ -0,0 +1,100 @@
+use crate::base::*;
+use crate::chain::{Chain, Out};
+use crate::colleagues::Colleagues;
+use crate::disk::*;
+use crate::view::{seats, Agreement, HOLD};
+use crate::wire::Msg;
+use std::collections::BTreeMap;
+
+pub struct TailPermit {
+    pub seq: u64,
+    pub asks: BTreeMap<u64, Time>,
+    pub got: BTreeMap<NodeId, Time>,
+    pub until: Time,
+    pub next: Time,
+    pub granted: Time,
+}
+
+impl TailPermit {
+    pub fn new(now: Time) -> Self {
+        TailPermit {
+            seq: 0,
+            asks: BTreeMap::new(),
+            got: BTreeMap::new(),
+            until: 0,
+            next: 0,
+            granted: now + TAIL_PERMIT + TAIL_DRIFT,
+        }
+    }
+    pub fn holds(&self, now: Time) -> bool {
+        now < self.until
+    }
+}
+
+impl Chain {
+    pub fn found_tick(&mut self, now: Time, c: &Colleagues, out: &mut Out) {
+        if now < self.tick_at {
+            return;
+        }
+        self.tick_at = now + 250;
+        let known: Vec<(Mark, Addr)> = c.live().filter(|s| s.view > 0).map(|s| (s.view, s.addr)).collect();
+        if let Some((_, a)) = known.iter().max() {
+            out.send.push((*a, Msg::ViewAsk));
+            return;
+        }
+        let mut set: Vec<Seat> = c.live().filter(|s| s.disk).map(|s| Seat { id: s.id, addr: s.addr }).collect();
+        set.push(self.me);
+        set.sort();
+        if self.d.pledge.is_empty() && set.len() == 3 && now > 1000 {
+            self.keep(Rec::Pledge(set), out);
+        }
+        if !self.d.pledge.is_empty() {
+            let set = self.d.pledge.clone();
+            self.pledges.insert(self.me.id, set.clone());
+            let me = self.me.id;
+            out.late.extend(set.iter().filter(|s| s.id != me).map(|s| (s.addr, Msg::Pledge { set: set.clone() })));
+        }
+    }
+
+    pub(crate) fn pledged(&mut self, now: Time, from: NodeId, set: Vec<Seat>, out: &mut Out) {
+        if self.d.view.n > 0 {
+            let view = self.d.view.clone();
+            let a = set.iter().find(|s| s.id == from).map(|s| s.addr);
+            out.send.extend(a.map(|a| (a, Msg::ViewIs { view })));
+            return;
+        }
+        self.pledges.insert(from, set);
+        let mine = self.d.pledge.clone();
+        let all = mine.len() == 3 && mine.iter().all(|s| self.pledges.get(&s.id) == Some(&mine));
+        if all {
+            let cluster = mine.iter().fold(7, |h, s| mix(h ^ s.id)) | 1;
+            let view = View { n: 1, cluster, voters: mine.clone(), chain: mine };
+            self.adopt(now, view, out);
+        }
+    }
+
+    pub fn adopt(&mut self, now: Time, view: View, out: &mut Out) {
+        let old = &self.d.view;
+        if view.n <= old.n || (old.cluster != 0 && old.cluster != view.cluster) {
+            return;
+        }
+        let was = self.whole();
+        let inside = view.chain.iter().any(|s| s.id == self.me.id);
+        let founding = view.n == 1 && self.d.pledge == view.chain;
+        let whole = match inside && (founding || (was && view.n == old.n + 1)) {
+            true => view.n,
+            false => 0,
+        };
+        let t = format!(
+            "view {}: chain {}, voters {}",
+            view.n,
+            seats(&view.chain),
+            seats(&view.voters)
+        );
+        out.stories.push(("view".into(), t));
+        self.keep(Rec::View { view, whole }, out);
+        self.agree = Agreement { next: now + HOLD, ..Agreement::default() };
+        self.tail = TailPermit { granted: self.tail.granted, ..TailPermit::new(now) };
+        self.adopted(now);
+    }
+}
--- /dev/null
+++ b/tenet/src/front.rs
@@ -0,0 +1,237 @@
+use crate::base::*;
+use crate::fresh::{Known, Marks};
+use crate::job::Job;
+use crate::kind::{Kind, Reject};
+use crate::pool::{Pool, Rules};
+use crate::session::*;
+use crate::table::Table;
+use crate::trace::Traces;
+use crate::trip::Trip;
+use crate::wire::*;
+use serde_json::Value;
+use slab::Slab;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+pub enum FrontIn {
+    Wakeup,
+    Table(Arc<Table>, Time),
+    Call { call: u64, req: Req },
+    Carry { addr: Addr, go: u64, load: Load },
+    Carried { go: u64, done: Result<Done, Reject> },
+    Back { token: u64, res: BackRes },
+    Stopping,
+}
+
+#[derive(Debug, Clone)]
+pub enum BackRes {
+    Ok(Value),
+    Rejected(u16, String),
+    NotSent,
+    Lost,
+}
+
+pub struct BackCall {
+    pub token: u64,
+    pub to: Addr,
+    pub path: &'static str,
+    pub body: Value,
+    pub not_after: Time,
+    pub timeout: Time,
+}
+
+#[derive(Default)]
+pub struct FrontOut {
+    pub send: Vec<(Addr, Msg)>,
+    pub back: Vec<BackCall>,
+    pub response: Vec<(u64, Result<Value, Reject>)>,
+    pub sights: Vec<Sight>,
+    pub clean: Vec<(String, Mark)>,
+    pub log: Vec<String>,
+    pub wakeup: Time,
+}
+
+#[derive(Clone, Copy)]
+pub enum Use {
+    Poll(usize, Time),
+    Job(usize),
+    Nobody,
+}
+
+pub struct Relay {
+    pub addr: Addr,
+    pub go: u64,
+    pub until: Time,
+}
+
+pub struct TxnHeld {
+    pub conn: u64,
+    pub setup: u64,
+    pub server: usize,
+    pub db: usize,
+    pub epoch: Mark,
+    pub session: u64,
+    pub last: Time,
+    pub busy: bool,
+    pub life: u64,
+}
+
+pub struct Front {
+    pub me: NodeId,
+    pub addr: Addr,
+    pub t: Option<Arc<Table>>,
+    pub until: Time,
+    pub(crate) stopping: bool,
+    pub(crate) ids: Ids,
+    pub(crate) sessions: BTreeMap<u64, Session>,
+    pub(crate) trips: Slab<Trip>,
+    pub(crate) jobs: Slab<Job>,
+    pub(crate) gos: BTreeMap<u64, usize>,
+    pub(crate) relays: BTreeMap<u64, Relay>,
+    pub(crate) pools: Vec<Pool>,
+    pub(crate) known: Vec<Known>,
+    pub(crate) marks: Vec<Marks>,
+    pub(crate) closing_at: Vec<(Mark, Time)>,
+    pub(crate) txns: BTreeMap<u64, TxnHeld>,
+    pub(crate) uses: BTreeMap<u64, Use>,
+    pub(crate) polled: Vec<Time>,
+    pub(crate) asked: Vec<Time>,
+    pub(crate) traces: Traces,
+    pub(crate) turn: u64,
+    pub(crate) served: u64,
+    pub(crate) sights_at: Time,
+    pub(crate) swept_at: Time,
+}
+
+impl Front {
+    pub fn new(me: NodeId, addr: Addr, seed: u64) -> Self {
+        Front {
+            me,
+            addr,
+            t: None,
+            until: 0,
+            stopping: false,
+            ids: Ids::new(mix(seed ^ 77)),
+            sessions: BTreeMap::new(),
+            trips: Slab::new(),
+            jobs: Slab::new(),
+            gos: BTreeMap::new(),
+            relays: BTreeMap::new(),
+            pools: Vec::new(),
+            known: Vec::new(),
+            marks: Vec::new(),
+            closing_at: Vec::new(),
+            txns: BTreeMap::new(),
+            uses: BTreeMap::new(),
+            polled: Vec::new(),
+            asked: Vec::new(),
+            traces: Traces::default(),
+            turn: mix(seed),
+            served: 0,
+            sights_at: 0,
+            swept_at: 0,
+        }
+    }
+
+    pub fn allows(&self, now: Time) -> bool {
+        self.t.is_some() && now < self.until
+    }
+
+    pub fn idle(&self) -> bool {
+        self.trips.is_empty() && self.jobs.is_empty() && self.relays.is_empty() && self.txns.is_empty()
+    }
+
+    pub(crate) fn table(&self) -> Result<Arc<Table>, Reject> {
+        self.t.clone().ok_or_else(|| Reject::new(Kind::Starting, "no configuration confirmed yet"))
+    }
+
+    pub(crate) fn rules(&self) -> Rules {
+        let p = self.t.as_ref().map(|t| t.cfg.pool.clone()).unwrap_or_default();
+        Rules { queue: p.queue, warm_start: p.warm_start, warm_ms: p.warm_ms, keep: p.keep_idle_ms }
+    }
+
+    pub fn poll(&mut self, now: Time, i: FrontIn) -> FrontOut {
+        let mut out = FrontOut::default();
+        match i {
+            FrontIn::Wakeup => (),
+            FrontIn::Table(t, until) => self.new_table(now, t, until, &mut out),
+            FrontIn::Call { call, req } => self.call(now, call, req, &mut out),
+            FrontIn::Carry { addr, go, load } => self.carry(now, addr, go, load, &mut out),
+            FrontIn::Carried { go, done } => self.carried(now, go, done, &mut out),
+            FrontIn::Back { token, res } => match self.uses.remove(&token) {
+                Some(Use::Poll(s, at)) => self.poll_back(now, s, at, res),
+                Some(Use::Job(j)) if self.jobs.contains(j) => self.job_back(now, j, token, res, &mut out),
+                _ => (),
+            },
+            FrontIn::Stopping => self.stopping = true,
+        }
+        self.tick(now, &mut out);
+        let own: Vec<Msg> = {
+            let (own, far): (Vec<_>, Vec<_>) = out.send.drain(..).partition(|(a, _)| *a == self.addr);
+            out.send = far;
+            own.into_iter().map(|(_, m)| m).collect()
+        };
+        for m in own {
+            let addr = self.addr;
+            let x = match m {
+                Msg::Carry { go, load } => self.poll(now, FrontIn::Carry { addr, go, load }),
+                Msg::Carried { go, done } => self.poll(now, FrontIn::Carried { go, done }),
+                _ => continue,
+            };
+            out.send.extend(x.send);
+            out.back.extend(x.back);
+            out.response.extend(x.response);
+            out.sights.extend(x.sights);
+            out.clean.extend(x.clean);
+            out.log.extend(x.log);
+        }
+        let busy = !self.idle();
+        out.wakeup = now + if busy { 5 } else { 20 };
+        out
+    }
+
+    fn new_table(&mut self, now: Time, t: Arc<Table>, until: Time, out: &mut FrontOut) {
+        self.until = self.until.max(until);
+        if self.t.as_ref().is_some_and(|o| Arc::ptr_eq(o, &t)) {
+            return;
+        }
+        while self.pools.len() < t.servers.len() {
+            let s = &t.servers[self.pools.len()];
+            self.pools.push(Pool::new(s.life, now));
+            self.known.push(Known { heard: now, ..Known::default() });
+            self.polled.push(0);
+        }
+        while self.marks.len() < t.dbs.len() {
+            self.marks.push(Marks::default());
+            self.closing_at.push((0, 0));
+            self.asked.push(0);
+        }
+        for (i, s) in t.servers.iter().enumerate() {
+            if self.pools[i].life != s.life {
+                self.pools[i] = Pool::new(s.life, now);
+            }
+        }
+        for (i, d) in t.dbs.iter().enumerate() {
+            for s in &d.servers {
+                let fence = d.fences && now >= d.fence_from;
+                let extra = if fence { d.fence_share } else { 0 };
+                self.pools[*s].share = t.servers[*s].read_share + extra;
+            }
+            if self.closing_at[i].0 != d.since {
+                self.closing_at[i] = (d.since, now);
+                let lead = self.t.as_ref().and_then(|o| o.dbs.get(i)).and_then(|o| o.primary);
+                if let Some(p) = d.primary.filter(|p| lead.is_some() && lead != Some(*p)) {
+                    self.pools[p].begun = now;
+                }
+            }
+        }
+        self.t = Some(t);
+        self.drop_old_txns(now, out);
+    }
+
+    pub(crate) fn use_token(&mut self, u: Use) -> u64 {
+        let k = self.ids.take();
+        self.uses.insert(k, u);
+        k
+    }
+}
--- /dev/null
+++ b/tenet/src/gate.rs
@@ -0,0 +1,82 @@
+use crate::base::*;
+use crate::front::*;
+use crate::job::Owner;
+use crate::kind::{Kind, Reject};
+use crate::ledger::End;
+use crate::route::{self, Hop};
+use crate::table::Table;
+use crate::wire::*;
+
+impl Front {
+    pub(crate) fn carry(&mut self, now: Time, addr: Addr, go: u64, load: Load, out: &mut FrontOut) {
+        match self.carry_on(now, addr, go, load, out) {
+            Ok(()) => (),
+            Err(r) => out.send.push((addr, Msg::Carried { go, done: Err(r) })),
+        }
+    }
+
+    fn carry_on(&mut self, now: Time, addr: Addr, go: u64, mut load: Load, out: &mut FrontOut) -> Result<(), Reject> {
+        let t = self.table()?;
+        if !self.allows(now) {
+            return Err(Reject::new(Kind::NotCurrent, format!("{:x} could not confirm the fleet's state", self.me)));
+        }
+        let i = *t.db_ix.get(&load.db).ok_or_else(|| Reject::new(Kind::UnknownDatabase, load.db.clone()))?;
+        let mine = load.fence == self.me && t.dbs[i].fences && load.hops.len() > 1;
+        self.turn += 1;
+        let h = if mine { Hop::Serve } else { route::hop(&t, &t.dbs[i], &load, self.turn) };
+        if load.hops.len() > 6 {
+            return Err(Reject::new(Kind::NoPrimary, "too many hops"));
+        }
+        load.hops.push(self.me);
+        match h {
+            Hop::Serve => self.fence_start(now, Owner::Carry(addr, go), load, i, out),
+            Hop::Fence(n) => {
+                load.fence = n;
+                self.pass(now, &t, addr, go, n, load, out)
+            }
+            Hop::Gateway(n) => self.pass(now, &t, addr, go, n, load, out),
+            Hop::Nowhere(k, w) => Err(Reject::new(k, w)),
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn pass(&mut self, now: Time, t: &Table, addr: Addr, go: u64, to: NodeId, load: Load, out: &mut FrontOut) -> Result<(), Reject> {
+        let n = t.nodes.get(&to).ok_or_else(|| Reject::new(Kind::NoPrimary, "next hop unknown"))?;
+        let k = self.ids.take();
+        self.relays.insert(k, Relay { addr, go, until: now + load.budget });
+        if load.act != Act::Pos {
+            let what = if load.fence == to { "fencing" } else { "gateway" };
+            self.traces.tell(now, &load.id, format!("gateway {:x} passes it to {what} {to:x}", self.me));
+        }
+        out.send.push((n.addr, Msg::Carry { go: k, load }));
+        Ok(())
+    }
+
+    pub(crate) fn carried(&mut self, now: Time, go: u64, done: Result<Done, Reject>, out: &mut FrontOut) {
+        if let Some(r) = self.relays.remove(&go) {
+            out.send.push((r.addr, Msg::Carried { go: r.go, done }));
+        } else if let Some(i) = self.gos.remove(&go) {
+            if self.trips.get(i).is_some_and(|t| t.go_id == go) {
+                let n = self.trips[i].gos.len();
+                match done {
+                    Err(r) if r.kind == Kind::Unknown => self.go_end(now, i, n, End::Lost, r.to_string(), out),
+                    d => self.trip_back(now, i, n, d, out),
+                }
+            }
+        }
+    }
+
+    pub(crate) fn roll_back_for(&mut self, now: Time, db: usize, key: u64, fence: NodeId, mut load: Load, out: &mut FrontOut) {
+        let Ok(t) = self.table() else { return };
+        let Some(d) = t.dbs.get(db) else { return };
+        load.db = d.name.clone();
+        (load.txn, load.fence, load.budget) = (key, fence, 1000);
+        load.regions = route::homes(&t, d, None);
+        load.hops = vec![self.me];
+        let g = route::gateways(&t, d, &load, self.turn);
+        let a = g.first().and_then(|g| t.nodes.get(g)).map(|n| n.addr);
+        let go = self.ids.take();
+        self.relays.retain(|_, r| now < r.until);
+        out.send.extend(a.map(|a| (a, Msg::Carry { go, load })));
+    }
+}
--- /dev/null
+++ b/tenet/src/job.rs
@@ -0,0 +1,231 @@
+use crate::base::*;
+use crate::front::*;
+use crate::kind::{Kind, Reject};
+use crate::pool::{Conn, Take};
+use crate::session::setup_digest;
+use crate::wire::*;
+use serde_json::{json, Value};
+
+#[derive(Clone, Copy, PartialEq)]
+pub enum Owner {
+    Trip(usize, usize),
+    Carry(Addr, u64),
+}
+
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub enum Step {
+    Queue,
+    Open,
+    Reset,
+    Run,
+    LookUp,
+    CloseFirst,
+    LookAfter,
+    Acks,
+    Again(Time),
+}
+
+pub struct Job {
+    pub owner: Owner,
+    pub load: Load,
+    pub server: usize,
+    pub db: usize,
+    pub epoch: Mark,
+    pub step: Step,
+    pub token: u64,
+    pub conn: Option<Conn>,
+    pub deadline: Time,
+    pub pos: u64,
+    pub body: String,
+    pub repeat: bool,
+    pub tries: u32,
+    pub lost: u64,
+}
+
+impl Job {
+    pub fn new(now: Time, owner: Owner, load: Load, server: usize, db: usize, epoch: Mark) -> Self {
+        let deadline = now + load.budget;
+        Job {
+            owner,
+            load,
+            server,
+            db,
+            epoch,
+            step: Step::Queue,
+            token: 0,
+            conn: None,
+            deadline,
+            pos: 0,
+            body: "null".into(),
+            repeat: false,
+            tries: 0,
+            lost: 0,
+        }
+    }
+}
+
+impl Front {
+    pub(crate) fn job_start(&mut self, now: Time, owner: Owner, load: Load, server: usize, out: &mut FrontOut) {
+        let t = self.t.clone();
+        let (db, epoch) = t
+            .and_then(|t| t.db_ix.get(&load.db).map(|i| (*i, t.dbs[*i].epoch)))
+            .unwrap_or((0, 0));
+        let j = self.jobs.insert(Job::new(now, owner, load, server, db, epoch));
+        self.job_take(now, j, out);
+    }
+
+    pub(crate) fn job_take(&mut self, now: Time, j: usize, out: &mut FrontOut) {
+        let rules = self.rules();
+        let job = &mut self.jobs[j];
+        let setup = setup_digest(&job.load.setup);
+        let (s, user) = (job.server, job.load.session);
+        match self.pools[s].take(now, user, setup, &rules) {
+            Take::Conn(c) => {
+                let same = c.user == user && c.setup == setup;
+                job.conn = Some(Conn { id: c.id, user, setup, idle: now });
+                match same {
+                    true => self.job_run(now, j, out),
+                    false => self.reset_now(now, j, out),
+                }
+            }
+            Take::Open => {
+                let user = job.load.setup.user.clone();
+                self.job_call(now, j, Step::Open, "/connect", json!({ "user": user }), out);
+            }
+            Take::Wait => {
+                self.jobs[j].step = Step::Queue;
+                self.pools[s].queue.push_back(j);
+            }
+            Take::Full => self.job_end(now, j, Err(Reject::new(Kind::Busy, "all connections of this server are taken")), out),
+        }
+    }
+
+    pub(crate) fn job_call(&mut self, now: Time, j: usize, step: Step, path: &'static str, body: Value, out: &mut FrontOut) {
+        let token = self.use_token(Use::Job(j));
+        let limit = self.t.as_ref().map_or(1500, |t| t.cfg.timeouts.statement_ms);
+        let to = self.t.as_ref().map_or(Addr::NONE, |t| t.servers[self.jobs[j].server].addr);
+        let until = self.until;
+        let job = &mut self.jobs[j];
+        (job.step, job.token) = (step, token);
+        let timeout = limit.min(job.deadline.saturating_sub(now)).max(1);
+        out.back.push(BackCall { token, to, path, body, not_after: until, timeout });
+    }
+
+    pub(crate) fn reset_now(&mut self, now: Time, j: usize, out: &mut FrontOut) {
+        let l = &self.jobs[j].load.setup;
+        let pairs = |v: &[(String, String)]| v.iter().map(|(k, x)| (k.clone(), json!(x))).collect::<serde_json::Map<_, _>>();
+        let conn = self.jobs[j].conn.as_ref().map_or(0, |c| c.id);
+        let body = json!({"conn": conn, "user": l.user, "settings": pairs(&l.settings), "prepared": pairs(&l.prepared)});
+        self.job_call(now, j, Step::Reset, "/reset", body, out);
+    }
+
+    pub(crate) fn job_run(&mut self, now: Time, j: usize, out: &mut FrontOut) {
+        let job = &self.jobs[j];
+        let fenced = matches!(job.owner, Owner::Carry(..));
+        if fenced && !self.still(now, job.db, job.epoch) {
+            let k = if job.load.act == Act::Single || job.load.act == Act::Begin { Kind::NotCurrent } else { Kind::Aborted };
+            return self.job_end(now, j, Err(Reject::new(k, "the permit ended before it was sent")), out);
+        }
+        if fenced && job.load.act != Act::Pos {
+            let t = format!("fencing {:x} sends it to the primary", self.me);
+            let id = job.load.id.clone();
+            self.traces.tell(now, &id, t);
+        }
+        let job = &self.jobs[j];
+        let conn = job.conn.as_ref().map_or(0, |c| c.id);
+        let l = &job.load;
+        let inner = || serde_json::from_str::<Value>(&l.body).unwrap_or(Value::Null);
+        let (path, body) = match l.act {
+            Act::Begin => ("/begin", json!({ "conn": conn })),
+            Act::Step => ("/statement", json!({"conn": conn, "id": null, "write": true, "body": inner()})),
+            Act::Commit => ("/commit", json!({"conn": conn, "id": l.id})),
+            Act::Rollback => ("/rollback", json!({ "conn": conn })),
+            _ => ("/statement", json!({"conn": conn, "id": l.id, "write": l.writes, "body": inner()})),
+        };
+        self.job_call(now, j, Step::Run, path, body, out);
+    }
+
+    pub(crate) fn look_up(&mut self, now: Time, j: usize, step: Step, out: &mut FrontOut) {
+        let body = json!({ "id": self.jobs[j].load.id });
+        self.job_call(now, j, step, "/outcome", body, out);
+    }
+
+    pub(crate) fn discard(&mut self, now: Time, server: usize, conn: u64, out: &mut FrontOut) {
+        self.pools[server].lost();
+        let token = self.use_token(Use::Nobody);
+        let to = self.t.as_ref().map_or(Addr::NONE, |t| t.servers[server].addr);
+        let body = json!({ "conn": conn });
+        out.back.push(BackCall { token, to, path: "/close", body, not_after: now + 1000, timeout: 1000 });
+    }
+
+    pub(crate) fn job_discard(&mut self, now: Time, j: usize, out: &mut FrontOut) {
+        let s = self.jobs[j].server;
+        if let Some(c) = self.jobs[j].conn.take() {
+            self.discard(now, s, c.id, out);
+        }
+        let txn = self.jobs[j].load.txn;
+        if matches!(self.jobs[j].load.act, Act::Step | Act::Commit | Act::Rollback) {
+            self.txns.remove(&txn);
+        }
+        self.pump(now, s, out);
+    }
+
+    pub(crate) fn job_put(&mut self, now: Time, j: usize, out: &mut FrontOut) {
+        let s = self.jobs[j].server;
+        if let Some(c) = self.jobs[j].conn.take() {
+            self.pools[s].put(Conn { idle: now, ..c });
+        }
+        self.pump(now, s, out);
+    }
+
+    pub(crate) fn pump(&mut self, now: Time, s: usize, out: &mut FrontOut) {
+        let rules = self.rules();
+        while self.pools[s].used() < self.pools[s].limit(now, &rules) {
+            let Some(j) = self.pools[s].queue.pop_front() else { return };
+            let waits = self.jobs.get(j).is_some_and(|x| x.step == Step::Queue && x.server == s);
+            if waits {
+                let was = self.pools[s].used();
+                self.job_take(now, j, out);
+                if self.pools[s].used() == was && self.jobs.get(j).is_some_and(|x| x.step == Step::Queue) {
+                    return;
+                }
+            }
+        }
+    }
+
+    pub(crate) fn job_end(&mut self, now: Time, j: usize, r: Result<(), Reject>, out: &mut FrontOut) {
+        if self.jobs[j].conn.is_some() {
+            self.job_discard(now, j, out);
+        }
+        let job = self.jobs.remove(j);
+        let fenced = matches!(job.owner, Owner::Carry(..));
+        let mut r = r;
+        if fenced && r.is_ok() && !self.still(now, job.db, job.epoch) {
+            let k = if job.load.writes || job.load.act == Act::Commit { Kind::Unknown } else { Kind::NotCurrent };
+            r = Err(Reject::new(k, "the permit ended before success could be told"));
+        }
+        let server = self.t.as_ref().map_or(String::new(), |t| t.servers[job.server].name.clone());
+        let done = r.map(|_| Done {
+            body: job.body,
+            epoch: job.epoch,
+            pos: job.pos,
+            age: 0,
+            fence: if fenced { self.me } else { 0 },
+            repeat: job.repeat,
+            hops: job.load.hops.clone(),
+            server,
+        });
+        match job.owner {
+            Owner::Carry(addr, go) => {
+                if let Err(e) = &done {
+                    self.traces.tell(now, &job.load.id, format!("fencing {:x} rejects it: {e}", self.me));
+                }
+                out.send.push((addr, Msg::Carried { go, done }));
+            }
+            Owner::Trip(i, n) if self.trips.contains(i) && self.trips[i].gos.len() == n => {
+                self.trip_back(now, i, n, done, out);
+            }
+            Owner::Trip(..) => (),
+        }
+    }
+}
--- /dev/null
+++ b/tenet/src/ledger.rs
@@ -0,0 +1,159 @@
+use crate::base::*;
+use crate::kind::Kind;
+
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub enum To {
+    Gateway(NodeId),
+    Replica(usize),
+}
+
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub enum End {
+    Open,
+    Done,
+    Old,
+    Rejected(Kind),
+    Lost,
+}
+
+#[derive(Clone, Debug)]
+pub struct Go {
+    pub to: To,
+    pub at: Time,
+    pub end: End,
+    pub end_at: Time,
+}
+
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub gateways: Vec<NodeId>,
+    pub replicas: Vec<usize>,
+    pub writes: bool,
+    pub pinned: bool,
+    pub commit: bool,
+    pub deadline: Time,
+    pub patience: Time,
+    pub none: Kind,
+}
+
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub enum Move {
+    Send { to: To, look_up: bool },
+    Wait(Time),
+    Rest,
+    Answer,
+    Give(Kind),
+}
+
+pub fn passing(k: Kind) -> bool {
+    use Kind::*;
+    matches!(k, Busy | NotCurrent | NoPrimary | NoCopies | Leaving | Starting | Aborted | TooLate | Unknown)
+}
+
+fn unsure(p: &Plan, gos: &[Go]) -> bool {
+    let open = |g: &Go| matches!(g.end, End::Lost | End::Open | End::Rejected(Kind::Unknown));
+    (p.writes || p.commit) && gos.iter().any(open)
+}
+
+pub fn give(p: &Plan, gos: &[Go], k: Kind) -> Move {
+    Move::Give(if unsure(p, gos) { Kind::Unknown } else { k })
+}
+
+pub fn next(p: &Plan, gos: &[Go], now: Time) -> Move {
+    let last = gos.last().map(|g| g.end);
+    if last == Some(End::Done) {
+        return Move::Answer;
+    }
+    if now >= p.deadline {
+        return give(p, gos, Kind::TooLate);
+    }
+    let kind = match last {
+        Some(End::Open) => return Move::Rest,
+        Some(End::Rejected(k)) if !passing(k) => return Move::Give(k),
+        Some(End::Rejected(k)) => k,
+        _ => p.none,
+    };
+    let doubt = unsure(p, gos);
+    if p.pinned && last.is_some() && !(p.commit && doubt) {
+        return give(p, gos, Kind::Aborted);
+    }
+    let fresh = p.replicas.iter().find(|r| gos.iter().all(|g| g.to != To::Replica(**r)));
+    if let Some(r) = fresh {
+        return Move::Send { to: To::Replica(*r), look_up: false };
+    }
+    if p.gateways.is_empty() {
+        return give(p, gos, p.none);
+    }
+    let n = gos.iter().filter(|g| matches!(g.to, To::Gateway(_))).count();
+    let to = To::Gateway(p.gateways[n % p.gateways.len()]);
+    if n < p.gateways.len() {
+        return Move::Send { to, look_up: doubt };
+    }
+    let end = gos.last().map_or(now, |g| g.end_at);
+    if now >= p.patience && !doubt {
+        return give(p, gos, kind);
+    }
+    let due = end + 40 * (n / p.gateways.len()).min(5) as Time;
+    match now >= due {
+        true => Move::Send { to, look_up: doubt },
+        false => Move::Wait(due),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn plan() -> Plan {
+        Plan {
+            gateways: vec![1, 2],
+            replicas: vec![],
+            writes: true,
+            pinned: false,
+            commit: false,
+            deadline: 1000,
+            patience: 500,
+            none: Kind::NoPrimary,
+        }
+    }
+
+    fn go(n: NodeId, end: End) -> Go {
+        Go { to: To::Gateway(n), at: 0, end, end_at: 10 }
+    }
+
+    #[test]
+    fn a_vanished_write_is_looked_up_and_never_called_nothing_kept() {
+        let p = plan();
+        let gos = vec![go(1, End::Lost)];
+        assert_eq!(next(&p, &gos, 10), Move::Send { to: To::Gateway(2), look_up: true });
+        let gos = vec![go(1, End::Lost), go(2, End::Rejected(Kind::NoPrimary))];
+        assert_eq!(next(&p, &gos, 999), Move::Send { to: To::Gateway(1), look_up: true });
+        assert_eq!(next(&p, &gos, 1000), Move::Give(Kind::Unknown));
+        let gos = vec![go(1, End::Rejected(Kind::NoPrimary)), go(2, End::Rejected(Kind::NoPrimary))];
+        assert_eq!(next(&p, &gos, 1000), Move::Give(Kind::TooLate));
+        assert_eq!(next(&p, &gos, 500), Move::Give(Kind::NoPrimary));
+    }
+
+    #[test]
+    fn the_same_gos_always_give_the_same_move() {
+        arbtest::arbtest(|u| {
+            let ends = [End::Open, End::Done, End::Lost, End::Old, End::Rejected(Kind::Busy), End::Rejected(Kind::Failed)];
+            let n = u.int_in_range(0..=6)?;
+            let gos: Vec<Go> = (0..n).map(|_| Ok(go(1 + u.int_in_range(0..=1)?, *u.choose(&ends)?))).collect::<Result<_, arbtest::arbitrary::Error>>()?;
+            let now = u.int_in_range(0..=1200)?;
+            let mut p = plan();
+            p.writes = u.arbitrary()?;
+            p.pinned = u.arbitrary()?;
+            let m = next(&p, &gos, now);
+            assert_eq!(m, next(&p, &gos, now));
+            let lost = gos.iter().any(|g| g.end == End::Lost);
+            if let (Move::Give(k), true, true) = (m, lost, p.writes) {
+                assert!(k == Kind::Unknown || k == Kind::Failed);
+            }
+            if let (Move::Send { look_up, .. }, true, true) = (m, lost, p.writes) {
+                assert!(look_up);
+            }
+            Ok(())
+        });
+    }
+}
--- /dev/null
+++ b/tenet/src/pilot.rs
@@ -0,0 +1,321 @@
+use crate::base::*;
+use crate::colleagues::Colleagues;
+use crate::config::Config;
+use crate::place::place;
+use crate::state::*;
+use crate::table::{db_servers, server_off};
+use crate::wire::Sight;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+pub struct Seen {
+    pub at: Time,
+    pub s: Sight,
+}
+
+pub struct Promote {
+    pub db: String,
+    pub server: String,
+    pub epoch: Mark,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+pub enum Ask3 {
+    Idle,
+    Out,
+    Wait(Time),
+}
+
+#[derive(Default)]
+pub struct Watch {
+    pub seen: BTreeMap<(NodeId, String), Seen>,
+    pub clean: BTreeMap<(NodeId, String), Mark>,
+    learned: BTreeMap<String, (Mark, Time)>,
+    placed: BTreeMap<String, (Vec<NodeId>, Time)>,
+    asks: BTreeMap<String, (Mark, Ask3)>,
+    unknown: BTreeMap<String, Mark>,
+    member_at: BTreeMap<NodeId, (Mark, Time)>,
+    join_at: BTreeMap<(String, String), (Mark, Time)>,
+    gone_at: BTreeMap<(String, String), Time>,
+    began: Option<Time>,
+}
+
+const FULL: Time = PERMIT + PERMIT_DRIFT;
+const STALE: Time = 1500;
+
+pub struct Sky<'a> {
+    pub now: Time,
+    pub me: NodeId,
+    pub st: &'a State,
+    pub cfg: &'a Arc<Config>,
+    pub c: &'a Colleagues,
+}
+
+impl Watch {
+    pub fn stopped(&mut self) {
+        let (seen, clean) = (std::mem::take(&mut self.seen), std::mem::take(&mut self.clean));
+        *self = Watch { seen, clean, ..Watch::default() };
+    }
+
+    pub fn sights(&mut self, now: Time, from: NodeId, v: Vec<Sight>) {
+        for s in v {
+            self.seen.insert((from, s.server.clone()), Seen { at: now, s });
+        }
+        self.seen.retain(|_, s| now < s.at + 5000);
+    }
+
+    pub fn tick(&mut self, k: &Sky) -> (Vec<Op>, Vec<Promote>) {
+        let mut ops = Vec::new();
+        let mut calls = Vec::new();
+        let began = *self.began.get_or_insert(k.now);
+        self.members(k, began, &mut ops);
+        for n in k.cfg.databases.keys() {
+            self.placing(k, n, began, &mut ops);
+            if let Some(d) = k.st.dbs.get(n) {
+                let at = self.learned.get(n).filter(|(m, _)| *m == d.since).map(|(_, t)| *t);
+                let at = at.unwrap_or(k.now);
+                self.learned.insert(n.clone(), (d.since, at));
+                match d.phase.as_str() {
+                    "empty" => self.adopt(k, n, &mut ops),
+                    "steady" => self.steady(k, n, d, at, &mut ops),
+                    "closing" => self.closing(k, n, d, at, &mut ops),
+                    "fenced" => self.fenced(k, n, d, at, &mut ops),
+                    "promoting" => self.promoting(k, n, d, &mut ops, &mut calls),
+                    _ => (),
+                }
+            }
+        }
+        (ops, calls)
+    }
+
+    fn members(&mut self, k: &Sky, began: Time, ops: &mut Vec<Op>) {
+        self.member_at.retain(|id, _| k.st.members.contains_key(id));
+        for m in k.st.members.values() {
+            let e = self.member_at.entry(m.id).or_insert((m.at, k.now));
+            if e.0 != m.at {
+                *e = (m.at, k.now);
+            }
+            let due = k.now > e.1 + FULL;
+            let lost = k.c.quiet(m.id, k.now).is_some_and(|q| q > 3000)
+                || (!k.c.alive(m.id) && !k.c.all.contains_key(&m.id) && k.now > began + 4000);
+            let twin = k.c.live().any(|s| s.addr == m.addr && s.id != m.id);
+            let ev = match m.phase.as_str() {
+                "joining" if due => Some("settle"),
+                "leaving" if due => Some("forget"),
+                "joining" | "full" if lost || twin => Some("expel"),
+                _ => None,
+            };
+            ops.extend(ev.map(|e| Op::Phase { id: m.id, event: e.into() }));
+        }
+    }
+
+    fn placing(&mut self, k: &Sky, n: &str, began: Time, ops: &mut Vec<Op>) {
+        if k.now < began + 1000 {
+            return;
+        }
+        let fit = |m: &Member| {
+            m.phase != "leaving" && k.c.alive(m.id) && !k.st.evacuated.contains_key(&m.domain)
+        };
+        let blank = Db::default();
+        let d = k.st.dbs.get(n).unwrap_or(&blank);
+        let e = self.placed.entry(n.into()).or_insert((d.fencers.clone(), k.now));
+        if e.0 != d.fencers {
+            *e = (d.fencers.clone(), k.now);
+        }
+        if let Some(s) = place(k.cfg, k.st, n, &fit) {
+            if s.fencers != d.fencers || s.gateways != d.gateways {
+                ops.push(Op::Place { db: n.into(), fencers: s.fencers, gateways: s.gateways });
+            }
+        }
+    }
+
+    fn sight(&self, k: &Sky, server: &str, life: u64, since: Time) -> Option<&Sight> {
+        self.seen
+            .iter()
+            .filter(|((_, s), x)| s == server && x.s.life == life && x.s.reach)
+            .filter(|(_, x)| x.at.saturating_sub(x.s.age) >= since && k.now < x.at + STALE)
+            .map(|(_, x)| &x.s)
+            .max_by_key(|s| s.pos)
+    }
+
+    fn adopt(&self, k: &Sky, n: &str, ops: &mut Vec<Op>) {
+        let v: Vec<&Server> = db_servers(k.cfg, k.st, n).into_iter().filter(|s| s.leads).collect();
+        if let [s] = v[..] {
+            if self.sight(k, &s.name, s.life, 0).is_some_and(|x| x.leads) {
+                ops.push(Op::Adopt { db: n.into(), server: s.name.clone() });
+            }
+        }
+    }
+
+    fn heir_fit(&self, k: &Sky, d: &Db, s: &Server) -> bool {
+        d.primary.as_ref() != Some(&s.name) && k.st.eligible(d, &s.name) && !s.leaving
+    }
+
+    fn steady(&mut self, k: &Sky, n: &str, d: &Db, at: Time, ops: &mut Vec<Op>) {
+        let Some(p) = d.primary.as_ref() else { return };
+        let Some(ps) = k.st.servers.get(p) else { return };
+        let (db, epoch) = (n.to_string(), d.epoch);
+        if let Some(why) = self.dead(k, n, d, ps, at) {
+            ops.push(Op::Offline { db, epoch, why });
+            return;
+        }
+        let off = server_off(k.st, ps);
+        let other = |h: &String| k.st.servers.get(h).is_some_and(|s| {
+            server_off(k.st, s).is_none() && self.sight(k, h, s.life, 0).is_some()
+        });
+        if let Some(w) = off.filter(|_| d.heirs.keys().any(other)) {
+            ops.push(Op::Close { db, epoch, why: format!("{p}: {w}") });
+            return;
+        }
+        self.heirs(k, n, d, at, ops);
+    }
+
+    fn dead(&self, k: &Sky, n: &str, d: &Db, p: &Server, at: Time) -> Option<String> {
+        let detect = k.cfg.timeouts.detect_ms;
+        if k.now < at + detect || self.placed.get(n).is_some_and(|e| k.now < e.1 + detect) {
+            return None;
+        }
+        let live: Vec<NodeId> = d.fencers.iter().filter(|f| k.c.alive(**f)).copied().collect();
+        let down = |f: &NodeId| self.seen.get(&(*f, p.name.clone())).is_some_and(|x| {
+            k.now < x.at + STALE && (!x.s.reach || x.s.life != p.life) && x.s.age >= detect
+        });
+        let fenced = !live.is_empty() && live.iter().all(down);
+        let links: Vec<bool> = d
+            .heirs
+            .keys()
+            .filter_map(|h| k.st.servers.get(h).and_then(|s| self.sight(k, h, s.life, 0)))
+            .map(|s| s.link)
+            .collect();
+        let second = live.len() > 1 || links.iter().any(|l| !l);
+        let reborn = !p.leads && k.now > at + detect;
+        (fenced && second)
+            .then(|| format!("{} of {} fencing nodes lost {} for {detect} ms", live.len(), d.fencers.len(), p.name))
+            .or((reborn && live.len() > 1 && live.iter().all(|f| self.gave_up(k, *f, p)))
+                .then(|| format!("{} came back as a replica", p.name)))
+    }
+
+    fn gave_up(&self, k: &Sky, f: NodeId, p: &Server) -> bool {
+        self.seen.get(&(f, p.name.clone())).is_some_and(|x| k.now < x.at + STALE && x.s.reach && !x.s.leads)
+    }
+
+    fn heirs(&mut self, k: &Sky, n: &str, d: &Db, at: Time, ops: &mut Vec<Op>) {
+        let p = d.primary.clone().unwrap_or_default();
+        let ppos = k.st.servers.get(&p).and_then(|s| self.sight(k, &p, s.life, at)).map(|s| s.pos);
+        for s in db_servers(k.cfg, k.st, n) {
+            let (db, epoch, server) = (n.to_string(), d.epoch, s.name.clone());
+            let key = (db.clone(), server.clone());
+            let x = self.sight(k, &s.name, s.life, 0);
+            let follows = x.is_some_and(|x| x.follows == p && x.link);
+            let near = x.zip(ppos).is_some_and(|(x, q)| x.pos + 200 >= q);
+            let fit = self.heir_fit(k, d, s) && follows;
+            if d.heirs.contains_key(&server) || d.joining.contains_key(&server) {
+                let since = *self.gone_at.entry(key.clone()).or_insert(k.now);
+                let bad = !fit || !near || (!k.st.heir(d, &server) && !d.joining.contains_key(&server));
+                if !bad {
+                    self.gone_at.insert(key.clone(), k.now);
+                }
+                let spare = d.heirs.len() > 1 || !d.heirs.contains_key(&server);
+                if bad && k.now > since + 1000 && spare {
+                    ops.push(Op::HeirLeave { db, epoch, server, why: "cut off, leaving or far behind".into() });
+                    continue;
+                }
+            } else if fit && near {
+                ops.push(Op::HeirJoin { db, epoch, server });
+                continue;
+            }
+            if let Some(m) = d.joining.get(&s.name) {
+                let e = self.join_at.entry(key).or_insert((*m, k.now));
+                if e.0 != *m {
+                    *e = (*m, k.now);
+                }
+                let (_, t) = *e;
+                let ready = k.now > t + FULL;
+                let past = |m: Time| self.seen.iter().find(|((_, a), x)| *a == p && x.at.saturating_sub(x.s.age) > m);
+                let q = past(t + FULL).map(|(_, x)| x.s.pos);
+                let got = self.sight(k, &s.name, s.life, t + FULL).map(|x| x.pos);
+                if ready && fit && q.zip(got).is_some_and(|(q, g)| g >= q) {
+                    ops.push(Op::HeirFull { db: n.into(), epoch, server: s.name.clone() });
+                }
+            }
+        }
+    }
+
+    fn all_clean(&self, k: &Sky, n: &str, d: &Db) -> bool {
+        let old = self.placed.get(n).is_some_and(|e| k.now > e.1 + FULL);
+        let said = |f: &NodeId| self.clean.get(&(*f, n.to_string())) == Some(&d.since);
+        old && !d.fencers.is_empty() && d.fencers.iter().all(said)
+    }
+
+    fn closing(&self, k: &Sky, n: &str, d: &Db, at: Time, ops: &mut Vec<Op>) {
+        let (db, epoch) = (n.to_string(), d.epoch);
+        let grace = k.cfg.timeouts.transaction_drain_ms + 500;
+        let p = d.primary.as_ref().and_then(|p| k.st.servers.get(p));
+        let back = p.is_none_or(|p| server_off(k.st, p).is_none());
+        let dead = p.is_some_and(|p| self.sight(k, &p.name, p.life, 0).is_none());
+        if back {
+            ops.push(Op::Reopen { db, epoch, why: "the primary stays after all".into() });
+        } else if self.all_clean(k, n, d) || k.now > at + grace || (dead && k.now > at + STALE) {
+            ops.push(Op::Offline { db, epoch, why: "planned: work under way has ended".into() });
+        }
+    }
+
+    fn fenced(&self, k: &Sky, n: &str, d: &Db, at: Time, ops: &mut Vec<Op>) {
+        let sure = k.now > at + FULL || self.all_clean(k, n, d);
+        if !sure {
+            return;
+        }
+        let (db, epoch) = (n.to_string(), d.epoch);
+        let since = at;
+        let old = d.old.as_ref().and_then(|o| k.st.servers.get(o));
+        let old_seen = old.and_then(|o| self.sight(k, &o.name, o.life, since)).filter(|x| x.leads);
+        let mut best: Vec<(bool, u64, &String)> = d
+            .heirs
+            .keys()
+            .filter(|h| k.st.heir(d, h))
+            .filter_map(|h| k.st.servers.get(h).and_then(|s| self.sight(k, h, s.life, since).map(|x| (s, x, h))))
+            .map(|(s, x, h)| (server_off(k.st, s).is_none(), x.pos, h))
+            .collect();
+        best.sort();
+        let caught = |pos: u64| !d.planned || old_seen.is_none_or(|o| pos >= o.pos);
+        let patience = k.now > at + 5000;
+        if let Some((_, pos, h)) = best.last() {
+            if caught(*pos) || patience {
+                ops.push(Op::Target { db, epoch, server: (*h).clone(), asker: k.me });
+            }
+        } else if old_seen.is_some() && k.now > at + 3000 {
+            ops.push(Op::Reopen { db, epoch, why: "no replica can take over and the old primary is back".into() });
+        }
+    }
+
+    fn promoting(&mut self, k: &Sky, n: &str, d: &Db, ops: &mut Vec<Op>, calls: &mut Vec<Promote>) {
+        let Some(t) = d.target.clone() else { return };
+        if d.asker != k.me {
+            ops.push(Op::Asker { db: n.into(), epoch: d.epoch, asker: k.me });
+            return;
+        }
+        let e = self.asks.entry(n.into()).or_insert((d.epoch, Ask3::Idle));
+        if e.0 != d.epoch {
+            *e = (d.epoch, Ask3::Idle);
+        }
+        let go = match e.1 {
+            Ask3::Idle => true,
+            Ask3::Wait(t) => k.now >= t,
+            Ask3::Out => false,
+        };
+        if go {
+            e.1 = Ask3::Out;
+            calls.push(Promote { db: n.into(), server: t, epoch: d.epoch });
+        }
+    }
+
+    pub fn promoted(&mut self, now: Time, db: &str, epoch: Mark, server: &str, done: Result<(), bool>) -> Option<Op> {
+        if let Err(unknown) = done {
+            if unknown {
+                self.unknown.insert(db.into(), epoch);
+            }
+            self.asks.insert(db.into(), (epoch, Ask3::Wait(now + 500)));
+            return None;
+        }
+        Some(Op::Promoted { db: db.into(), epoch, server: server.into() })
+    }
+}
--- /dev/null
+++ b/tenet/src/polls.rs
@@ -0,0 +1,187 @@
+use crate::base::*;
+use crate::collect::blank;
+use crate::front::*;
+use crate::job::{Owner, Step};
+use crate::kind::Kind;
+use crate::ledger::Plan;
+use crate::route;
+use crate::table::Table;
+use crate::trip::{For, Trip};
+use crate::wire::*;
+use serde_json::json;
+
+const FENCE_POLL: Time = 100;
+const READ_POLL: Time = 250;
+const ACK_POLL: Time = 15;
+const POS_ASK: Time = 250;
+const POLL_LIMIT: Time = 400;
+
+impl Front {
+    pub(crate) fn tick(&mut self, now: Time, out: &mut FrontOut) {
+        if now >= self.swept_at + 5 {
+            self.swept_at = now;
+            for j in self.jobs.iter().map(|(i, _)| i).collect::<Vec<_>>() {
+                if self.jobs.contains(j) {
+                    self.job_wait(now, j, out);
+                }
+            }
+            for i in self.trips.iter().filter(|(_, t)| now >= t.wake).map(|(i, _)| i).collect::<Vec<_>>() {
+                if self.trips.contains(i) {
+                    self.trip_next(now, i, out);
+                }
+            }
+            (0..self.pools.len()).for_each(|s| self.pump(now, s, out));
+            self.drop_old_txns(now, out);
+        }
+        let Some(t) = self.t.clone() else { return };
+        self.poll_servers(now, &t, out);
+        if now >= self.sights_at {
+            self.sights_at = now + 150;
+            self.relays.retain(|_, r| now < r.until + 500);
+            let idle = t.cfg.timeouts.session_idle_ms;
+            self.sessions.retain(|_, s| s.busy || now < s.last + idle);
+            out.sights = self.sights(now, &t);
+            self.report_clean(out);
+            self.give_back(now, &t, out);
+            self.ask_pos(now, &t, out);
+        }
+    }
+
+    fn give_back(&mut self, now: Time, t: &Table, out: &mut FrontOut) {
+        let rules = self.rules();
+        let lost = now > self.until;
+        for s in 0..self.pools.len() {
+            if lost {
+                self.pools[s].share = 0;
+            }
+            for conn in self.pools[s].surplus(now, &rules) {
+                let token = self.use_token(Use::Nobody);
+                let body = json!({ "conn": conn });
+                let to = t.servers[s].addr;
+                out.back.push(BackCall { token, to, path: "/close", body, not_after: now + 1000, timeout: 1000 });
+            }
+        }
+        if !lost {
+            for d in &t.dbs {
+                for s in &d.servers {
+                    let extra = if d.fences && now >= d.fence_from { d.fence_share } else { 0 };
+                    self.pools[*s].share = t.servers[*s].read_share + extra;
+                }
+            }
+        }
+    }
+
+    fn poll_servers(&mut self, now: Time, t: &Table, out: &mut FrontOut) {
+        for (i, d) in t.dbs.iter().enumerate() {
+            let acks = self.jobs.iter().any(|(_, j)| j.db == i && j.step == Step::Acks);
+            for s in &d.servers {
+                let row = &t.servers[*s];
+                let near = d.fences || d.homes.contains(&row.region);
+                let heir = d.heirs.contains(s) || d.joining.contains(s);
+                let every = match () {
+                    _ if acks && heir => ACK_POLL,
+                    _ if d.fences => FENCE_POLL,
+                    _ => READ_POLL,
+                };
+                if row.addr != Addr::NONE && near && now >= self.polled[*s] + every {
+                    self.polled[*s] = now;
+                    let token = self.use_token(Use::Poll(*s, now));
+                    let not_after = now + POLL_LIMIT;
+                    out.back.push(BackCall { token, to: row.addr, path: "/log", body: json!({}), not_after, timeout: POLL_LIMIT });
+                }
+            }
+        }
+    }
+
+    pub(crate) fn poll_back(&mut self, now: Time, s: usize, at: Time, res: BackRes) {
+        let Some(t) = self.t.clone() else { return };
+        let k = &mut self.known[s];
+        if at < k.at {
+            return;
+        }
+        match res {
+            BackRes::Ok(v) => {
+                let n = |f: &str| v.get(f).and_then(|x| x.as_u64()).unwrap_or(0);
+                (k.life, k.pos, k.at, k.heard, k.reach) = (n("life"), n("pos"), at, now, true);
+                k.follows = v["follows"].as_str().unwrap_or("").into();
+                k.leads = v["leads"] == true;
+                k.link = v["link"] == true;
+                let (life, pos, leads) = (k.life, k.pos, k.leads);
+                for (i, d) in t.dbs.iter().enumerate() {
+                    if d.primary == Some(s) && leads && life == t.servers[s].life && d.phase == "steady" {
+                        self.marks[i].add(d.epoch, at, pos);
+                    }
+                }
+            }
+            _ if now > k.heard + 300 => k.reach = false,
+            _ => (),
+        }
+    }
+
+    fn sights(&self, now: Time, t: &Table) -> Vec<Sight> {
+        let mine = |i: &usize| t.dbs.iter().any(|d| d.servers.contains(i)) && self.polled[*i] > 0;
+        (0..t.servers.len())
+            .filter(mine)
+            .map(|i| {
+                let k = &self.known[i];
+                Sight {
+                    server: t.servers[i].name.clone(),
+                    life: if k.life == 0 { t.servers[i].life } else { k.life },
+                    age: now.saturating_sub(if k.reach { k.at } else { k.heard }),
+                    reach: k.reach,
+                    pos: k.pos,
+                    follows: k.follows.clone(),
+                    leads: k.leads,
+                    link: k.link,
+                }
+            })
+            .collect()
+    }
+
+    fn ask_pos(&mut self, now: Time, t: &Table, out: &mut FrontOut) {
+        for (i, d) in t.dbs.iter().enumerate() {
+            let known = d.fences && now < self.marks[i].newest() + POS_ASK;
+            let due = now >= self.asked[i] + POS_ASK && !known && t.db_ix.contains_key(&d.name);
+            if !due || d.gateways.is_empty() || !self.allows(now) {
+                continue;
+            }
+            self.asked[i] = now;
+            self.turn += 1;
+            let mut load = blank(String::new());
+            load.db = d.name.clone();
+            load.act = Act::Pos;
+            load.regions = route::homes(t, d, None);
+            let plan = Plan {
+                gateways: route::gateways(t, d, &load, self.turn).into_iter().take(1).collect(),
+                replicas: Vec::new(),
+                writes: false,
+                pinned: true,
+                commit: false,
+                deadline: now + 500,
+                patience: now,
+                none: Kind::NoPrimary,
+            };
+            let owner = For::Pos { db: i };
+            let trip = Trip {
+                owner,
+                load,
+                plan,
+                gos: Vec::new(),
+                go_id: 0,
+                born: now,
+                wake: now,
+                bound: None,
+                done: None,
+                why: String::new(),
+            };
+            self.trip_start(now, trip, out);
+        }
+    }
+
+    pub fn drained(&self) -> bool {
+        let work = self.jobs.iter().any(|(_, j)| matches!(j.owner, Owner::Carry(..)));
+        let calls = self.trips.iter().any(|(_, t)| matches!(t.owner, For::Caller { .. }));
+        let open = self.sessions.values().any(|s| s.txn.is_some());
+        !work && !calls && !open && self.txns.is_empty()
+    }
+}
--- /dev/null
+++ b/tenet/src/pool.rs
@@ -0,0 +1,146 @@
+use crate::base::*;
+use std::collections::VecDeque;
+
+pub struct Conn {
+    pub id: u64,
+    pub user: u64,
+    pub setup: u64,
+    pub idle: Time,
+}
+
+pub enum Take {
+    Conn(Conn),
+    Open,
+    Wait,
+    Full,
+}
+
+pub struct Pool {
+    pub life: u64,
+    pub share: u32,
+    pub begun: Time,
+    idle: Vec<Conn>,
+    out: u32,
+    opening: u32,
+    pub queue: VecDeque<usize>,
+    pub opened: u64,
+}
+
+pub struct Rules {
+    pub queue: u32,
+    pub warm_start: u32,
+    pub warm_ms: Time,
+    pub keep: Time,
+}
+
+impl Pool {
+    pub fn new(life: u64, now: Time) -> Self {
+        Pool { life, share: 0, begun: now, idle: Vec::new(), out: 0, opening: 0, queue: VecDeque::new(), opened: 0 }
+    }
+
+    pub fn limit(&self, now: Time, r: &Rules) -> u32 {
+        let t = now.saturating_sub(self.begun).min(r.warm_ms);
+        let span = self.share.saturating_sub(r.warm_start) as u64;
+        let ramp = r.warm_start as u64 + span * t / r.warm_ms.max(1);
+        (ramp as u32).min(self.share)
+    }
+
+    pub fn used(&self) -> u32 {
+        self.out + self.opening
+    }
+
+    pub fn total(&self) -> u32 {
+        self.used() + self.idle.len() as u32
+    }
+
+    pub fn take(&mut self, now: Time, user: u64, setup: u64, r: &Rules) -> Take {
+        if self.used() >= self.limit(now, r) {
+            return self.wait(r);
+        }
+        let same = self.idle.iter().rposition(|c| c.user == user && c.setup == setup);
+        let kin = same.or_else(|| self.idle.iter().rposition(|c| c.setup == setup));
+        let any = kin.or_else(|| self.idle.len().checked_sub(1));
+        if let Some(c) = any.map(|i| self.idle.remove(i)) {
+            self.out += 1;
+            return Take::Conn(c);
+        }
+        if self.total() < self.share {
+            self.opening += 1;
+            self.opened += 1;
+            return Take::Open;
+        }
+        self.wait(r)
+    }
+
+    fn wait(&self, r: &Rules) -> Take {
+        if self.queue.len() as u32 >= r.queue || self.share == 0 {
+            return Take::Full;
+        }
+        Take::Wait
+    }
+
+    pub fn opened(&mut self) {
+        self.opening = self.opening.saturating_sub(1);
+        self.out += 1;
+    }
+
+    pub fn not_opened(&mut self) {
+        self.opening = self.opening.saturating_sub(1);
+    }
+
+    pub fn put(&mut self, c: Conn) {
+        self.out = self.out.saturating_sub(1);
+        self.idle.push(c);
+    }
+
+    pub fn lost(&mut self) {
+        self.out = self.out.saturating_sub(1);
+    }
+
+    pub fn surplus(&mut self, now: Time, r: &Rules) -> Vec<u64> {
+        let over = self.total().saturating_sub(self.share) as usize;
+        let n = over.min(self.idle.len());
+        let mut v: Vec<u64> = self.idle.drain(..n).map(|c| c.id).collect();
+        let (old, keep) = std::mem::take(&mut self.idle).into_iter().partition(|c| now > c.idle + r.keep);
+        self.idle = keep;
+        let old: Vec<Conn> = old;
+        v.extend(old.iter().map(|c| c.id));
+        v
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    const R: Rules = Rules { queue: 1, warm_start: 2, warm_ms: 100, keep: 1000 };
+
+    #[test]
+    fn a_cold_server_is_ramped_and_the_share_is_never_passed() {
+        let mut p = Pool::new(1, 0);
+        p.share = 4;
+        let grab = |p: &mut Pool, t| (0..9).filter(|_| matches!(p.take(t, 0, 0, &R), Take::Open | Take::Conn(_))).count();
+        assert_eq!(grab(&mut p, 0), 2);
+        assert_eq!(grab(&mut p, 50), 1);
+        assert_eq!(grab(&mut p, 5000), 1);
+        assert_eq!(p.total(), 4);
+        p.queue.push_back(0);
+        assert!(matches!(p.take(5000, 0, 0, &R), Take::Full));
+    }
+
+    #[test]
+    fn a_smaller_share_gives_connections_back() {
+        let mut p = Pool::new(1, 0);
+        p.share = 4;
+        for i in 0..4 {
+            assert!(matches!(p.take(5000, 0, 0, &R), Take::Open));
+            p.opened();
+            p.put(Conn { id: i, user: 0, setup: 0, idle: 5000 });
+            assert!(matches!(p.take(5000, 0, 0, &R), Take::Conn(_)));
+        }
+        (0..4).for_each(|i| p.put(Conn { id: i, user: 0, setup: 0, idle: 5000 }));
+        p.share = 1;
+        assert_eq!(p.surplus(5001, &R).len(), 3);
+        assert_eq!(p.total(), 1);
+        assert_eq!(p.surplus(7000, &R).len(), 1);
+    }
+}
--- /dev/null
+++ b/tenet/src/serve.rs
@@ -0,0 +1,106 @@
+use crate::base::*;
+use crate::chain::{Chain, Out, AGAIN};
+use crate::kind::{Kind, Reject};
+use crate::state::*;
+use crate::wire::{Changes, Msg};
+
+impl Chain {
+    pub fn propose(&mut self, now: Time, ask: Ask, out: &mut Out) {
+        if !self.is_head() {
+            let to = self.d.view.chain.first().filter(|s| s.id != self.me.id).map(|s| s.addr);
+            out.send.extend(to.map(|a| (a, Msg::Propose { ask })));
+            return;
+        }
+        if self.d.view.chain.len() < 2 {
+            let verdict = Verdict {
+                mark: 0,
+                reject: Some(Reject::new(Kind::NoCopies, "fewer than two control disks hold the state")),
+            };
+            out.send.push((ask.from, Msg::Outcome { id: ask.id, verdict }));
+            return;
+        }
+        let waiting = self.log.iter().rev().take(64).any(|e| e.ask.id == ask.id && e.mark > self.synced);
+        if waiting {
+            return;
+        }
+        let known = self.d.state.recent.iter().any(|(i, _)| *i == ask.id);
+        if let (false, Err(r)) = (known, self.d.state.check(&ask.op)) {
+            let verdict = Verdict { mark: 0, reject: Some(r) };
+            out.send.push((ask.from, Msg::Outcome { id: ask.id, verdict }));
+            return;
+        }
+        let mark = self.d.state.mark + 1;
+        self.append(Entry { mark, ask }, out);
+        self.succ_at = now.max(self.succ_at);
+    }
+
+    pub(crate) fn advance(&mut self, now: Time, from: Mark, out: &mut Out) {
+        if self.is_tail() && self.d.view.chain.len() >= 2 {
+            let v: Vec<Ask> = self
+                .log
+                .iter()
+                .filter(|e| e.mark > from && e.mark <= self.synced)
+                .map(|e| e.ask.clone())
+                .collect();
+            for a in &v {
+                let got = self.d.state.recent.iter().rev().find(|(i, _)| *i == a.id);
+                if let Some((_, verdict)) = got {
+                    out.send.push((a.from, Msg::Outcome { id: a.id, verdict: verdict.clone() }));
+                }
+            }
+            if !v.is_empty() {
+                self.subs.retain(|_, t| now < *t + 5000);
+                let mark = self.synced;
+                out.send.extend(self.subs.keys().map(|a| (*a, Msg::Nudge { mark })));
+            }
+        }
+        self.pred().into_iter().for_each(|p| {
+            let (view, mark) = (self.d.view.n, self.synced);
+            out.send.push((p.addr, Msg::Have { view, mark }));
+        });
+        self.forward(now, out);
+    }
+
+    pub(crate) fn forward(&mut self, now: Time, out: &mut Out) {
+        if let Some(s) = self.succ().filter(|_| self.whole()) {
+            let view = self.d.view.n;
+            match self.after(self.succ_have) {
+                Some(entries) => {
+                    let prev = self.succ_have;
+                    out.send.push((s.addr, Msg::Append { view, prev, entries }));
+                }
+                None => self.send_frame(s.addr, out),
+            }
+            self.resend_at = now + AGAIN;
+        }
+    }
+
+    pub(crate) fn send_frame(&mut self, to: Addr, out: &mut Out) {
+        if self.whole() {
+            out.late.push((to, Msg::Frame { view: self.d.view.n, state: self.d.state.clone() }));
+        }
+    }
+
+    pub(crate) fn refresh(&mut self, now: Time, addr: Addr, seq: u64, have: Mark, cluster: u64, out: &mut Out) {
+        let view = self.d.view.clone();
+        if !self.is_tail() || !self.tail.holds(now) {
+            if view.n > 0 {
+                out.send.push((addr, Msg::ViewIs { view }));
+            }
+            return;
+        }
+        self.subs.insert(addr, now);
+        let quiet = self.synced == self.d.state.mark;
+        let part = match self.after(have).filter(|_| cluster == view.cluster && have <= self.synced) {
+            Some(v) => Changes::Entries(v),
+            None if quiet => Changes::Frame(self.d.state.clone()),
+            None => return,
+        };
+        let have = match &part {
+            Changes::Entries(v) => v.last().map_or(have, |e| e.mark),
+            Changes::Frame(s) => s.mark,
+        };
+        let seq = if have == self.synced { seq } else { 0 };
+        out.send.push((addr, Msg::Fresh { seq, have, part, view }));
+    }
+}
--- /dev/null
+++ b/tenet/src/session.rs
@@ -0,0 +1,68 @@
+use crate::base::*;
+use crate::wire::SetUp;
+
+#[derive(Clone, PartialEq)]
+pub enum TxnState {
+    Open,
+    Broken(String),
+}
+
+pub struct TxnAt {
+    pub key: u64,
+    pub id: String,
+    pub fence: NodeId,
+    pub via: NodeId,
+    pub epoch: Mark,
+    pub state: TxnState,
+}
+
+pub struct Session {
+    pub db: usize,
+    pub tenant: Option<String>,
+    pub setup: SetUp,
+    pub txn: Option<TxnAt>,
+    pub mark: u64,
+    pub last: Time,
+    pub busy: bool,
+}
+
+pub enum Req {
+    Open { db: String, user: String, tenant: Option<String>, settings: Vec<(String, String)> },
+    Set { session: u64, name: String, value: String },
+    Prepare { session: u64, name: String, text: String },
+    Run { session: u64, kind: String, id: Option<String>, body: String, prepared: Option<String>, budget: Option<Time> },
+    Begin { session: u64, kind: Option<String>, id: Option<String>, budget: Option<Time> },
+    Commit { session: u64, budget: Option<Time> },
+    Rollback { session: u64, budget: Option<Time> },
+    Close { session: u64 },
+    Explain { id: String },
+    Figures,
+}
+
+impl Req {
+    pub fn session(&self) -> Option<u64> {
+        match self {
+            Req::Set { session, .. }
+            | Req::Prepare { session, .. }
+            | Req::Run { session, .. }
+            | Req::Begin { session, .. }
+            | Req::Commit { session, .. }
+            | Req::Rollback { session, .. }
+            | Req::Close { session } => Some(*session),
+            _ => None,
+        }
+    }
+}
+
+pub fn setup_digest(s: &SetUp) -> u64 {
+    let mut h = digest(s.user.as_bytes());
+    for (k, v) in s.settings.iter().chain(s.prepared.iter()) {
+        h = mix(h ^ digest(k.as_bytes()) ^ mix(digest(v.as_bytes())));
+    }
+    h
+}
+
+pub fn upsert(v: &mut Vec<(String, String)>, k: String, x: String) {
+    v.retain(|(n, _)| *n != k);
+    v.push((k, x));
+}
--- /dev/null
+++ b/tenet/src/state.rs
@@ -0,0 +1,152 @@
+use crate::base::*;
+use crate::kind::{Kind, Reject};
+use crate::labels::Labels;
+use speedy::{Readable, Writable};
+use std::collections::{BTreeMap};
+
+#[derive(Clone, Readable, Writable)]
+pub struct Member {
+    pub id: NodeId,
+    pub addr: Addr,
+    pub http: Addr,
+    pub domain: String,
+    pub disk: bool,
+    pub phase: String,
+    pub at: Mark,
+}
+
+#[derive(Clone, PartialEq, Readable, Writable)]
+pub struct Server {
+    pub name: String,
+    pub addr: Addr,
+    pub domain: String,
+    pub labels: Labels,
+    pub life: u64,
+    pub leads: bool,
+    pub leaving: bool,
+}
+
+#[derive(Clone, Readable, Writable, Default)]
+pub struct Db {
+    pub epoch: Mark,
+    pub phase: String,
+    pub primary: Option<String>,
+    pub old: Option<String>,
+    pub target: Option<String>,
+    pub asker: NodeId,
+    pub since: Mark,
+    pub planned: bool,
+    pub heirs: BTreeMap<String, u64>,
+    pub joining: BTreeMap<String, Mark>,
+    pub retired: BTreeMap<String, u64>,
+    pub fencers: Vec<NodeId>,
+    pub gateways: Vec<NodeId>,
+}
+
+#[derive(Clone, Readable, Writable, PartialEq, Debug)]
+pub struct Verdict {
+    pub mark: Mark,
+    pub reject: Option<Reject>,
+}
+
+#[derive(Clone, Readable, Writable)]
+pub struct Story {
+    pub mark: Mark,
+    pub at: u64,
+    pub topic: String,
+    pub text: String,
+}
+
+#[derive(Clone, Readable, Writable, PartialEq, Debug)]
+pub enum Op {
+    Config { base: Mark, text: String },
+    Evacuate { domain: String, on: bool },
+    Drain { server: String, on: bool },
+    Enrol { id: NodeId, addr: Addr, http: Addr, domain: String, disk: bool },
+    Phase { id: NodeId, event: String },
+    Announce { server: String, addr: Addr, domain: String, labels: Labels, life: u64, leads: bool, leaving: bool },
+    Place { db: String, fencers: Vec<NodeId>, gateways: Vec<NodeId> },
+    Adopt { db: String, server: String },
+    Close { db: String, epoch: Mark, why: String },
+    Reopen { db: String, epoch: Mark, why: String },
+    Offline { db: String, epoch: Mark, why: String },
+    Target { db: String, epoch: Mark, server: String, asker: NodeId },
+    Asker { db: String, epoch: Mark, asker: NodeId },
+    Promoted { db: String, epoch: Mark, server: String },
+    HeirJoin { db: String, epoch: Mark, server: String },
+    HeirFull { db: String, epoch: Mark, server: String },
+    HeirLeave { db: String, epoch: Mark, server: String, why: String },
+}
+
+#[derive(Clone, Readable, Writable, PartialEq, Debug)]
+pub struct Ask {
+    pub id: u64,
+    pub from: Addr,
+    pub at: u64,
+    pub op: Op,
+}
+
+#[derive(Clone, Readable, Writable, PartialEq, Debug)]
+pub struct Entry {
+    pub mark: Mark,
+    pub ask: Ask,
+}
+
+#[derive(Clone, Readable, Writable, Default)]
+pub struct State {
+    pub cluster: u64,
+    pub mark: Mark,
+    pub cfg_mark: Mark,
+    pub cfg_base: Mark,
+    pub cfg: String,
+    pub evacuated: BTreeMap<String, Mark>,
+    pub drained: BTreeMap<String, Mark>,
+    pub members: BTreeMap<NodeId, Member>,
+    pub servers: BTreeMap<String, Server>,
+    pub dbs: BTreeMap<String, Db>,
+    pub recent: Vec<(u64, Verdict)>,
+    pub stories: Vec<Story>,
+}
+
+const RECENT: usize = 2048;
+const STORIES: usize = 600;
+
+impl State {
+    pub fn apply(&mut self, e: &Entry) -> Verdict {
+        self.mark = e.mark;
+        if let Some((_, v)) = self.recent.iter().rev().find(|(i, _)| *i == e.ask.id) {
+            return v.clone();
+        }
+        let v = match self.step(&e.ask) {
+            Ok(mark) => Verdict { mark, reject: None },
+            Err(r) => Verdict { mark: self.mark, reject: Some(r) },
+        };
+        self.recent.push((e.ask.id, v.clone()));
+        if self.recent.len() > RECENT {
+            self.recent.drain(..RECENT / 4);
+        }
+        v
+    }
+
+    pub fn tell(&mut self, at: u64, topic: &str, text: String) {
+        self.stories.push(Story { mark: self.mark, at, topic: topic.into(), text });
+        if self.stories.len() > STORIES {
+            self.stories.drain(..STORIES / 4);
+        }
+    }
+
+    pub fn db(&mut self, n: &str) -> Result<&mut Db, Reject> {
+        self.dbs.get_mut(n).ok_or_else(|| Reject::new(Kind::UnknownDatabase, n))
+    }
+
+    pub fn eligible(&self, db: &Db, server: &str) -> bool {
+        self.servers.get(server).is_some_and(|s| {
+            db.retired.get(server).is_none_or(|l| *l != s.life)
+        })
+    }
+
+    pub fn heir(&self, db: &Db, server: &str) -> bool {
+        let life = db.heirs.get(server);
+        life.is_some() && life == self.servers.get(server).map(|s| &s.life) && self.eligible(db, server)
+    }
+}
--- /dev/null
+++ b/tenet/src/table.rs
@@ -0,0 +1,233 @@
+use crate::base::*;
+use crate::config::{Config, Database, RequestKind};
+use crate::labels::{Labels, Selector};
+use crate::state::*;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+pub struct ServerRow {
+    pub name: String,
+    pub addr: Addr,
+    pub life: u64,
+    pub domain: String,
+    pub region: String,
+    pub labels: Labels,
+    pub off: Option<&'static str>,
+    pub read_share: u32,
+}
+
+pub struct DbRow {
+    pub name: String,
+    pub epoch: Mark,
+    pub phase: String,
+    pub since: Mark,
+    pub planned: bool,
+    pub primary: Option<usize>,
+    pub heirs: Vec<usize>,
+    pub joining: Vec<usize>,
+    pub servers: Vec<usize>,
+    pub fencers: Vec<NodeId>,
+    pub gateways: Vec<NodeId>,
+    pub fence_region: String,
+    pub merged: bool,
+    pub homes: Vec<String>,
+    pub tenants: BTreeMap<String, Vec<String>>,
+    pub fences: bool,
+    pub fence_share: u32,
+    pub fence_from: Time,
+    pub gates: bool,
+}
+
+pub struct KindRow {
+    pub name: String,
+    pub cfg: RequestKind,
+    pub sel: Selector,
+}
+
+pub struct NodeRow {
+    pub addr: Addr,
+    pub region: String,
+    pub alive: bool,
+}
+
+pub struct Table {
+    pub mark: Mark,
+    pub me: NodeId,
+    pub domain: String,
+    pub region: String,
+    pub closed: Option<&'static str>,
+    pub cfg: Arc<Config>,
+    pub dbs: Vec<DbRow>,
+    pub servers: Vec<ServerRow>,
+    pub kinds: Vec<KindRow>,
+    pub nodes: BTreeMap<NodeId, NodeRow>,
+    pub db_ix: HashMap<String, usize>,
+    pub kind_ix: HashMap<String, usize>,
+}
+
+pub fn labels_of(c: &Config, s: &Server) -> Labels {
+    let mut l = c.domains.get(&s.domain).map(|d| d.labels.clone()).unwrap_or_default();
+    l.extend(s.labels.clone());
+    l.insert("name".into(), s.name.clone());
+    l.insert("domain".into(), s.domain.clone());
+    c.region(&s.domain).map(|r| l.insert("region".into(), r.into()));
+    l
+}
+
+pub fn db_servers<'a>(c: &Config, st: &'a State, db: &str) -> Vec<&'a Server> {
+    let d = c.databases.get(db);
+    let sel = d.and_then(|d| Selector::parse(&d.servers).ok());
+    let homes = d.map(|d| d.homes.clone()).unwrap_or_default();
+    let home = |s: &&Server| c.region(&s.domain).is_some_and(|r| homes.iter().any(|h| h == r));
+    st.servers.values().filter(|s| sel.as_ref().is_some_and(|x| x.matches(&labels_of(c, s)))).filter(home).collect()
+}
+
+pub fn server_off(st: &State, s: &Server) -> Option<&'static str> {
+    let all = [
+        (s.leaving, "leaving"),
+        (st.drained.contains_key(&s.name), "drained by an operator"),
+        (st.evacuated.contains_key(&s.domain), "its domain is evacuated"),
+    ];
+    all.into_iter().find(|(b, _)| *b).map(|(_, w)| w)
+}
+
+fn extend<'a>(v: &mut Vec<String>, from: impl Iterator<Item = &'a String>) {
+    for n in from {
+        if !v.contains(n) {
+            v.push(n.clone());
+        }
+    }
+}
+
+pub struct Maker<'a> {
+    pub me: NodeId,
+    pub domain: &'a str,
+    pub now: Time,
+    pub cfg: &'a Arc<Config>,
+    pub st: &'a State,
+    pub alive: &'a dyn Fn(NodeId) -> bool,
+    pub old: Option<&'a Table>,
+}
+
+impl Maker<'_> {
+    pub fn make(&self) -> Table {
+        let (c, st) = (self.cfg, self.st);
+        let region = c.region(self.domain).unwrap_or("").to_string();
+        let full = |n: &NodeId| st.members.get(n).is_some_and(|m| m.phase == "full");
+        let count = st.members.values().filter(|m| !m.disk).count().max(1) as u32;
+        let mut names: Vec<String> = self.old.map_or(Vec::new(), |t| t.servers.iter().map(|s| s.name.clone()).collect());
+        extend(&mut names, st.servers.keys());
+        let ix = |n: &str| names.iter().position(|m| m == n);
+        let mut servers: Vec<ServerRow> =
+            names.iter().filter_map(|n| st.servers.get(n)).map(|s| self.server(s)).collect();
+        let mut order: Vec<String> = self.old.map_or(Vec::new(), |t| t.dbs.iter().map(|d| d.name.clone()).collect());
+        extend(&mut order, c.databases.keys());
+        let mut dbs = Vec::new();
+        for n in &order {
+            let row = self.db(n, &ix, &mut servers, count, full(&self.me));
+            dbs.push(row);
+        }
+        let kinds: Vec<KindRow> = c
+            .kinds
+            .iter()
+            .map(|(n, k)| KindRow {
+                name: n.clone(),
+                cfg: k.clone(),
+                sel: Selector::parse(&k.servers).unwrap_or_default(),
+            })
+            .collect();
+        let node = |m: &Member| NodeRow {
+            addr: m.addr,
+            region: c.region(&m.domain).unwrap_or("").into(),
+            alive: (self.alive)(m.id),
+        };
+        let closed = [
+            (c.region(self.domain).is_none(), "its domain is not in the configuration"),
+            (st.evacuated.contains_key(self.domain), "its domain is evacuated"),
+        ];
+        Table {
+            mark: st.mark,
+            me: self.me,
+            domain: self.domain.into(),
+            region,
+            closed: closed.into_iter().find(|(b, _)| *b).map(|(_, w)| w),
+            cfg: c.clone(),
+            db_ix: dbs.iter().enumerate().filter(|(_, d)| c.databases.contains_key(&d.name)).map(|(i, d)| (d.name.clone(), i)).collect(),
+            kind_ix: kinds.iter().enumerate().map(|(i, k)| (k.name.clone(), i)).collect(),
+            dbs,
+            servers,
+            kinds,
+            nodes: st.members.values().map(|m| (m.id, node(m))).collect(),
+        }
+    }
+
+    fn server(&self, s: &Server) -> ServerRow {
+        ServerRow {
+            name: s.name.clone(),
+            addr: s.addr,
+            life: s.life,
+            domain: s.domain.clone(),
+            region: self.cfg.region(&s.domain).unwrap_or("").into(),
+            labels: labels_of(self.cfg, s),
+            off: server_off(self.st, s),
+            read_share: 0,
+        }
+    }
+
+    fn db(
+        &self,
+        n: &str,
+        ix: &dyn Fn(&str) -> Option<usize>,
+        servers: &mut [ServerRow],
+        count: u32,
+        full: bool,
+    ) -> DbRow {
+        let st = self.st;
+        let (blank, none) = (Db::default(), Database::default());
+        let cfg = self.cfg.databases.get(n);
+        let d = cfg.unwrap_or(&none);
+        let b = st.dbs.get(n).filter(|_| cfg.is_some()).unwrap_or(&blank);
+        let mine: Vec<usize> = db_servers(self.cfg, st, n).iter().filter_map(|s| ix(&s.name)).collect();
+        let fences = b.fencers.contains(&self.me);
+        let merged = d.homes.len() == 1;
+        let need = if merged { 3 } else { 2 };
+        let primary = b.primary.as_deref().and_then(ix);
+        for i in &mine {
+            servers[*i].read_share = if full { (d.cap / 2) / count } else { 0 };
+            let s = &servers[*i];
+            let stale = b.retired.get(&s.name) == Some(&s.life);
+            if stale {
+                servers[*i].off = Some("was primary, not rebuilt since");
+            }
+            if !fences && (primary == Some(*i) || b.old.as_deref() == Some(servers[*i].name.as_str())) {
+                servers[*i].addr = Addr::NONE;
+            }
+        }
+        let was = self.old.and_then(|t| t.db_ix.get(n).map(|i| &t.dbs[*i])).filter(|o| o.fences);
+        let fence_from = was.map_or(self.now + PERMIT + PERMIT_DRIFT, |o| o.fence_from);
+        let list = |v: Vec<&String>| v.into_iter().filter_map(|s| ix(s)).collect::<Vec<_>>();
+        let at = b.primary.as_ref().or(b.old.as_ref());
+        let home = at.and_then(|p| st.servers.get(p)).and_then(|s| self.cfg.region(&s.domain));
+        DbRow {
+            name: n.into(),
+            epoch: b.epoch,
+            phase: b.phase.clone(),
+            since: b.since,
+            planned: b.planned,
+            primary,
+            heirs: list(b.heirs.keys().collect()),
+            joining: list(b.joining.keys().collect()),
+            servers: mine,
+            fencers: b.fencers.clone(),
+            gateways: b.gateways.clone(),
+            fence_region: home.unwrap_or("").into(),
+            merged,
+            homes: d.homes.clone(),
+            tenants: d.tenants.clone(),
+            fences,
+            fence_share: (d.cap - d.cap / 2) / need,
+            fence_from,
+            gates: b.gateways.contains(&self.me),
+        }
+    }
+}
--- /dev/null
+++ b/tenet/src/trip.rs
@@ -0,0 +1,194 @@
+use crate::base::*;
+use crate::front::*;
+use crate::kind::{Kind, Reject};
+use crate::ledger::{self, End, Go, Move, Plan, To};
+use crate::session::*;
+use crate::wire::*;
+use serde_json::{json, Value};
+
+pub enum For {
+    Caller { call: u64, session: u64 },
+    Pos { db: usize },
+}
+
+pub struct Trip {
+    pub owner: For,
+    pub load: Load,
+    pub plan: Plan,
+    pub gos: Vec<Go>,
+    pub go_id: u64,
+    pub born: Time,
+    pub wake: Time,
+    pub bound: Option<Time>,
+    pub done: Option<Done>,
+    pub why: String,
+}
+
+const ANSWER_WAIT: Time = 1000;
+
+impl Front {
+    pub(crate) fn trip_start(&mut self, now: Time, t: Trip, out: &mut FrontOut) {
+        let i = self.trips.insert(t);
+        self.trip_next(now, i, out);
+    }
+
+    pub(crate) fn trip_next(&mut self, now: Time, i: usize, out: &mut FrontOut) {
+        let t = &mut self.trips[i];
+        match ledger::next(&t.plan, &t.gos, now) {
+            Move::Send { to, look_up } => {
+                t.gos.push(Go { to, at: now, end: End::Open, end_at: now });
+                let budget = t.plan.deadline - now;
+                let mut load = Load { look_up, budget, ..t.load.clone() };
+                load.hops = vec![self.me];
+                let id = load.id.clone();
+                let n = t.gos.len();
+                match to {
+                    To::Gateway(g) => self.trip_send(now, i, g, load, out),
+                    To::Replica(s) => {
+                        let name = self.t.as_ref().map_or(String::new(), |t| t.servers[s].name.clone());
+                        self.traces.tell(now, &id, format!("go {n}: to replica {name}, recent enough"));
+                        self.job_start(now, crate::job::Owner::Trip(i, n), load, s, out);
+                    }
+                }
+            }
+            Move::Wait(at) => t.wake = at,
+            Move::Rest => {
+                let limit = self.t.as_ref().map_or(1500, |t| t.cfg.timeouts.statement_ms) + ANSWER_WAIT;
+                let at = t.gos.last().map_or(now, |g| g.at);
+                if now >= at + limit {
+                    let n = t.gos.len();
+                    self.go_end(now, i, n, End::Lost, "no answer in time".into(), out);
+                } else {
+                    t.wake = (at + limit).min(t.plan.deadline);
+                }
+            }
+            Move::Answer => self.trip_end(now, i, None, out),
+            Move::Give(k) => self.trip_end(now, i, Some(k), out),
+        }
+    }
+
+    fn trip_send(&mut self, now: Time, i: usize, g: NodeId, load: Load, out: &mut FrontOut) {
+        let addr = self.t.as_ref().and_then(|t| t.nodes.get(&g)).map(|n| n.addr);
+        let n = self.trips[i].gos.len();
+        let what = if load.look_up { ", looking the id up first" } else { "" };
+        self.traces.tell(now, &load.id, format!("go {n}: to gateway {g:x}{what}"));
+        match addr {
+            Some(a) => {
+                let go = self.ids.take();
+                self.gos.insert(go, i);
+                self.trips[i].go_id = go;
+                out.send.push((a, Msg::Carry { go, load }));
+            }
+            None => self.go_end(now, i, n, End::Rejected(Kind::NoPrimary), "gateway unknown".into(), out),
+        }
+    }
+
+    pub(crate) fn go_end(&mut self, now: Time, i: usize, n: usize, end: End, why: String, out: &mut FrontOut) {
+        if !self.trips.contains(i) || self.trips[i].gos.len() != n {
+            return;
+        }
+        let t = &mut self.trips[i];
+        self.gos.remove(&t.go_id);
+        if let Some(g) = t.gos.last_mut() {
+            g.end = end;
+            g.end_at = now;
+        }
+        if end != End::Done {
+            t.why = why.clone();
+            let id = t.load.id.clone();
+            self.traces.tell(now, &id, format!("go {n} ended: {why}"));
+        }
+        self.trip_next(now, i, out);
+    }
+
+    pub(crate) fn trip_back(&mut self, now: Time, i: usize, n: usize, r: Result<Done, Reject>, out: &mut FrontOut) {
+        match r {
+            Ok(d) => {
+                let old = self.too_old(now, i, &d);
+                let e = if old { End::Old } else { End::Done };
+                self.trips[i].done = Some(d);
+                self.go_end(now, i, n, e, "its answer proved older than the bound".into(), out);
+            }
+            Err(r) => self.go_end(now, i, n, End::Rejected(r.kind), r.to_string(), out),
+        }
+    }
+
+    fn too_old(&self, now: Time, i: usize, d: &Done) -> bool {
+        let t = &self.trips[i];
+        let replica = matches!(t.gos.last().map(|g| g.to), Some(To::Replica(_)));
+        let (For::Caller { session, .. }, Some(b), true) = (&t.owner, t.bound, replica) else {
+            return false;
+        };
+        let db = self.sessions.get(session).map_or(0, |s| s.db);
+        let epoch = self.t.as_ref().map_or(0, |t| t.dbs[db].epoch);
+        self.marks[db].age(now, epoch, d.pos).is_none_or(|a| a >= b)
+    }
+
+    fn trip_end(&mut self, now: Time, i: usize, give: Option<Kind>, out: &mut FrontOut) {
+        let t = self.trips.remove(i);
+        self.gos.remove(&t.go_id);
+        match &t.owner {
+            For::Pos { db } => {
+                if let Some(d) = t.done.filter(|_| give.is_none()) {
+                    self.marks[*db].add(d.epoch, t.born.saturating_sub(d.age), d.pos);
+                }
+            }
+            For::Caller { call, session } => {
+                let (call, session) = (*call, *session);
+                let r = match (give, &t.done) {
+                    (None, Some(d)) => Ok(d.clone()),
+                    (k, _) => Err(Reject::new(k.unwrap_or(Kind::Unknown), t.why.clone())),
+                };
+                let text = match &r {
+                    Ok(d) => format!("answered from {} after {} ms", d.server, now - t.born),
+                    Err(r) => format!("given up after {} ms: {r}", now - t.born),
+                };
+                self.traces.tell(now, &t.load.id, text);
+                self.served += 1;
+                self.settle(now, session, &t, &r);
+                out.response.push((call, r.map(|d| self.answer(&t, d))));
+            }
+        }
+    }
+
+    fn settle(&mut self, now: Time, session: u64, t: &Trip, r: &Result<Done, Reject>) {
+        let Some(s) = self.sessions.get_mut(&session) else { return };
+        s.busy = false;
+        s.last = now;
+        if let Ok(d) = r {
+            if t.load.writes || t.load.act == Act::Commit {
+                s.mark = s.mark.max(d.pos);
+            }
+        }
+        match (&t.load.act, r) {
+            (Act::Begin, Ok(d)) => {
+                let via = match t.gos.last().map(|g| g.to) {
+                    Some(To::Gateway(g)) => g,
+                    _ => 0,
+                };
+                s.txn = Some(TxnAt {
+                    key: t.load.txn,
+                    id: t.load.id.clone(),
+                    fence: d.fence,
+                    via,
+                    epoch: d.epoch,
+                    state: TxnState::Open,
+                });
+            }
+            (Act::Commit | Act::Rollback, _) => s.txn = None,
+            (Act::Step, Err(e)) if e.kind != Kind::Failed => {
+                if let Some(x) = s.txn.as_mut() {
+                    x.state = TxnState::Broken(e.to_string());
+                }
+            }
+            _ => (),
+        }
+    }
+
+    fn answer(&self, t: &Trip, d: Done) -> Value {
+        let body = serde_json::from_str::<Value>(&d.body).unwrap_or(Value::Null);
+        let hops: Vec<String> = d.hops.iter().map(|h| format!("{h:x}")).collect();
+        json!({"id": t.load.id, "result": body, "mark": d.pos, "epoch": d.epoch, "server": d.server,
+            "repeat": d.repeat, "hops": hops, "goes": t.gos.len()})
+    }
+}
--- /dev/null
+++ b/tenet/src/wire.rs
@@ -0,0 +1,138 @@
+use crate::base::*;
+use crate::disk::{Seat, View};
+use crate::kind::Reject;
+use crate::state::*;
+use speedy::{Readable, Writable};
+
+pub const WIRE: u8 = 1;
+
+#[derive(Clone, PartialEq, Debug, Readable, Writable)]
+pub struct Summary {
+    pub id: NodeId,
+    pub addr: Addr,
+    pub http: Addr,
+    pub domain: String,
+    pub disk: bool,
+    pub life: u32,
+    pub status: u8,
+    pub view: Mark,
+    pub mark: Mark,
+    pub allows: bool,
+}
+
+#[derive(Clone, PartialEq, Debug, Readable, Writable)]
+pub struct Sight {
+    pub server: String,
+    pub life: u64,
+    pub age: Time,
+    pub reach: bool,
+    pub pos: u64,
+    pub follows: String,
+    pub leads: bool,
+    pub link: bool,
+}
+
+#[derive(Clone, Readable, Writable)]
+pub enum Changes {
+    Entries(Vec<Entry>),
+    Frame(State),
+}
+
+#[derive(Clone, PartialEq, Debug, Readable, Writable)]
+pub struct SetUp {
+    pub user: String,
+    pub settings: Vec<(String, String)>,
+    pub prepared: Vec<(String, String)>,
+}
+
+#[derive(Clone, PartialEq, Debug, Readable, Writable)]
+pub enum Act {
+    Single,
+    Begin,
+    Step,
+    Commit,
+    Rollback,
+    Pos,
+}
+
+#[derive(Clone, PartialEq, Debug, Readable, Writable)]
+pub struct Load {
+    pub db: String,
+    pub id: String,
+    pub act: Act,
+    pub txn: u64,
+    pub writes: bool,
+    pub look_up: bool,
+    pub budget: Time,
+    pub setup: SetUp,
+    pub body: String,
+    pub regions: Vec<String>,
+    pub hops: Vec<NodeId>,
+    pub fence: NodeId,
+    pub session: u64,
+    pub epoch: Mark,
+}
+
+#[derive(Clone, PartialEq, Debug, Readable, Writable)]
+pub struct Done {
+    pub body: String,
+    pub epoch: Mark,
+    pub pos: u64,
+    pub age: Time,
+    pub fence: NodeId,
+    pub repeat: bool,
+    pub hops: Vec<NodeId>,
+    pub server: String,
+}
+
+#[derive(Clone, Readable, Writable)]
+pub enum Msg {
+    Probe { seq: u32, news: Vec<Summary> },
+    ProbeAck { seq: u32, news: Vec<Summary> },
+    ProbeFor { seq: u32, target: Addr, news: Vec<Summary> },
+    Pledge { set: Vec<Seat> },
+    ViewAsk,
+    ViewIs { view: View },
+    Prepare { inst: Mark, ballot: u64 },
+    Promise { inst: Mark, ballot: u64, whole: Mark, accepted: u64, value: Option<View> },
+    Accept { inst: Mark, ballot: u64, value: View },
+    Accepted { inst: Mark, ballot: u64 },
+    Nack { inst: Mark, ballot: u64 },
+    TailAsk { view: Mark, seq: u64 },
+    TailGrant { view: Mark, seq: u64 },
+    Append { view: Mark, prev: Mark, entries: Vec<Entry> },
+    Have { view: Mark, mark: Mark },
+    FrameAsk { view: Mark },
+    Frame { view: Mark, state: State },
+    Propose { ask: Ask },
+    Outcome { id: u64, verdict: Verdict },
+    Refresh { seq: u64, have: Mark, cluster: u64 },
+    Fresh { seq: u64, have: Mark, part: Changes, view: View },
+    Nudge { mark: Mark },
+    Sights { v: Vec<Sight> },
+    Clean { db: String, epoch: Mark },
+    Carry { go: u64, load: Load },
+    Carried { go: u64, done: Result<Done, Reject> },
+}
+
+#[derive(Clone, Readable, Writable)]
+pub struct Packet {
+    pub from: NodeId,
+    pub addr: Addr,
+    pub cluster: u64,
+    pub msg: Msg,
+}
+
+pub fn encode(p: &Packet) -> Vec<u8> {
+    let mut v = vec![WIRE];
+    v.extend(p.write_to_vec().unwrap_or_default());
+    v
+}
+
+pub fn decode(b: &[u8]) -> Result<Packet, String> {
+    match b.split_first() {
+        Some((&WIRE, r)) => Packet::read_from_buffer(r).map_err(|e| e.to_string()),
+        Some((v, _)) => Err(format!("wire version {v}, this process speaks {WIRE}")),
+        None => Err("empty packet".into()),
+    }
+}
