Let reads of an heir stand on the confirmed state instead of the primary's position

Cause: without a primary no position could be asked for, so bounded reads fell to the fencing path and were rejected during each failover. An heir holds every acknowledged commit, so its staleness is the age of the node's own confirmation. Ruled out: a longer position history, it only delays.

--- /dev/null
+++ b/guise/tests/fleet.rs
@@ -0,0 +1,54 @@
+use guise::check::check;
+use guise::fleet::{until, Plan, Stage};
+use guise::hosts::lock;
+use std::sync::atomic::Ordering::Relaxed;
+
+fn plan(name: &str, nodes: usize) -> Plan {
+    Plan {
+        config: concat!(env!("CARGO_MANIFEST_DIR"), "/../examples/small.json").into(),
+        nodes,
+        sessions: 24,
+        seconds: 0,
+        pause: 60,
+        connect: 2,
+        data: std::env::temp_dir().join(format!("firramp-{name}-{}", std::process::id())),
+        events: vec![],
+    }
+}
+
+async fn served(s: &Stage, more: usize) {
+    let n = |s: &Stage| s.site.history.lock().unwrap().events.iter().filter(|e| e.out == guise::check::Out::Kept).count();
+    let from = n(s);
+    until("requests to be served", 60_000, || async { n(s) >= from + more }).await.unwrap();
+}
+
+#[test]
+fn a_real_fleet_serves_through_the_loss_of_a_primary_and_of_a_node() {
+    let rt = tokio::runtime::Runtime::new().unwrap();
+    rt.block_on(async {
+        let p = plan("fleet", 9);
+        let mut s = Stage::set(&p).await.unwrap();
+        s.configure(0, 8).await.unwrap();
+        s.ready().await.unwrap();
+        s.learn_regions().await;
+        let callers = s.start_callers(p.sessions);
+        served(&s, 200).await;
+        let old = lock(&s.world).leader("ledger");
+        s.cause("kill=ledger").unwrap();
+        let w = s.world.clone();
+        until("a new primary", 60_000, || async { lock(&w).leader("ledger") != old }).await.unwrap();
+        served(&s, 200).await;
+        s.cause("kill=accord-0").unwrap();
+        s.cause("kill=flow-3").unwrap();
+        served(&s, 400).await;
+        let bad = s.configure(0, 8).await;
+        assert!(bad.is_ok(), "a repeat of the same configuration over the same base is taken as done: {bad:?}");
+        s.site.stop.store(true, Relaxed);
+        for c in callers {
+            let _ = c.await;
+        }
+        let faults = check(&s.site.history.lock().unwrap(), &lock(&s.world));
+        assert_eq!(faults, Vec::<String>::new());
+        let _ = std::fs::remove_dir_all(&p.data);
+    });
+}
--- /dev/null
+++ b/tenet/src/asks.rs
@@ -0,0 +1,78 @@
+use crate::base::*;
+use crate::chain::Out;
+use crate::control::*;
+use crate::kind::{Kind, Reject};
+use crate::pilot::{Promote, Sky};
+use crate::state::*;
+use crate::wire::Msg;
+
+const GIVE_UP: Time = 5000;
+
+impl Control {
+    pub(crate) fn ask(&mut self, now: Time, call: u64, id: Option<u64>, op: Op, out: &mut Out) {
+        let id = id.unwrap_or_else(|| self.ids.take());
+        let ask = Ask { id, from: self.me.addr, at: self.wall(now), op };
+        self.pending.insert(id, Pending { call, ask: ask.clone(), born: now, sent: now });
+        out.send.extend(self.head().map(|a| (a, Msg::Propose { ask })));
+    }
+
+    pub(crate) fn once(&mut self, now: Time, op: Op, out: &mut Out) {
+        if !self.pending.values().any(|p| p.ask.op == op) {
+            self.ask(now, 0, None, op, out);
+        }
+    }
+
+    pub(crate) fn announce(&mut self, now: Time, call: u64, op: Op, out: &mut Out, e: &mut Effect) {
+        if let Op::Announce { server, addr, domain, labels, life, leads, leaving } = &op {
+            let s = Server {
+                name: server.clone(),
+                addr: *addr,
+                domain: domain.clone(),
+                labels: labels.clone(),
+                life: *life,
+                leads: *leads,
+                leaving: *leaving,
+            };
+            if self.f.state.servers.get(server) == Some(&s) {
+                let verdict = Verdict { mark: self.f.state.mark, reject: None };
+                e.response.push((call, Reply::Verdict(verdict)));
+                return;
+            }
+        }
+        self.ask(now, call, None, op, out);
+    }
+
+    pub(crate) fn resend(&mut self, now: Time, out: &mut Out, e: &mut Effect) {
+        let head = self.head();
+        let mut late = Vec::new();
+        for (id, p) in self.pending.iter_mut() {
+            if now > p.born + GIVE_UP {
+                late.push(*id);
+            } else if now > p.sent + 300 {
+                p.sent = now;
+                out.send.extend(head.map(|a| (a, Msg::Propose { ask: p.ask.clone() })));
+            }
+        }
+        for id in late {
+            if let Some(p) = self.pending.remove(&id).filter(|p| p.call != 0) {
+                let why = format!("the control chain did not answer in time; ask again with id {id}");
+                e.response.push((p.call, Reply::Reject(Reject::new(Kind::Unknown, why))));
+            }
+        }
+    }
+
+    pub(crate) fn pilot(&mut self, now: Time, out: &mut Out) -> Vec<Promote> {
+        let head = self.chain.as_ref().is_some_and(|c| c.is_head());
+        let cfg = self.cfg.as_ref().map(|c| c.1.clone());
+        let Some(cfg) = cfg.filter(|_| head && self.f.holds(now)) else {
+            if !head {
+                self.watch.stopped();
+            }
+            return Vec::new();
+        };
+        let sky = Sky { now, me: self.me.id, st: &self.f.state, cfg: &cfg, c: &self.c };
+        let (ops, calls) = self.watch.tick(&sky);
+        ops.into_iter().for_each(|op| self.once(now, op, out));
+        calls
+    }
+}
--- a/tenet/src/colleagues.rs
+++ b/tenet/src/colleagues.rs
@@ -8,13 +8,7 @@
 pub const GONE: u8 = 2;
 const NAMES: [&str; 3] = ["alive", "suspect", "gone"];
 
-const ROUND: Time = 200;
-const DIRECT: Time = 250;
-const INDIRECT: Time = 350;
-const SUSPICION: Time = 1200;
-const FORGET: Time = 60_000;
 const NEWS: usize = 10;
-const SEEDS_AGAIN: Time = 1000;
 
 pub struct Colleague {
     pub s: Summary,
@@ -23,26 +17,26 @@
     pub why: String,
 }
 
-struct Open {
-    seq: u32,
-    id: NodeId,
-    addr: Addr,
-    at: Time,
-    helped: bool,
+pub(crate) struct Open {
+    pub seq: u32,
+    pub id: NodeId,
+    pub addr: Addr,
+    pub at: Time,
+    pub helped: bool,
 }
 
 pub struct Colleagues {
     pub me: Summary,
     pub all: BTreeMap<NodeId, Colleague>,
-    seeds: Vec<Addr>,
-    open: Vec<Open>,
-    relay: Vec<(u32, Addr, u32, Time)>,
+    pub(crate) seeds: Vec<Addr>,
+    pub(crate) open: Vec<Open>,
+    pub(crate) relay: Vec<(u32, Addr, u32, Time)>,
     fresh: VecDeque<(NodeId, u8)>,
-    cursor: NodeId,
+    pub(crate) cursor: NodeId,
     news_cursor: NodeId,
-    seq: u32,
-    next: Time,
-    seeds_next: Time,
+    pub(crate) seq: u32,
+    pub(crate) next: Time,
+    pub(crate) seeds_next: Time,
     pub stories: Vec<(String, String)>,
 }
 
@@ -76,7 +70,7 @@
         self.all.values().map(|c| &c.s).filter(|s| s.status == ALIVE)
     }
 
-    fn news(&mut self) -> Vec<Summary> {
+    pub(crate) fn news(&mut self) -> Vec<Summary> {
         let mut v = vec![self.me.clone()];
         for _ in 0..self.fresh.len().min(NEWS) {
             if let Some((id, n)) = self.fresh.pop_front() {
@@ -99,7 +93,7 @@
         v
     }
 
-    fn turn(&mut self, id: NodeId, event: &str, why: &str, now: Time) {
+    pub(crate) fn turn(&mut self, id: NodeId, event: &str, why: &str, now: Time) {
         let me = format!("{:x}", self.me.id);
         if let Some(c) = self.all.get_mut(&id) {
             let to = chart::colleague().step(NAMES[c.s.status as usize], event);
@@ -201,74 +195,4 @@
             _ => (),
         }
     }
-
-    fn probe(&mut self, now: Time, id: NodeId, addr: Addr, send: &mut Vec<(Addr, Msg)>) {
-        self.seq += 1;
-        let news = self.news();
-        send.push((addr, Msg::Probe { seq: self.seq, news }));
-        self.open.push(Open { seq: self.seq, id, addr, at: now, helped: false });
-    }
-
-    pub fn tick(&mut self, now: Time, send: &mut Vec<(Addr, Msg)>) -> Time {
-        self.expire(now, send);
-        if now >= self.seeds_next {
-            self.seeds_next = now + SEEDS_AGAIN;
-            for a in self.seeds.clone() {
-                let known = self.all.values().any(|c| c.s.addr == a && c.s.status == ALIVE);
-                if a != self.me.addr && !known {
-                    self.probe(now, 0, a, send);
-                }
-            }
-        }
-        if now >= self.next {
-            self.next = now + ROUND;
-            for _ in 0..2.min(self.all.len()) {
-                let c = self.cursor;
-                let n = self.all.range(c + 1..).chain(self.all.range(..=c)).next();
-                if let Some((id, addr)) = n.map(|(i, c)| (*i, c.s.addr)) {
-                    self.cursor = id;
-                    if !self.open.iter().any(|o| o.id == id) {
-                        self.probe(now, id, addr, send);
-                    }
-                }
-            }
-        }
-        self.next.min(now + 50)
-    }
-
-    fn expire(&mut self, now: Time, send: &mut Vec<(Addr, Msg)>) {
-        self.relay.retain(|r| now < r.3 + 1000);
-        let mut i = 0;
-        while i < self.open.len() {
-            let (id, addr, at, helped, seq) = {
-                let o = &self.open[i];
-                (o.id, o.addr, o.at, o.helped, o.seq)
-            };
-            if !helped && now >= at + DIRECT && id != 0 {
-                self.open[i].helped = true;
-                let n = self.seq as usize;
-                let v: Vec<Addr> = self.live().filter(|s| s.id != id).map(|s| s.addr).collect();
-                for k in 0..v.len().min(3) {
-                    let news = self.news();
-                    send.push((v[(n + k) % v.len()], Msg::ProbeFor { seq, target: addr, news }));
-                }
-            }
-            if now >= at + DIRECT + INDIRECT {
-                self.open.swap_remove(i);
-                if self.all.get(&id).is_some_and(|c| c.s.status == ALIVE) {
-                    self.turn(id, "silent", "no answer, nor through third parties", now);
-                }
-            } else {
-                i += 1;
-            }
-        }
-        let late: Vec<NodeId> = self
-            .all
-            .iter()
-            .filter(|(_, c)| c.s.status == SUSPECT && now >= c.since + SUSPICION)
-            .map(|(i, _)| *i)
-            .collect();
-        late.into_iter().for_each(|i| self.turn(i, "silent", "suspicion was not refuted", now));
-        self.all.retain(|_, c| c.s.status != GONE || now < c.since + FORGET);
-    }
 }
--- a/tenet/src/collect.rs
+++ b/tenet/src/collect.rs
@@ -2,10 +2,10 @@
 use crate::front::*;
 use crate::kind::{Kind, Reject};
 use crate::ledger::Plan;
-use crate::route;
 use crate::session::*;
 use crate::table::*;
 use crate::trip::{For, Trip};
+use crate::plan::blank;
 use crate::wire::*;
 use serde_json::{json, Value};
 
@@ -13,8 +13,6 @@
     Reject::new(k, why)
 }
 
-const PROOF_MARGIN: Time = 60;
-
 impl Front {
     pub(crate) fn call(&mut self, now: Time, call: u64, req: Req, out: &mut FrontOut) {
         let r = match req {
@@ -151,28 +149,6 @@
         Ok(())
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn replicas(&self, now: Time, t: &Table, sid: u64, row: &KindRow, l: &Load, bound: Time, own: u64) -> Vec<usize> {
-        let db = self.sessions[&sid].db;
-        let d = &t.dbs[db];
-        let lead = d.primary.map(|p| t.servers[p].name.as_str());
-        let mut v: Vec<(bool, u32, usize)> = d
-            .servers
-            .iter()
-            .filter(|i| {
-                let (s, k) = (&t.servers[**i], &self.known[**i]);
-                let fit = s.off.is_none() && s.addr != Addr::NONE && Some(**i) != d.primary;
-                let near = l.regions.contains(&s.region) && row.sel.matches(&s.labels);
-                let good = k.reach && k.life == s.life && Some(k.follows.as_str()) == lead;
-                let age = self.marks[db].age(now, d.epoch, k.pos);
-                fit && near && good && k.pos >= own && age.is_some_and(|a| a + PROOF_MARGIN < bound)
-            })
-            .map(|i| (t.servers[*i].region != t.region, self.pools[*i].used(), *i))
-            .collect();
-        v.sort();
-        v.into_iter().take(2).map(|x| x.2).collect()
-    }
-
     fn begin(&mut self, now: Time, call: u64, sid: u64, kind: Option<String>, rid: Option<String>, budget: Option<Time>, out: &mut FrontOut) -> Result<(), Reject> {
         let t = self.welcome(now)?;
         kind.filter(|k| !t.kind_ix.contains_key(k)).map_or(Ok(()), |k| Err(reject(Kind::UnknownKind, k)))?;
@@ -224,37 +200,6 @@
         Ok((load, plan))
     }
 
-    pub(crate) fn load(&mut self, t: &Table, sid: u64, rid: Option<String>, act: Act) -> Load {
-        let id = rid.unwrap_or_else(|| format!("r{:x}", self.ids.take()));
-        let s = &self.sessions[&sid];
-        let d = &t.dbs[s.db];
-        Load {
-            db: d.name.clone(),
-            act,
-            setup: s.setup.clone(),
-            regions: route::homes(t, d, s.tenant.as_deref()),
-            session: sid,
-            epoch: d.epoch,
-            ..blank(id)
-        }
-    }
-
-    pub(crate) fn plan(&mut self, now: Time, t: &Table, sid: u64, l: &Load, budget: Option<Time>) -> Plan {
-        self.turn += 1;
-        let d = &t.dbs[self.sessions[&sid].db];
-        let c = &t.cfg.timeouts;
-        Plan {
-            gateways: route::gateways(t, d, l, self.turn),
-            replicas: Vec::new(),
-            writes: l.writes,
-            pinned: false,
-            commit: false,
-            deadline: now + budget.unwrap_or(c.request_ms).min(c.request_ms),
-            patience: now + c.patience_ms,
-            none: if d.gateways.is_empty() { Kind::NoPrimary } else { Kind::NoHome },
-        }
-    }
-
     #[allow(clippy::too_many_arguments)]
     fn set_off(&mut self, now: Time, call: u64, sid: u64, load: Load, plan: Plan, bound: Option<Time>, out: &mut FrontOut) {
         self.sessions.get_mut(&sid).into_iter().for_each(|s| s.busy = true);
@@ -275,22 +220,3 @@
         self.trip_start(now, t, out);
     }
 }
-
-pub fn blank(id: String) -> Load {
-    Load {
-        db: String::new(),
-        id,
-        act: Act::Single,
-        txn: 0,
-        writes: false,
-        look_up: false,
-        budget: 0,
-        setup: SetUp { user: String::new(), settings: Vec::new(), prepared: Vec::new() },
-        body: "null".into(),
-        regions: Vec::new(),
-        hops: Vec::new(),
-        fence: 0,
-        session: 0,
-        epoch: 0,
-    }
-}
--- a/tenet/src/control.rs
+++ b/tenet/src/control.rs
@@ -3,9 +3,9 @@
 use crate::colleagues::Colleagues;
 use crate::config::Config;
 use crate::disk::*;
+pub use crate::effect::*;
 use crate::follow::Follow;
-use crate::kind::{Kind, Reject};
-use crate::pilot::{Promote, Sky, Watch};
+use crate::pilot::Watch;
 use crate::reasons::Reasons;
 use crate::state::*;
 use crate::table::Table;
@@ -13,47 +13,6 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-pub enum In {
-    Wakeup,
-    Packet(Packet),
-    Synced(u64),
-    Ask { call: u64, id: Option<u64>, op: Op },
-    Announce { call: u64, op: Op },
-    Show { call: u64, what: String, arg: String },
-    Sights(Vec<Sight>),
-    Clean { db: String, since: Mark },
-    Promoted { db: String, epoch: Mark, server: String, done: Result<(), bool> },
-    Stopping,
-}
-
-pub enum Reply {
-    Verdict(Verdict),
-    Text(String),
-    Reject(Reject),
-}
-
-#[derive(Default)]
-pub struct Effect {
-    pub send: Vec<(Addr, Packet)>,
-    pub write: Option<(u64, Vec<Rec>)>,
-    pub response: Vec<(u64, Reply)>,
-    pub promote: Vec<Promote>,
-    pub news: Option<(Arc<Table>, Time)>,
-    pub log: Vec<String>,
-    pub wakeup: Time,
-}
-
-pub struct Start {
-    pub addr: Addr,
-    pub http: Addr,
-    pub domain: String,
-    pub disk: bool,
-    pub seeds: Vec<Addr>,
-    pub durable: Option<Durable>,
-    pub seed: u64,
-    pub wall: u64,
-}
-
 pub(crate) struct Pending {
     pub call: u64,
     pub ask: Ask,
@@ -82,8 +41,6 @@
     table_at: Time,
 }
 
-const GIVE_UP: Time = 5000;
-
 impl Control {
     pub fn new(s: Start, now: Time) -> (Control, Effect) {
         let born = s.durable.is_none();
@@ -177,7 +134,7 @@
         e
     }
 
-    fn head(&self) -> Option<Addr> {
+    pub(crate) fn head(&self) -> Option<Addr> {
         self.f.view.chain.first().map(|s| s.addr)
     }
 
@@ -212,73 +169,6 @@
         }
     }
 
-    pub(crate) fn ask(&mut self, now: Time, call: u64, id: Option<u64>, op: Op, out: &mut Out) {
-        let id = id.unwrap_or_else(|| self.ids.take());
-        let ask = Ask { id, from: self.me.addr, at: self.wall(now), op };
-        self.pending.insert(id, Pending { call, ask: ask.clone(), born: now, sent: now });
-        out.send.extend(self.head().map(|a| (a, Msg::Propose { ask })));
-    }
-
-    pub(crate) fn once(&mut self, now: Time, op: Op, out: &mut Out) {
-        if !self.pending.values().any(|p| p.ask.op == op) {
-            self.ask(now, 0, None, op, out);
-        }
-    }
-
-    fn announce(&mut self, now: Time, call: u64, op: Op, out: &mut Out, e: &mut Effect) {
-        if let Op::Announce { server, addr, domain, labels, life, leads, leaving } = &op {
-            let s = Server {
-                name: server.clone(),
-                addr: *addr,
-                domain: domain.clone(),
-                labels: labels.clone(),
-                life: *life,
-                leads: *leads,
-                leaving: *leaving,
-            };
-            if self.f.state.servers.get(server) == Some(&s) {
-                let verdict = Verdict { mark: self.f.state.mark, reject: None };
-                e.response.push((call, Reply::Verdict(verdict)));
-                return;
-            }
-        }
-        self.ask(now, call, None, op, out);
-    }
-
-    fn resend(&mut self, now: Time, out: &mut Out, e: &mut Effect) {
-        let head = self.head();
-        let mut late = Vec::new();
-        for (id, p) in self.pending.iter_mut() {
-            if now > p.born + GIVE_UP {
-                late.push(*id);
-            } else if now > p.sent + 300 {
-                p.sent = now;
-                out.send.extend(head.map(|a| (a, Msg::Propose { ask: p.ask.clone() })));
-            }
-        }
-        for id in late {
-            if let Some(p) = self.pending.remove(&id).filter(|p| p.call != 0) {
-                let why = format!("the control chain did not answer in time; ask again with id {id}");
-                e.response.push((p.call, Reply::Reject(Reject::new(Kind::Unknown, why))));
-            }
-        }
-    }
-
-    fn pilot(&mut self, now: Time, out: &mut Out) -> Vec<Promote> {
-        let head = self.chain.as_ref().is_some_and(|c| c.is_head());
-        let cfg = self.cfg.as_ref().map(|c| c.1.clone());
-        let Some(cfg) = cfg.filter(|_| head && self.f.holds(now)) else {
-            if !head {
-                self.watch.stopped();
-            }
-            return Vec::new();
-        };
-        let sky = Sky { now, me: self.me.id, st: &self.f.state, cfg: &cfg, c: &self.c };
-        let (ops, calls) = self.watch.tick(&sky);
-        ops.into_iter().for_each(|op| self.once(now, op, out));
-        calls
-    }
-
     fn finish(&mut self, now: Time, mut out: Out, e: &mut Effect) {
         let mut wake = self.c.tick(now, &mut out.send);
         if let Some(c) = self.chain.as_mut() {
--- /dev/null
+++ b/tenet/src/failover.rs
@@ -0,0 +1,74 @@
+use crate::base::*;
+use crate::pilot::*;
+use crate::state::*;
+use crate::table::server_off;
+
+impl Watch {
+    pub(crate) fn all_clean(&self, k: &Sky, n: &str, d: &Db) -> bool {
+        let old = self.placed.get(n).is_some_and(|e| k.now > e.1 + FULL);
+        let said = |f: &NodeId| self.clean.get(&(*f, n.to_string())) == Some(&d.since);
+        old && !d.fencers.is_empty() && d.fencers.iter().all(said)
+    }
+
+    pub(crate) fn closing(&self, k: &Sky, n: &str, d: &Db, at: Time, ops: &mut Vec<Op>) {
+        let (db, epoch) = (n.to_string(), d.epoch);
+        let grace = k.cfg.timeouts.transaction_drain_ms + 500;
+        let p = d.primary.as_ref().and_then(|p| k.st.servers.get(p));
+        let back = p.is_none_or(|p| server_off(k.st, p).is_none());
+        let dead = p.is_some_and(|p| self.sight(k, &p.name, p.life, 0).is_none());
+        if back {
+            ops.push(Op::Reopen { db, epoch, why: "the primary stays after all".into() });
+        } else if self.all_clean(k, n, d) || k.now > at + grace || (dead && k.now > at + STALE) {
+            ops.push(Op::Offline { db, epoch, why: "planned: work under way has ended".into() });
+        }
+    }
+
+    pub(crate) fn fenced(&self, k: &Sky, n: &str, d: &Db, at: Time, ops: &mut Vec<Op>) {
+        let sure = k.now > at + FULL || self.all_clean(k, n, d);
+        if !sure {
+            return;
+        }
+        let (db, epoch) = (n.to_string(), d.epoch);
+        let since = at;
+        let old = d.old.as_ref().and_then(|o| k.st.servers.get(o));
+        let old_seen = old.and_then(|o| self.sight(k, &o.name, o.life, since)).filter(|x| x.leads);
+        let mut best: Vec<(bool, u64, &String)> = d
+            .heirs
+            .keys()
+            .filter(|h| k.st.heir(d, h))
+            .filter_map(|h| k.st.servers.get(h).and_then(|s| self.sight(k, h, s.life, since).map(|x| (s, x, h))))
+            .map(|(s, x, h)| (server_off(k.st, s).is_none(), x.pos, h))
+            .collect();
+        best.sort();
+        let caught = |pos: u64| !d.planned || old_seen.is_none_or(|o| pos >= o.pos);
+        let patience = k.now > at + 5000;
+        if let Some((_, pos, h)) = best.last() {
+            if caught(*pos) || patience {
+                ops.push(Op::Target { db, epoch, server: (*h).clone(), asker: k.me });
+            }
+        } else if old_seen.is_some() && k.now > at + 3000 {
+            ops.push(Op::Reopen { db, epoch, why: "no replica can take over and the old primary is back".into() });
+        }
+    }
+
+    pub(crate) fn promoting(&mut self, k: &Sky, n: &str, d: &Db, ops: &mut Vec<Op>, calls: &mut Vec<Promote>) {
+        let Some(t) = d.target.clone() else { return };
+        if d.asker != k.me {
+            ops.push(Op::Asker { db: n.into(), epoch: d.epoch, asker: k.me });
+            return;
+        }
+        let e = self.asks.entry(n.into()).or_insert((d.epoch, Ask3::Idle));
+        if e.0 != d.epoch {
+            *e = (d.epoch, Ask3::Idle);
+        }
+        let go = match e.1 {
+            Ask3::Idle => true,
+            Ask3::Wait(t) => k.now >= t,
+            Ask3::Out => false,
+        };
+        if go {
+            e.1 = Ask3::Out;
+            calls.push(Promote { db: n.into(), server: t, epoch: d.epoch });
+        }
+    }
+}
--- a/tenet/src/pilot.rs
+++ b/tenet/src/pilot.rs
@@ -30,18 +30,18 @@
 pub struct Watch {
     pub seen: BTreeMap<(NodeId, String), Seen>,
     pub clean: BTreeMap<(NodeId, String), Mark>,
-    learned: BTreeMap<String, (Mark, Time)>,
-    placed: BTreeMap<String, (Vec<NodeId>, Time)>,
-    asks: BTreeMap<String, (Mark, Ask3)>,
-    unknown: BTreeMap<String, Mark>,
-    member_at: BTreeMap<NodeId, (Mark, Time)>,
-    join_at: BTreeMap<(String, String), (Mark, Time)>,
-    gone_at: BTreeMap<(String, String), Time>,
-    began: Option<Time>,
+    pub(crate) learned: BTreeMap<String, (Mark, Time)>,
+    pub(crate) placed: BTreeMap<String, (Vec<NodeId>, Time)>,
+    pub(crate) asks: BTreeMap<String, (Mark, Ask3)>,
+    pub(crate) unknown: BTreeMap<String, Mark>,
+    pub(crate) member_at: BTreeMap<NodeId, (Mark, Time)>,
+    pub(crate) join_at: BTreeMap<(String, String), (Mark, Time)>,
+    pub(crate) gone_at: BTreeMap<(String, String), Time>,
+    pub(crate) began: Option<Time>,
 }
 
-const FULL: Time = PERMIT + PERMIT_DRIFT;
-const STALE: Time = 1500;
+pub const FULL: Time = PERMIT + PERMIT_DRIFT;
+pub const STALE: Time = 1500;
 
 pub struct Sky<'a> {
     pub now: Time,
@@ -129,7 +129,7 @@
         }
     }
 
-    fn sight(&self, k: &Sky, server: &str, life: u64, since: Time) -> Option<&Sight> {
+    pub(crate) fn sight(&self, k: &Sky, server: &str, life: u64, since: Time) -> Option<&Sight> {
         self.seen
             .iter()
             .filter(|((_, s), x)| s == server && x.s.life == life && x.s.reach)
@@ -147,10 +147,6 @@
         }
     }
 
-    fn heir_fit(&self, k: &Sky, d: &Db, s: &Server) -> bool {
-        d.primary.as_ref() != Some(&s.name) && k.st.eligible(d, &s.name) && !s.leaving
-    }
-
     fn steady(&mut self, k: &Sky, n: &str, d: &Db, at: Time, ops: &mut Vec<Op>) {
         let Some(p) = d.primary.as_ref() else { return };
         let Some(ps) = k.st.servers.get(p) else { return };
@@ -198,116 +194,6 @@
         self.seen.get(&(f, p.name.clone())).is_some_and(|x| k.now < x.at + STALE && x.s.reach && !x.s.leads)
     }
 
-    fn heirs(&mut self, k: &Sky, n: &str, d: &Db, at: Time, ops: &mut Vec<Op>) {
-        let p = d.primary.clone().unwrap_or_default();
-        let ppos = k.st.servers.get(&p).and_then(|s| self.sight(k, &p, s.life, at)).map(|s| s.pos);
-        for s in db_servers(k.cfg, k.st, n) {
-            let (db, epoch, server) = (n.to_string(), d.epoch, s.name.clone());
-            let key = (db.clone(), server.clone());
-            let x = self.sight(k, &s.name, s.life, 0);
-            let follows = x.is_some_and(|x| x.follows == p && x.link);
-            let near = x.zip(ppos).is_some_and(|(x, q)| x.pos + 200 >= q);
-            let fit = self.heir_fit(k, d, s) && follows;
-            if d.heirs.contains_key(&server) || d.joining.contains_key(&server) {
-                let since = *self.gone_at.entry(key.clone()).or_insert(k.now);
-                let bad = !fit || !near || (!k.st.heir(d, &server) && !d.joining.contains_key(&server));
-                if !bad {
-                    self.gone_at.insert(key.clone(), k.now);
-                }
-                let spare = d.heirs.len() > 1 || !d.heirs.contains_key(&server);
-                if bad && k.now > since + 1000 && spare {
-                    ops.push(Op::HeirLeave { db, epoch, server, why: "cut off, leaving or far behind".into() });
-                    continue;
-                }
-            } else if fit && near {
-                ops.push(Op::HeirJoin { db, epoch, server });
-                continue;
-            }
-            if let Some(m) = d.joining.get(&s.name) {
-                let e = self.join_at.entry(key).or_insert((*m, k.now));
-                if e.0 != *m {
-                    *e = (*m, k.now);
-                }
-                let (_, t) = *e;
-                let ready = k.now > t + FULL;
-                let past = |m: Time| self.seen.iter().find(|((_, a), x)| *a == p && x.at.saturating_sub(x.s.age) > m);
-                let q = past(t + FULL).map(|(_, x)| x.s.pos);
-                let got = self.sight(k, &s.name, s.life, t + FULL).map(|x| x.pos);
-                if ready && fit && q.zip(got).is_some_and(|(q, g)| g >= q) {
-                    ops.push(Op::HeirFull { db: n.into(), epoch, server: s.name.clone() });
-                }
-            }
-        }
-    }
-
-    fn all_clean(&self, k: &Sky, n: &str, d: &Db) -> bool {
-        let old = self.placed.get(n).is_some_and(|e| k.now > e.1 + FULL);
-        let said = |f: &NodeId| self.clean.get(&(*f, n.to_string())) == Some(&d.since);
-        old && !d.fencers.is_empty() && d.fencers.iter().all(said)
-    }
-
-    fn closing(&self, k: &Sky, n: &str, d: &Db, at: Time, ops: &mut Vec<Op>) {
-        let (db, epoch) = (n.to_string(), d.epoch);
-        let grace = k.cfg.timeouts.transaction_drain_ms + 500;
-        let p = d.primary.as_ref().and_then(|p| k.st.servers.get(p));
-        let back = p.is_none_or(|p| server_off(k.st, p).is_none());
-        let dead = p.is_some_and(|p| self.sight(k, &p.name, p.life, 0).is_none());
-        if back {
-            ops.push(Op::Reopen { db, epoch, why: "the primary stays after all".into() });
-        } else if self.all_clean(k, n, d) || k.now > at + grace || (dead && k.now > at + STALE) {
-            ops.push(Op::Offline { db, epoch, why: "planned: work under way has ended".into() });
-        }
-    }
-
-    fn fenced(&self, k: &Sky, n: &str, d: &Db, at: Time, ops: &mut Vec<Op>) {
-        let sure = k.now > at + FULL || self.all_clean(k, n, d);
-        if !sure {
-            return;
-        }
-        let (db, epoch) = (n.to_string(), d.epoch);
-        let since = at;
-        let old = d.old.as_ref().and_then(|o| k.st.servers.get(o));
-        let old_seen = old.and_then(|o| self.sight(k, &o.name, o.life, since)).filter(|x| x.leads);
-        let mut best: Vec<(bool, u64, &String)> = d
-            .heirs
-            .keys()
-            .filter(|h| k.st.heir(d, h))
-            .filter_map(|h| k.st.servers.get(h).and_then(|s| self.sight(k, h, s.life, since).map(|x| (s, x, h))))
-            .map(|(s, x, h)| (server_off(k.st, s).is_none(), x.pos, h))
-            .collect();
-        best.sort();
-        let caught = |pos: u64| !d.planned || old_seen.is_none_or(|o| pos >= o.pos);
-        let patience = k.now > at + 5000;
-        if let Some((_, pos, h)) = best.last() {
-            if caught(*pos) || patience {
-                ops.push(Op::Target { db, epoch, server: (*h).clone(), asker: k.me });
-            }
-        } else if old_seen.is_some() && k.now > at + 3000 {
-            ops.push(Op::Reopen { db, epoch, why: "no replica can take over and the old primary is back".into() });
-        }
-    }
-
-    fn promoting(&mut self, k: &Sky, n: &str, d: &Db, ops: &mut Vec<Op>, calls: &mut Vec<Promote>) {
-        let Some(t) = d.target.clone() else { return };
-        if d.asker != k.me {
-            ops.push(Op::Asker { db: n.into(), epoch: d.epoch, asker: k.me });
-            return;
-        }
-        let e = self.asks.entry(n.into()).or_insert((d.epoch, Ask3::Idle));
-        if e.0 != d.epoch {
-            *e = (d.epoch, Ask3::Idle);
-        }
-        let go = match e.1 {
-            Ask3::Idle => true,
-            Ask3::Wait(t) => k.now >= t,
-            Ask3::Out => false,
-        };
-        if go {
-            e.1 = Ask3::Out;
-            calls.push(Promote { db: n.into(), server: t, epoch: d.epoch });
-        }
-    }
-
     pub fn promoted(&mut self, now: Time, db: &str, epoch: Mark, server: &str, done: Result<(), bool>) -> Option<Op> {
         if let Err(unknown) = done {
             if unknown {
--- a/tenet/src/polls.rs
+++ b/tenet/src/polls.rs
@@ -1,5 +1,5 @@
 use crate::base::*;
-use crate::collect::blank;
+use crate::plan::blank;
 use crate::front::*;
 use crate::job::{Owner, Step};
 use crate::kind::Kind;
--- /dev/null
+++ b/tenet/src/probe.rs
@@ -0,0 +1,82 @@
+use crate::base::*;
+use crate::colleagues::*;
+use crate::wire::Msg;
+
+const ROUND: Time = 200;
+const DIRECT: Time = 250;
+const INDIRECT: Time = 350;
+const SUSPICION: Time = 1200;
+const FORGET: Time = 60_000;
+const SEEDS_AGAIN: Time = 1000;
+
+impl Colleagues {
+    fn probe(&mut self, now: Time, id: NodeId, addr: Addr, send: &mut Vec<(Addr, Msg)>) {
+        self.seq += 1;
+        let news = self.news();
+        send.push((addr, Msg::Probe { seq: self.seq, news }));
+        self.open.push(Open { seq: self.seq, id, addr, at: now, helped: false });
+    }
+
+    pub fn tick(&mut self, now: Time, send: &mut Vec<(Addr, Msg)>) -> Time {
+        self.expire(now, send);
+        if now >= self.seeds_next {
+            self.seeds_next = now + SEEDS_AGAIN;
+            for a in self.seeds.clone() {
+                let known = self.all.values().any(|c| c.s.addr == a && c.s.status == ALIVE);
+                if a != self.me.addr && !known {
+                    self.probe(now, 0, a, send);
+                }
+            }
+        }
+        if now >= self.next {
+            self.next = now + ROUND;
+            for _ in 0..2.min(self.all.len()) {
+                let c = self.cursor;
+                let n = self.all.range(c + 1..).chain(self.all.range(..=c)).next();
+                if let Some((id, addr)) = n.map(|(i, c)| (*i, c.s.addr)) {
+                    self.cursor = id;
+                    if !self.open.iter().any(|o| o.id == id) {
+                        self.probe(now, id, addr, send);
+                    }
+                }
+            }
+        }
+        self.next.min(now + 50)
+    }
+
+    fn expire(&mut self, now: Time, send: &mut Vec<(Addr, Msg)>) {
+        self.relay.retain(|r| now < r.3 + 1000);
+        let mut i = 0;
+        while i < self.open.len() {
+            let (id, addr, at, helped, seq) = {
+                let o = &self.open[i];
+                (o.id, o.addr, o.at, o.helped, o.seq)
+            };
+            if !helped && now >= at + DIRECT && id != 0 {
+                self.open[i].helped = true;
+                let n = self.seq as usize;
+                let v: Vec<Addr> = self.live().filter(|s| s.id != id).map(|s| s.addr).collect();
+                for k in 0..v.len().min(3) {
+                    let news = self.news();
+                    send.push((v[(n + k) % v.len()], Msg::ProbeFor { seq, target: addr, news }));
+                }
+            }
+            if now >= at + DIRECT + INDIRECT {
+                self.open.swap_remove(i);
+                if self.all.get(&id).is_some_and(|c| c.s.status == ALIVE) {
+                    self.turn(id, "silent", "no answer, nor through third parties", now);
+                }
+            } else {
+                i += 1;
+            }
+        }
+        let late: Vec<NodeId> = self
+            .all
+            .iter()
+            .filter(|(_, c)| c.s.status == SUSPECT && now >= c.since + SUSPICION)
+            .map(|(i, _)| *i)
+            .collect();
+        late.into_iter().for_each(|i| self.turn(i, "silent", "suspicion was not refuted", now));
+        self.all.retain(|_, c| c.s.status != GONE || now < c.since + FORGET);
+    }
+}
--- a/tenet/src/trip.rs
+++ b/tenet/src/trip.rs
@@ -119,9 +119,11 @@
         let (For::Caller { session, .. }, Some(b), true) = (&t.owner, t.bound, replica) else {
             return false;
         };
-        let db = self.sessions.get(session).map_or(0, |s| s.db);
-        let epoch = self.t.as_ref().map_or(0, |t| t.dbs[db].epoch);
-        self.marks[db].age(now, epoch, d.pos).is_none_or(|a| a >= b)
+        let (Some(db), Some(table)) = (self.sessions.get(session).map(|s| s.db), self.t.as_ref()) else {
+            return true;
+        };
+        let Some(To::Replica(s)) = t.gos.last().map(|g| g.to) else { return true };
+        self.proof(now, table, db, s, d.pos).is_none_or(|a| a >= b)
     }
 
     fn trip_end(&mut self, now: Time, i: usize, give: Option<Kind>, out: &mut FrontOut) {
