Keep the last heir, and judge heirs only while the primary is seen

Cause: when a primary died, both replicas lost their link to it and left the set of heirs in one tick, before the primary was marked offline; then no replica could be chosen and the database stayed without a primary. Ruled out: detection (the offline mark was committed), promote call (never made). Change: the state rejects the leave of the last heir, and the pilot lets heirs go only while the fencing nodes still reach the primary. Fleet logs now tell each marked story, which is how it was found.

--- a/tenet/src/apply.rs
+++ b/tenet/src/apply.rs
@@ -218,6 +218,7 @@
                 d.joining.remove(server).ok_or_else(|| stale("not joining"))?;
                 d.heirs.insert(server.into(), life.unwrap_or(0));
             }
+            _ if d.heirs.len() == 1 && d.heirs.contains_key(server) => return Err(stale("the last heir stays")),
             _ => {
                 d.joining.remove(server);
                 d.heirs.remove(server);
--- a/tenet/src/control.rs
+++ b/tenet/src/control.rs
@@ -37,6 +37,7 @@
     pub(crate) table: Option<Arc<Table>>,
     pub(crate) stopping: bool,
     stale: bool,
+    pub(crate) told: Mark,
     pilot_at: Time,
     table_at: Time,
 }
@@ -77,6 +78,7 @@
             table: None,
             stopping: false,
             stale: true,
+            told: 0,
             pilot_at: 0,
             table_at: 0,
         };
--- a/tenet/src/follow.rs
+++ b/tenet/src/follow.rs
@@ -124,6 +124,10 @@
                 Err(v) => e.log.push(format!("configuration {m} cannot be read here: {}", v.join("; "))),
             }
         }
+        let from = self.told;
+        let new = self.f.state.stories.iter().filter(|s| s.mark > from);
+        e.log.extend(new.map(|s| format!("mark {}: {}", s.mark, s.text)));
+        self.told = self.f.state.mark;
         self.c.me.mark = self.f.state.mark;
         self.c.me.allows = self.f.holds(now) && m > 0 && !self.stopping;
         let Some((at, cfg)) = self.cfg.clone() else { return };
--- a/tenet/src/heirs.rs
+++ b/tenet/src/heirs.rs
@@ -8,9 +8,15 @@
         d.primary.as_ref() != Some(&s.name) && k.st.eligible(d, &s.name) && !s.leaving
     }
 
+    fn near(&self, k: &Sky, f: NodeId, p: &str) -> bool {
+        let x = self.seen.get(&(f, p.to_string()));
+        x.is_some_and(|x| x.s.reach && x.s.age < 400 && k.now < x.at + 500)
+    }
+
     pub(crate) fn heirs(&mut self, k: &Sky, n: &str, d: &Db, at: Time, ops: &mut Vec<Op>) {
         let p = d.primary.clone().unwrap_or_default();
         let ppos = k.st.servers.get(&p).and_then(|s| self.sight(k, &p, s.life, at)).map(|s| s.pos);
+        let seen = ppos.is_some() && d.fencers.iter().filter(|f| k.c.alive(**f)).all(|f| self.near(k, *f, &p));
         for s in db_servers(k.cfg, k.st, n) {
             let (db, epoch, server) = (n.to_string(), d.epoch, s.name.clone());
             let key = (db.clone(), server.clone());
@@ -25,7 +31,7 @@
                     self.gone_at.insert(key.clone(), k.now);
                 }
                 let spare = d.heirs.len() > 1 || !d.heirs.contains_key(&server);
-                if bad && k.now > since + 1000 && spare {
+                if bad && k.now > since + 1000 && spare && seen {
                     ops.push(Op::HeirLeave { db, epoch, server, why: "cut off, leaving or far behind".into() });
                     continue;
                 }
--- /dev/null
+++ b/tenet/tests/state.rs
@@ -0,0 +1,34 @@
+#![cfg(not(loom))]
+use tenet::base::Addr;
+use tenet::kind::Kind;
+use tenet::state::*;
+
+fn put(s: &mut State, id: u64, op: Op) -> Verdict {
+    let mark = s.mark + 1;
+    s.apply(&Entry { mark, ask: Ask { id, from: Addr::NONE, at: 0, op } })
+}
+
+#[test]
+fn the_last_heir_never_leaves_and_a_repeat_gets_the_first_verdict() {
+    let mut s = State::default();
+    for n in ["a", "b", "c"] {
+        let (server, labels) = (n.to_string(), Default::default());
+        let domain = String::new();
+        let id = s.mark + 100;
+        put(&mut s, id, Op::Announce { server, addr: Addr::NONE, domain, labels, life: 1, leads: false, leaving: false });
+    }
+    let db = || "d".to_string();
+    put(&mut s, 1, Op::Place { db: db(), fencers: vec![1], gateways: vec![1] });
+    let epoch = put(&mut s, 2, Op::Adopt { db: db(), server: "a".into() }).mark;
+    for (i, n) in ["b", "c"].iter().enumerate() {
+        let server = || n.to_string();
+        put(&mut s, 10 + i as u64, Op::HeirJoin { db: db(), epoch, server: server() });
+        put(&mut s, 20 + i as u64, Op::HeirFull { db: db(), epoch, server: server() });
+    }
+    let leave = |n: &str| Op::HeirLeave { db: db(), epoch, server: n.into(), why: String::new() };
+    let first = put(&mut s, 30, leave("b"));
+    assert_eq!(first.reject, None);
+    assert_eq!(put(&mut s, 31, leave("c")).reject.map(|r| r.kind), Some(Kind::StaleBase));
+    assert_eq!(s.dbs["d"].heirs.len(), 1);
+    assert_eq!(put(&mut s, 30, leave("b")), first);
+}
