Add chance: the real machines under virtual time, 24 scripts of failure

Seeded links, disks with torn tails, clock drift, freezes, stand-in servers and callers; the checker sees outside history only. Found with it, and mended: - a colleague already gone turned alive on an event its chart does not know; - a look-up trusted a server that had been replaced under its address, so a commit was called 'nothing kept' though the promoted replica held it; - a request that waited inside a frozen node ran after its deadline. Each hop now sends the deadline in the receiver's own clock.

--- /dev/null
+++ b/chance/src/fault.rs
@@ -0,0 +1,52 @@
+#[derive(Clone, Debug, PartialEq)]
+pub enum Fault {
+    Kill(usize),
+    Start(usize),
+    Wipe(usize),
+    Freeze(usize),
+    Thaw(usize),
+    KillAll,
+    StartAll,
+    KillDomain(String),
+    StartDomain(String),
+    Cut(String, String),
+    Heal,
+    Crash(String),
+    Restart(String),
+    Replace(String),
+    Retire(String),
+    Stall(String, bool),
+    LoseAnswers(u64),
+    Platform(Mood),
+    Evacuate(String, bool),
+    Drain(String, bool),
+    Configure,
+    StaleConfigure,
+    BadConfigure,
+    CutNode(usize),
+    FreezeFencer(String, usize),
+    ThawAll,
+    KillHead,
+    KillTail,
+    CallersStop,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Mood {
+    Good,
+    Unreachable,
+    Refuses,
+    LosesAnswer,
+    Slow,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Plant {
+    None,
+    PermitForever,
+    LyingReplica,
+    LyingDisk,
+    NoReset,
+    StaleMark,
+    BlindRetry,
+}
--- a/chance/src/main.rs
+++ b/chance/src/main.rs
@@ -1,1 +1,74 @@
-fn main() {}
+use bpaf::{construct, long, Parser};
+use chance::fault::Plant;
+use chance::scripts::{find, run, ALL};
+
+struct Args {
+    script: Option<String>,
+    place: Option<String>,
+    from: u64,
+    seeds: u64,
+    tell: Option<String>,
+    times: bool,
+}
+
+fn main() {
+    let script = long("script").help("One script by name; all when left out").argument("NAME").optional();
+    let place = long("place").help("alumni or thessaly; both when left out").argument("NAME").optional();
+    let from = long("from").help("First seed").argument("SEED").fallback(1);
+    let seeds = long("seeds").help("How many seeds").argument("N").fallback(10);
+    let tell = long("tell").help("Print the reasons whose text holds WORD").argument("WORD").optional();
+    let times = long("times").help("Print what callers met, message counts and syncs").switch();
+    let a = construct!(Args { script, place, from, seeds, tell, times })
+        .to_options()
+        .descr("chance: runs the real machines under virtual time and seeded failures. Exit 1 when a fault is found; each failing run prints its replay line.")
+        .version(env!("CARGO_PKG_VERSION"))
+        .run();
+    if let Some(n) = a.script.as_ref().filter(|n| find(n).is_none()) {
+        eprintln!("no script '{n}'; there are {}", ALL.iter().map(|s| s.name).collect::<Vec<_>>().join(", "));
+        std::process::exit(2);
+    }
+    let places: Vec<&str> = ["alumni", "thessaly"].into_iter().filter(|p| a.place.as_ref().is_none_or(|x| x == p)).collect();
+    let list: Vec<_> = ALL.iter().filter(|s| a.script.as_ref().is_none_or(|n| n == s.name)).collect();
+    let mut work = Vec::new();
+    for s in &list {
+        for p in &places {
+            (a.from..a.from + a.seeds).for_each(|seed| work.push((*s, *p, seed)));
+        }
+    }
+    let next = std::sync::atomic::AtomicUsize::new(0);
+    let bad = std::sync::atomic::AtomicUsize::new(0);
+    let cores = std::thread::available_parallelism().map_or(1, |n| n.get());
+    std::thread::scope(|t| {
+        for _ in 0..cores.min(work.len()) {
+            t.spawn(|| loop {
+                let i = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+                let Some((s, p, seed)) = work.get(i) else { return };
+                let sim = run(s, p, *seed, Plant::None);
+                let f = sim.faults();
+                let mut text = String::new();
+                if !f.is_empty() {
+                    bad.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+                    text += &format!("FAIL {} {p} seed {seed}: {} faults\n", s.name, f.len());
+                    f.iter().take(6).for_each(|x| text += &format!("  {x}\n"));
+                    text += &format!("  replay: chance --script {} --place {p} --from {seed} --seeds 1\n", s.name);
+                }
+                if a.times {
+                    text += &format!("{} {p} {seed}: {:?}\n  worst wait for a success {} ms, slowest adoption {} ms, messages {:?}\n", s.name, sim.history.kinds,
+                        sim.clients.iter().map(|c| c.worst).max().unwrap_or(0), sim.watch.slowest_adopt, sim.messages);
+                }
+                if let Some(w) = &a.tell {
+                    for n in &sim.nodes {
+                        n.logs.iter().filter(|l| l.1.contains(w.as_str())).for_each(|l| text += &format!("  node {} at {} {}\n", n.i, l.0, l.1));
+                    }
+                    let c = sim.nodes.iter().filter_map(|n| n.control.as_ref()).max_by_key(|c| c.state().mark);
+                    let v = c.map(|c| c.state().stories.clone()).unwrap_or_default();
+                    v.iter().filter(|s| s.text.contains(w.as_str())).for_each(|s| text += &format!("  {} mark {} {}\n", s.at.saturating_sub(1_000_000), s.mark, s.text));
+                }
+                print!("{text}");
+            });
+        }
+    });
+    let bad = bad.into_inner();
+    println!("{} runs, {bad} with faults", work.len());
+    std::process::exit((bad > 0) as i32);
+}
--- /dev/null
+++ b/chance/src/scripts.rs
@@ -0,0 +1,199 @@
+use crate::fault::{Fault::*, Mood, Plant};
+use crate::fault::Fault;
+use crate::sim::*;
+use tenet::base::*;
+
+pub const ALUMNI: &str = include_str!("../../examples/alumni.json");
+pub const THESSALY: &str = include_str!("../../examples/thessaly.json");
+
+pub struct Script {
+    pub name: &'static str,
+    pub end: Time,
+    pub faults: fn(&mut Sim) -> Vec<(Time, Fault)>,
+}
+
+fn db(s: &mut Sim) -> String {
+    let v: Vec<String> = s.cfg.databases.keys().cloned().collect();
+    v[s.roll(v.len() as u64) as usize].clone()
+}
+
+fn domain(s: &mut Sim) -> String {
+    let v: Vec<String> = s.cfg.domains.keys().cloned().collect();
+    v[s.roll(v.len() as u64) as usize].clone()
+}
+
+fn others(s: &Sim, d: &str) -> Vec<String> {
+    s.cfg.domains.keys().filter(|x| *x != d).cloned().collect()
+}
+
+fn apart(s: &Sim, d: &str, both: bool) -> Vec<(Time, Fault)> {
+    let mut v = Vec::new();
+    for o in others(s, d) {
+        v.push((12_000, Cut(d.into(), o.clone())));
+        if both {
+            v.push((12_000, Cut(o, d.into())));
+        }
+    }
+    v
+}
+
+pub const ALL: &[Script] = &[
+    Script { name: "calm", end: 20_000, faults: |_| vec![] },
+    Script { name: "crash", end: 28_000, faults: |s| {
+        let d = db(s);
+        vec![(12_000, Crash(d.clone())), (20_000, Restart(format!("{d}-0")))]
+    } },
+    Script { name: "retire", end: 26_000, faults: |s| {
+        let d = db(s);
+        vec![(12_000, Retire(d))]
+    } },
+    Script { name: "two-crashes", end: 44_000, faults: |s| {
+        let d = db(s);
+        vec![(12_000, Crash(d.clone())), (18_000, Restart(format!("{d}-0"))), (28_000, Crash(d.clone())),
+            (34_000, Restart(format!("{d}-1"))), (34_000, Restart(format!("{d}-2")))]
+    } },
+    Script { name: "answers-vanish", end: 30_000, faults: |s| {
+        let d = db(s);
+        vec![(10_000, LoseAnswers(10)), (14_000, Crash(d)), (24_000, LoseAnswers(0))]
+    } },
+    Script { name: "replica-stall", end: 30_000, faults: |s| {
+        let d = db(s);
+        vec![(10_000, Stall(format!("{d}-1"), true)), (14_000, Crash(d.clone())), (20_000, Stall(format!("{d}-1"), false))]
+    } },
+    Script { name: "freeze-fencer", end: 34_000, faults: |s| {
+        let (d, t) = (db(s), 11_000 + s.roll(3000));
+        let k = s.roll(2) as usize;
+        vec![(t, FreezeFencer(d.clone(), k)), (12_500, Crash(d)), (22_000, ThawAll)]
+    } },
+    Script { name: "freeze-any", end: 34_000, faults: |s| {
+        let (d, i) = (db(s), s.roll(s.nodes.len() as u64) as usize);
+        let (a, b) = (10_000 + s.roll(4000), 15_000 + s.roll(5000));
+        vec![(a, Freeze(i)), (12_000, Crash(d)), (b, Thaw(i))]
+    } },
+    Script { name: "domain-power", end: 44_000, faults: |s| {
+        let d = domain(s);
+        vec![(12_000, KillDomain(d.clone())), (28_000, StartDomain(d))]
+    } },
+    Script { name: "domain-cut", end: 40_000, faults: |s| {
+        let d = domain(s);
+        let mut v = apart(s, &d, true);
+        v.push((24_000, Heal));
+        v
+    } },
+    Script { name: "one-way", end: 40_000, faults: |s| {
+        let d = domain(s);
+        let mut v = apart(s, &d, false);
+        v.push((24_000, Heal));
+        v
+    } },
+    Script { name: "two-apart", end: 40_000, faults: |s| {
+        let d = domain(s);
+        let o = others(s, &d).remove(0);
+        vec![(12_000, Cut(d.clone(), o.clone())), (12_000, Cut(o, d)), (24_000, Heal)]
+    } },
+    Script { name: "evacuate", end: 40_000, faults: |s| {
+        let d = domain(s);
+        vec![(12_000, Evacuate(d.clone(), true)), (12_050, Configure), (26_000, Evacuate(d, false))]
+    } },
+    Script { name: "total-loss", end: 40_000, faults: |_| {
+        vec![(12_000, Configure), (13_000, KillAll), (15_000, StartAll)]
+    } },
+    Script { name: "chain-head", end: 36_000, faults: |s| {
+        let d = db(s);
+        vec![(12_000, KillHead), (12_000, Crash(d)), (13_000, Configure), (20_000, Start(0)), (20_000, Start(1)), (20_000, Start(2))]
+    } },
+    Script { name: "chain-tail", end: 36_000, faults: |_| {
+        vec![(11_950, Configure), (12_000, KillTail), (13_000, Configure), (20_000, Start(0)), (20_000, Start(1)), (20_000, Start(2)), (26_000, KillHead)]
+    } },
+    Script { name: "new-disk", end: 40_000, faults: |s| {
+        let i = s.roll(3) as usize;
+        vec![(12_000, Wipe(i)), (14_000, Start(i)), (24_000, Configure), (26_000, Kill((i + 1) % 3)), (30_000, Configure)]
+    } },
+    Script { name: "rolling", end: 60_000, faults: |s| {
+        (0..s.nodes.len()).flat_map(|i| {
+            let t = 10_000 + 4000 * i as u64;
+            [(t, Kill(i)), (t + 1500, Start(i))]
+        }).collect()
+    } },
+    Script { name: "replace-servers", end: 60_000, faults: |s| {
+        let d = db(s);
+        (0..3).flat_map(|k| {
+            let n = format!("{d}-{}", 2 - k);
+            let t = 12_000 + 15_000 * k;
+            [(t, Crash(n.clone())), (t + 5000, Replace(n))]
+        }).collect()
+    } },
+    Script { name: "platform-lost", end: 40_000, faults: |s| {
+        let d = db(s);
+        vec![(10_000, Platform(Mood::LosesAnswer)), (12_000, Crash(d)), (20_000, Platform(Mood::Good))]
+    } },
+    Script { name: "platform-away", end: 44_000, faults: |s| {
+        let d = db(s);
+        let m = [Mood::Unreachable, Mood::Refuses, Mood::Slow][s.roll(3) as usize];
+        vec![(10_000, Platform(m)), (12_000, Crash(d)), (22_000, Platform(Mood::Good))]
+    } },
+    Script { name: "operators", end: 30_000, faults: |s| {
+        let t = 11_000 + s.roll(200);
+        vec![(11_000, Configure), (t, Configure), (t, StaleConfigure), (12_000, BadConfigure), (13_000, Configure), (13_001, Configure)]
+    } },
+    Script { name: "lone-node", end: 40_000, faults: |s| {
+        let i = s.roll(s.nodes.len() as u64) as usize;
+        vec![(12_000, CutNode(i)), (13_000, Configure), (22_000, Heal)]
+    } },
+    Script { name: "storm", end: 70_000, faults: |s| {
+        let mut v = Vec::new();
+        for k in 0..6 {
+            let t = 10_000 + 8000 * k + s.roll(1500);
+            let (d, z, i) = (db(s), domain(s), s.roll(s.nodes.len() as u64) as usize);
+            match s.roll(6) {
+                0 => v.extend([(t, Crash(d.clone())), (t + 6000, Restart(format!("{d}-{}", s.roll(3)))), (t + 6100, Restart(format!("{d}-0")))]),
+                1 => v.extend([(t, Freeze(i)), (t + 4000, Thaw(i))]),
+                2 => v.extend([(t, Kill(i)), (t + 3000, Start(i))]),
+                3 => v.extend([(t, Cut(z.clone(), others(s, &z)[0].clone())), (t + 6000, Heal)]),
+                4 => v.extend([(t, LoseAnswers(8)), (t + 5000, LoseAnswers(0))]),
+                _ => v.extend([(t, Configure), (t + 100, KillHead), (t + 3000, Start(0)), (t + 3000, Start(1)), (t + 3000, Start(2))]),
+            }
+        }
+        v
+    } },
+];
+
+pub fn find(n: &str) -> Option<&'static Script> {
+    ALL.iter().find(|s| s.name == n)
+}
+
+pub fn run(sc: &Script, place: &str, seed: u64, plant: Plant) -> Sim {
+    let thessaly = place == "thessaly";
+    let setup = Setup {
+        text: if thessaly { THESSALY } else { ALUMNI }.into(),
+        nodes: if thessaly { 9 } else { 12 },
+        sessions: 36,
+        seed,
+        pause: 250,
+        sync_ms: if thessaly { 4 } else { 25 },
+        region_ms: if thessaly { 8 } else { 12 },
+    };
+    let mut s = Sim::new(&setup);
+    s.plant = plant;
+    let f = (sc.faults)(&mut s);
+    s.script(&f);
+    s.run(sc.end);
+    s.at_rest(sc.end);
+    s
+}
+
+impl Sim {
+    fn at_rest(&mut self, end: Time) {
+        let before = end.saturating_sub(4000);
+        for d in self.cfg.databases.keys() {
+            let served = self.history.events.iter().any(|e| {
+                e.end > before && e.out == guise::check::Out::Kept && e.class == guise::mix::Class::Write && e.key.starts_with(d.as_str())
+            });
+            if !served {
+                self.watch.faults.push(format!("away: {d} took no write in the last 4 s"));
+            }
+        }
+        self.stop_clients = true;
+        self.run(end + 12_000);
+    }
+}
--- /dev/null
+++ b/chance/src/sim.rs
@@ -0,0 +1,201 @@
+use crate::client::Client;
+use crate::fault::*;
+use crate::node::Node;
+use crate::watch::Watcher;
+use guise::check::History;
+use guise::mix::Kinds;
+use guise::world::{Shape, World};
+use serde_json::Value;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use tenet::base::*;
+use tenet::config::Config;
+use tenet::effect::In;
+use tenet::front::{BackRes, FrontIn};
+
+pub enum Ev {
+    Control(usize, u32, In),
+    Front(usize, u32, FrontIn),
+    WakeC(usize, u32, Time),
+    WakeF(usize, u32, Time),
+    Back { node: usize, life: u32, token: u64, server: usize, path: &'static str, body: Value, gone: bool },
+    Client(usize, u64),
+    Reply { call: u64, res: BackRes },
+    Synced(usize, u32, u64),
+    Promote { node: usize, life: u32, db: String, server: String, epoch: Mark },
+    World,
+    Announce,
+    Fault(Fault),
+}
+
+pub struct Sim {
+    pub now: Time,
+    pub seed: u64,
+    pub rolls: u64,
+    pub cfg: Config,
+    pub text: String,
+    pub nodes: Vec<Node>,
+    pub world: World,
+    pub clients: Vec<Client>,
+    pub calls: BTreeMap<u64, (usize, usize, u32)>,
+    pub next_call: u64,
+    pub history: History,
+    pub kinds: Kinds,
+    pub cuts: Vec<(String, String)>,
+    pub lost_node: Option<usize>,
+    pub lose: u64,
+    pub mood: Mood,
+    pub plant: Plant,
+    pub watch: Watcher,
+    pub announced: Vec<Value>,
+    pub messages: BTreeMap<&'static str, (u64, u64)>,
+    pub region_ms: u64,
+    pub stop_clients: bool,
+    heap: BinaryHeap<Reverse<(Time, u64)>>,
+    evs: BTreeMap<(Time, u64), Ev>,
+    seq: u64,
+}
+
+pub struct Setup {
+    pub text: String,
+    pub nodes: usize,
+    pub sessions: usize,
+    pub seed: u64,
+    pub pause: u64,
+    pub sync_ms: u64,
+    pub region_ms: u64,
+}
+
+pub fn node_addr(i: usize) -> Addr {
+    let mut ip = [0; 16];
+    ip[14] = 1;
+    ip[15] = i as u8;
+    Addr { ip, port: 1 }
+}
+
+pub fn server_addr(i: usize) -> Addr {
+    let mut ip = [0; 16];
+    ip[14] = 2;
+    ip[15] = i as u8;
+    Addr { ip, port: 2 }
+}
+
+impl Sim {
+    pub fn new(s: &Setup) -> Sim {
+        let cfg = match Config::parse(&s.text) {
+            Ok(c) => c,
+            Err(e) => panic!("{}", e.join("; ")),
+        };
+        let domains: Vec<&String> = cfg.domains.keys().collect();
+        let node = |i: usize| Node {
+            i,
+            addr: node_addr(i),
+            domain: domains[i % domains.len()].clone(),
+            disk: i < 3,
+            up: false,
+            frozen: false,
+            life: 0,
+            control: None,
+            front: None,
+            files: BTreeMap::new(),
+            shelf: None,
+            durable: Default::default(),
+            writing: Vec::new(),
+            disk_free: 0,
+            sync_ms: s.sync_ms,
+            drift: (mix(s.seed ^ i as u64) % 41) as i64 - 20,
+            start: 0,
+            wake_c: 0,
+            wake_f: 0,
+            mark: 0,
+            syncs: 0,
+            thawed: 0,
+            logs: Vec::new(),
+        };
+        let nodes: Vec<Node> = (0..s.nodes).map(node).collect();
+        let world = World::new(&Shape::of(&cfg, 60));
+        let n = world.servers.len();
+        let clients = Client::crowd(&cfg, s);
+        let mut sim = Sim {
+            now: 0,
+            seed: s.seed,
+            rolls: 0,
+            kinds: Kinds::of(&cfg),
+            text: s.text.clone(),
+            cfg,
+            nodes,
+            world,
+            clients,
+            calls: BTreeMap::new(),
+            next_call: 0,
+            history: History::default(),
+            cuts: Vec::new(),
+            lost_node: None,
+            lose: 0,
+            mood: Mood::Good,
+            plant: Plant::None,
+            watch: Watcher::default(),
+            announced: vec![Value::Null; n],
+            messages: BTreeMap::new(),
+            region_ms: s.region_ms,
+            stop_clients: false,
+            heap: BinaryHeap::new(),
+            evs: BTreeMap::new(),
+            seq: 0,
+        };
+        for i in 0..sim.nodes.len() {
+            let at = 1 + sim.roll(300);
+            sim.at(at, Ev::Fault(Fault::Start(i)));
+        }
+        sim.at(5, Ev::World);
+        sim.at(200, Ev::Announce);
+        sim.at(2500, Ev::Fault(Fault::Configure));
+        for c in 0..sim.clients.len() {
+            let at = 7000 + sim.roll(1000);
+            sim.at(at, Ev::Client(c, 0));
+        }
+        sim
+    }
+
+    pub fn roll(&mut self, m: u64) -> u64 {
+        self.rolls += 1;
+        mix(self.seed ^ mix(self.rolls)) % m.max(1)
+    }
+
+    pub fn at(&mut self, t: Time, e: Ev) {
+        self.seq += 1;
+        let k = (t.max(self.now), self.seq);
+        self.heap.push(Reverse(k));
+        self.evs.insert(k, e);
+    }
+
+    pub fn run(&mut self, until: Time) {
+        while let Some(Reverse(k)) = self.heap.peek().copied() {
+            if k.0 > until {
+                break;
+            }
+            self.heap.pop();
+            self.now = k.0;
+            if let Some(e) = self.evs.remove(&k) {
+                self.step(e);
+            }
+        }
+        self.now = until;
+    }
+
+    pub fn script(&mut self, v: &[(Time, Fault)]) {
+        for (t, f) in v {
+            self.at(*t, Ev::Fault(f.clone()));
+        }
+    }
+
+    pub fn cut(&self, a: &str, b: &str) -> bool {
+        self.cuts.iter().any(|(x, y)| x == a && y == b)
+    }
+
+    pub fn travel(&mut self, a: &str, b: &str) -> Time {
+        let far = self.cfg.region(a) != self.cfg.region(b);
+        let base = if far { self.region_ms / 2 } else { 0 };
+        base + self.roll(3)
+    }
+}
--- a/guise/src/check.rs
+++ b/guise/src/check.rs
@@ -21,12 +21,20 @@
     pub out: Out,
 }
 
+#[derive(Clone, Debug)]
+pub struct Off {
+    pub server: String,
+    pub since: u64,
+    pub until: u64,
+    pub bound: u64,
+}
+
 #[derive(Default)]
 pub struct History {
     pub events: Vec<Event>,
     pub hops: Vec<(String, Vec<String>, Vec<String>)>,
     pub settings: Vec<(String, String)>,
-    pub off: Vec<(String, u64, u64)>,
+    pub off: Vec<Off>,
     pub kinds: BTreeMap<String, u64>,
 }
 
@@ -49,11 +57,11 @@
     for (want, got) in h.settings.iter().filter(|(a, b)| a != b) {
         f.push(format!("settings: a client that set '{want}' ran under '{got}'"));
     }
-    for (server, since, bound) in &h.off {
-        let i = w.ix(server);
-        let late = w.worked.iter().filter(|(t, s)| Some(*s) == i && *t > since + bound).count();
+    for o in &h.off {
+        let i = w.ix(&o.server);
+        let late = w.worked.iter().filter(|(t, s)| Some(*s) == i && *t > o.since + o.bound && *t < o.until).count();
         if late > 0 {
-            f.push(format!("leaving: {server} got {late} statements more than {bound} ms after"));
+            f.push(format!("leaving: {} got {late} statements more than {} ms after", o.server, o.bound));
         }
     }
     f
@@ -164,7 +172,7 @@
         plant("settings", &|h, _| h.settings.push(("a".into(), "b".into())));
         plant("leaving", &|h, w| {
             w.worked.push((9000, 0));
-            h.off.push(("d-0".into(), 1000, 7000));
+            h.off.push(Off { server: "d-0".into(), since: 1000, until: u64::MAX, bound: 7000 });
         });
         plant("caps", &|_, w| w.over_cap = 1);
         plant("two servers", &|_, w| {
--- a/guise/src/talk.rs
+++ b/guise/src/talk.rs
@@ -33,10 +33,14 @@
         match path {
             "/log" => Ok(self.tell_log(i)),
             "/connect" => self.connect(now, i, b),
-            "/outcome" => Ok(self.servers[i].data.outcome(b["id"].as_str().unwrap_or("")).map_or(
-                json!({"found": false}),
-                |(pos, l)| json!({"found": true, "pos": pos, "result": l.result}),
-            )),
+            "/outcome" => {
+                let s = &self.servers[i];
+                let (life, leads) = (s.life, s.leads);
+                let got = s.data.outcome(b["id"].as_str().unwrap_or(""));
+                Ok(got.map_or(json!({"found": false, "life": life, "leads": leads}), |(pos, l)| {
+                    json!({"found": true, "pos": pos, "result": l.result, "life": life, "leads": leads})
+                }))
+            }
             "/close" => {
                 self.servers[i].conns.remove(&conn_id(b));
                 Ok(json!({}))
--- a/medium/src/run.rs
+++ b/medium/src/run.rs
@@ -56,11 +56,11 @@
     let front = (!disk).then(|| ftx.clone());
     let (c2, f2) = (tx.clone(), front.clone());
     let sink = Arc::new(move |p: tenet::wire::Packet| match p.msg {
-        Msg::Carry { go, load } => {
-            f2.as_ref().map(|f| f.send(FrontIn::Carry { addr: p.addr, go, load }));
+        Msg::Carry { go, to, by, load } => {
+            f2.as_ref().map(|f| f.send(FrontIn::Carry { from: p.from, addr: p.addr, go, to, by, load }));
         }
-        Msg::Carried { go, done } => {
-            f2.as_ref().map(|f| f.send(FrontIn::Carried { go, done }));
+        Msg::Carried { go, clock, done } => {
+            f2.as_ref().map(|f| f.send(FrontIn::Carried { from: p.from, go, clock, done }));
         }
         _ => {
             let _ = c2.send(In::Packet(p));
--- a/tenet/src/answer.rs
+++ b/tenet/src/answer.rs
@@ -32,6 +32,10 @@
                 _ => self.jobs[j].step = Step::Again(now + AGAIN),
             },
             Step::LookAfter => match res {
+                BackRes::Ok(v) if !self.same_primary(now, j, &v) => {
+                    let r = Reject::new(Kind::Unknown, "the server that took it is not the primary any more");
+                    self.job_end(now, j, Err(r), out);
+                }
                 BackRes::Ok(v) if v["found"] == true => self.found(now, j, &v, out),
                 BackRes::Ok(_) => {
                     let r = Reject::new(Kind::Aborted, "the server does not know it and its connection is closed");
@@ -180,6 +184,10 @@
         let job = &self.jobs[j];
         let commit = job.load.act == Act::Commit;
         match res {
+            BackRes::Ok(v) if !self.same_primary(now, j, &v) => {
+                let r = Reject::new(Kind::NoPrimary, "the server looked at is not the primary any more");
+                self.job_end(now, j, Err(r), out);
+            }
             BackRes::Ok(v) if v["found"] == true => self.found(now, j, &v, out),
             BackRes::Ok(_) if !commit => self.job_take(now, j, out),
             BackRes::Ok(_) if job.load.epoch < job.epoch => {
@@ -191,6 +199,11 @@
         }
     }
 
+    fn same_primary(&self, now: Time, j: usize, v: &Value) -> bool {
+        let job = &self.jobs[j];
+        v["leads"] == true && num(v, "life") == job.life && self.still(now, job.db, job.epoch)
+    }
+
     fn found(&mut self, now: Time, j: usize, v: &Value, out: &mut FrontOut) {
         let job = &mut self.jobs[j];
         job.pos = num(v, "pos");
--- a/tenet/src/colleagues.rs
+++ b/tenet/src/colleagues.rs
@@ -97,7 +97,7 @@
         let me = format!("{:x}", self.me.id);
         if let Some(c) = self.all.get_mut(&id) {
             let to = chart::colleague().step(NAMES[c.s.status as usize], event);
-            let to = to.and_then(|t| NAMES.iter().position(|n| *n == t)).unwrap_or(0) as u8;
+            let to = to.and_then(|t| NAMES.iter().position(|n| *n == t)).unwrap_or(c.s.status as usize) as u8;
             if to != c.s.status {
                 c.s.status = to;
                 c.since = now;
--- a/tenet/src/control.rs
+++ b/tenet/src/control.rs
@@ -91,6 +91,14 @@
         (me, e)
     }
 
+    pub fn state(&self) -> &State {
+        &self.f.state
+    }
+
+    pub fn view(&self) -> &View {
+        &self.f.view
+    }
+
     pub fn wall(&self, now: Time) -> u64 {
         self.wall + now
     }
--- a/tenet/src/fence.rs
+++ b/tenet/src/fence.rs
@@ -33,7 +33,8 @@
         if inside {
             return self.txn_step(now, owner, load, db, p, out);
         }
-        let job = Job::new(now, owner, load, p, db, d.epoch);
+        let mut job = Job::new(now, owner, load, p, db, d.epoch);
+        job.life = t.servers[p].life;
         let look = job.load.look_up && job.load.writes;
         let j = self.jobs.insert(job);
         match look {
@@ -60,7 +61,7 @@
             server: s.name.clone(),
         };
         if let Owner::Carry(addr, go) = owner {
-            out.send.push((addr, Msg::Carried { go, done: Ok(done) }));
+            out.send.push((addr, Msg::Carried { go, clock: now, done: Ok(done) }));
         }
         Ok(())
     }
@@ -80,12 +81,14 @@
                 let conn = crate::pool::Conn { id: x.conn, user: x.session, setup: x.setup, idle: now };
                 let mut job = Job::new(now, owner, load, p, db, epoch);
                 job.conn = Some(conn);
+                job.life = t.servers[p].life;
                 let j = self.jobs.insert(job);
                 self.job_run(now, j, out);
                 Ok(())
             }
             None if load.act == Act::Commit && load.look_up => {
-                let job = Job::new(now, owner, load, p, db, epoch);
+                let mut job = Job::new(now, owner, load, p, db, epoch);
+                job.life = t.servers[p].life;
                 let j = self.jobs.insert(job);
                 self.look_up(now, j, Step::LookUp, out);
                 Ok(())
--- a/tenet/src/front.rs
+++ b/tenet/src/front.rs
@@ -17,8 +17,8 @@
     Wakeup,
     Table(Arc<Table>, Time),
     Call { call: u64, req: Req },
-    Carry { addr: Addr, go: u64, load: Load },
-    Carried { go: u64, done: Result<Done, Reject> },
+    Carry { from: NodeId, addr: Addr, go: u64, to: NodeId, by: Time, load: Load },
+    Carried { from: NodeId, go: u64, clock: Time, done: Result<Done, Reject> },
     Back { token: u64, res: BackRes },
     Stopping,
 }
@@ -87,6 +87,7 @@
     pub(crate) trips: Slab<Trip>,
     pub(crate) jobs: Slab<Job>,
     pub(crate) gos: BTreeMap<u64, usize>,
+    pub(crate) clocks: BTreeMap<NodeId, (Time, Time)>,
     pub(crate) relays: BTreeMap<u64, Relay>,
     pub(crate) pools: Vec<Pool>,
     pub(crate) known: Vec<Known>,
@@ -116,6 +117,7 @@
             trips: Slab::new(),
             jobs: Slab::new(),
             gos: BTreeMap::new(),
+            clocks: BTreeMap::new(),
             relays: BTreeMap::new(),
             pools: Vec::new(),
             known: Vec::new(),
@@ -156,8 +158,11 @@
             FrontIn::Wakeup => (),
             FrontIn::Table(t, until) => self.new_table(now, t, until, &mut out),
             FrontIn::Call { call, req } => self.call(now, call, req, &mut out),
-            FrontIn::Carry { addr, go, load } => self.carry(now, addr, go, load, &mut out),
-            FrontIn::Carried { go, done } => self.carried(now, go, done, &mut out),
+            FrontIn::Carry { addr, go, to, by, load, .. } => self.carry(now, addr, go, to, by, load, &mut out),
+            FrontIn::Carried { from, go, clock, done } => {
+                self.clocks.insert(from, (clock, now));
+                self.carried(now, go, done, &mut out)
+            }
             FrontIn::Back { token, res } => match self.uses.remove(&token) {
                 Some(Use::Poll(s, at)) => self.poll_back(now, s, at, res),
                 Some(Use::Job(j)) if self.jobs.contains(j) => self.job_back(now, j, token, res, &mut out),
@@ -172,10 +177,10 @@
             own.into_iter().map(|(_, m)| m).collect()
         };
         for m in own {
-            let addr = self.addr;
+            let (from, addr) = (self.me, self.addr);
             let x = match m {
-                Msg::Carry { go, load } => self.poll(now, FrontIn::Carry { addr, go, load }),
-                Msg::Carried { go, done } => self.poll(now, FrontIn::Carried { go, done }),
+                Msg::Carry { go, to, by, load } => self.poll(now, FrontIn::Carry { from, addr, go, to, by, load }),
+                Msg::Carried { go, clock, done } => self.poll(now, FrontIn::Carried { from, go, clock, done }),
                 _ => continue,
             };
             out.send.extend(x.send);
--- a/tenet/src/gate.rs
+++ b/tenet/src/gate.rs
@@ -7,11 +7,33 @@
 use crate::table::Table;
 use crate::wire::*;
 
+const CLOCK_KEPT: Time = 10_000;
+
 impl Front {
-    pub(crate) fn carry(&mut self, now: Time, addr: Addr, go: u64, load: Load, out: &mut FrontOut) {
-        match self.carry_on(now, addr, go, load, out) {
+    pub(crate) fn by(&self, now: Time, to: NodeId, deadline: Time) -> Time {
+        let known = self.clocks.get(&to).filter(|(_, at)| now < at + CLOCK_KEPT);
+        match to == self.me {
+            true => deadline,
+            false => known.map_or(0, |(c, at)| c + deadline.saturating_sub(*at)),
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    pub(crate) fn carry(&mut self, now: Time, addr: Addr, go: u64, to: NodeId, by: Time, mut load: Load, out: &mut FrontOut) {
+        load.budget = load.budget.min(by.saturating_sub(now));
+        let late = match () {
+            _ if to != self.me => Some((Kind::NotCurrent, "meant for the process that was here before")),
+            _ if by == 0 && load.act != Act::Pos => Some((Kind::NotCurrent, "sent without this node's clock")),
+            _ if load.budget == 0 && load.act != Act::Pos => Some((Kind::TooLate, "it came after its deadline")),
+            _ => None,
+        };
+        if load.act == Act::Pos {
+            load.budget = 500;
+        }
+        let r = late.map_or(Ok(()), |(k, w)| Err(Reject::new(k, w)));
+        match r.and_then(|_| self.carry_on(now, addr, go, load, out)) {
             Ok(()) => (),
-            Err(r) => out.send.push((addr, Msg::Carried { go, done: Err(r) })),
+            Err(r) => out.send.push((addr, Msg::Carried { go, clock: now, done: Err(r) })),
         }
     }
 
@@ -48,13 +70,14 @@
             let what = if load.fence == to { "fencing" } else { "gateway" };
             self.traces.tell(now, &load.id, format!("gateway {:x} passes it to {what} {to:x}", self.me));
         }
-        out.send.push((n.addr, Msg::Carry { go: k, load }));
+        let by = self.by(now, to, now + load.budget);
+        out.send.push((n.addr, Msg::Carry { go: k, to, by, load }));
         Ok(())
     }
 
     pub(crate) fn carried(&mut self, now: Time, go: u64, done: Result<Done, Reject>, out: &mut FrontOut) {
         if let Some(r) = self.relays.remove(&go) {
-            out.send.push((r.addr, Msg::Carried { go: r.go, done }));
+            out.send.push((r.addr, Msg::Carried { go: r.go, clock: now, done }));
         } else if let Some(i) = self.gos.remove(&go) {
             if self.trips.get(i).is_some_and(|t| t.go_id == go) {
                 let n = self.trips[i].gos.len();
@@ -74,9 +97,10 @@
         load.regions = route::homes(&t, d, None);
         load.hops = vec![self.me];
         let g = route::gateways(&t, d, &load, self.turn);
-        let a = g.first().and_then(|g| t.nodes.get(g)).map(|n| n.addr);
         let go = self.ids.take();
-        self.relays.retain(|_, r| now < r.until);
-        out.send.extend(a.map(|a| (a, Msg::Carry { go, load })));
+        if let Some((to, n)) = g.first().and_then(|g| t.nodes.get(g).map(|n| (*g, n))) {
+            let by = self.by(now, to, now + load.budget);
+            out.send.push((n.addr, Msg::Carry { go, to, by, load }));
+        }
     }
 }
--- a/tenet/src/job.rs
+++ b/tenet/src/job.rs
@@ -40,6 +40,7 @@
     pub repeat: bool,
     pub tries: u32,
     pub lost: u64,
+    pub life: u64,
 }
 
 impl Job {
@@ -60,6 +61,7 @@
             repeat: false,
             tries: 0,
             lost: 0,
+            life: 0,
         }
     }
 }
@@ -104,7 +106,7 @@
         let token = self.use_token(Use::Job(j));
         let limit = self.t.as_ref().map_or(1500, |t| t.cfg.timeouts.statement_ms);
         let to = self.t.as_ref().map_or(Addr::NONE, |t| t.servers[self.jobs[j].server].addr);
-        let until = self.until;
+        let until = self.until.min(self.jobs[j].deadline);
         let job = &mut self.jobs[j];
         (job.step, job.token) = (step, token);
         let timeout = limit.min(job.deadline.saturating_sub(now)).max(1);
@@ -122,6 +124,10 @@
     pub(crate) fn job_run(&mut self, now: Time, j: usize, out: &mut FrontOut) {
         let job = &self.jobs[j];
         let fenced = matches!(job.owner, Owner::Carry(..));
+        if now >= job.deadline {
+            let k = if matches!(job.load.act, Act::Single | Act::Begin) { Kind::TooLate } else { Kind::Aborted };
+            return self.job_end(now, j, Err(Reject::new(k, "its deadline passed before it was sent")), out);
+        }
         if fenced && !self.still(now, job.db, job.epoch) {
             let k = if job.load.act == Act::Single || job.load.act == Act::Begin { Kind::NotCurrent } else { Kind::Aborted };
             return self.job_end(now, j, Err(Reject::new(k, "the permit ended before it was sent")), out);
@@ -220,7 +226,7 @@
                 if let Err(e) = &done {
                     self.traces.tell(now, &job.load.id, format!("fencing {:x} rejects it: {e}", self.me));
                 }
-                out.send.push((addr, Msg::Carried { go, done }));
+                out.send.push((addr, Msg::Carried { go, clock: now, done }));
             }
             Owner::Trip(i, n) if self.trips.contains(i) && self.trips[i].gos.len() == n => {
                 self.trip_back(now, i, n, done, out);
--- a/tenet/src/trip.rs
+++ b/tenet/src/trip.rs
@@ -77,7 +77,8 @@
                 let go = self.ids.take();
                 self.gos.insert(go, i);
                 self.trips[i].go_id = go;
-                out.send.push((a, Msg::Carry { go, load }));
+                let by = self.by(now, g, self.trips[i].plan.deadline);
+                out.send.push((a, Msg::Carry { go, to: g, by, load }));
             }
             None => self.go_end(now, i, n, End::Rejected(Kind::NoPrimary), "gateway unknown".into(), out),
         }
--- a/tenet/src/wire.rs
+++ b/tenet/src/wire.rs
@@ -111,8 +111,8 @@
     Nudge { mark: Mark },
     Sights { v: Vec<Sight> },
     Clean { db: String, epoch: Mark },
-    Carry { go: u64, load: Load },
-    Carried { go: u64, done: Result<Done, Reject> },
+    Carry { go: u64, to: NodeId, by: Time, load: Load },
+    Carried { go: u64, clock: Time, done: Result<Done, Reject> },
 }
 
 #[derive(Clone, Readable, Writable)]
