--- /dev/null
+++ b/chance/tests/seeds.rs
@@ -0,0 +1,81 @@
+use chance::fault::Plant;
+use chance::scripts::{find, run, ALL};
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
+use std::sync::Mutex;
+
+fn sweep(work: Vec<(&'static str, &'static str, u64)>) -> Vec<String> {
+    let next = AtomicUsize::new(0);
+    let bad = Mutex::new(Vec::new());
+    let cores = std::thread::available_parallelism().map_or(2, |n| n.get());
+    std::thread::scope(|t| {
+        for _ in 0..cores {
+            t.spawn(|| {
+                while let Some((name, place, seed)) = work.get(next.fetch_add(1, Relaxed)) {
+                    let s = run(find(name).unwrap(), place, *seed, Plant::None);
+                    let f = s.faults();
+                    if !f.is_empty() {
+                        bad.lock().unwrap().push(format!("{name} {place} {seed}: {}", f.join(" | ")));
+                    }
+                }
+            });
+        }
+    });
+    bad.into_inner().unwrap()
+}
+
+#[test]
+fn every_script_is_survived_on_both_deployments() {
+    let mut work = Vec::new();
+    for s in ALL {
+        for place in ["alumni", "thessaly"] {
+            (1..=3).for_each(|seed| work.push((s.name, place, seed)));
+        }
+    }
+    assert_eq!(sweep(work), Vec::<String>::new());
+}
+
+#[test]
+fn seeds_that_once_failed_stay_mended() {
+    let work = vec![
+        ("new-disk", "alumni", 1),
+        ("replace-servers", "thessaly", 4),
+        ("freeze-fencer", "thessaly", 3),
+        ("freeze-fencer", "thessaly", 4),
+        ("freeze-fencer", "alumni", 4),
+    ];
+    assert_eq!(sweep(work), Vec::<String>::new());
+}
+
+fn planted(plant: Plant, scripts: &[&str], rule: &str) {
+    let hit = scripts.iter().any(|n| {
+        (1..=6).any(|seed| {
+            ["alumni", "thessaly"].iter().any(|p| run(find(n).unwrap(), p, seed, plant).faults().iter().any(|f| f.starts_with(rule)))
+        })
+    });
+    assert!(hit, "{plant:?} was never found as '{rule}'");
+}
+
+#[test]
+fn a_permit_that_never_ends_is_found() {
+    planted(Plant::PermitForever, &["lone-node", "domain-cut"], "configuration");
+}
+
+#[test]
+fn a_replica_that_lies_about_its_log_is_found() {
+    planted(Plant::LyingReplica, &["crash", "two-crashes"], "lost");
+}
+
+#[test]
+fn a_disk_that_forgets_what_it_synced_is_found() {
+    planted(Plant::LyingDisk, &["total-loss"], "forgotten");
+}
+
+#[test]
+fn a_connection_that_is_not_reset_is_found() {
+    planted(Plant::NoReset, &["calm"], "settings");
+}
+
+#[test]
+fn a_server_that_does_not_know_ids_is_found() {
+    planted(Plant::BlindRetry, &["calm"], "lost");
+}
--- a/tenet/src/collect.rs
+++ b/tenet/src/collect.rs
@@ -64,6 +64,9 @@
     }
 
     fn in_session(&mut self, now: Time, call: u64, req: Req, out: &mut FrontOut) -> Result<Option<Value>, Reject> {
+        if now < self.paused_until {
+            return Err(reject(Kind::NotCurrent, "this node was paused; what waited meanwhile is not run late"));
+        }
         let id = req.session().unwrap_or(0);
         let s = self.sessions.get_mut(&id).ok_or_else(|| reject(Kind::UnknownSession, id.to_string()))?;
         if s.busy {
--- a/tenet/src/front.rs
+++ b/tenet/src/front.rs
@@ -1,5 +1,6 @@
 use crate::base::*;
 use crate::fresh::{Known, Marks};
+pub use crate::held::*;
 use crate::job::Job;
 use crate::kind::{Kind, Reject};
 use crate::pool::{Pool, Rules};
@@ -51,31 +52,6 @@
     pub wakeup: Time,
 }
 
-#[derive(Clone, Copy)]
-pub enum Use {
-    Poll(usize, Time),
-    Job(usize),
-    Nobody,
-}
-
-pub struct Relay {
-    pub addr: Addr,
-    pub go: u64,
-    pub until: Time,
-}
-
-pub struct TxnHeld {
-    pub conn: u64,
-    pub setup: u64,
-    pub server: usize,
-    pub db: usize,
-    pub epoch: Mark,
-    pub session: u64,
-    pub last: Time,
-    pub busy: bool,
-    pub life: u64,
-}
-
 pub struct Front {
     pub me: NodeId,
     pub addr: Addr,
@@ -102,8 +78,13 @@
     pub(crate) served: u64,
     pub(crate) sights_at: Time,
     pub(crate) swept_at: Time,
+    pub(crate) polled_at: Time,
+    pub(crate) paused_until: Time,
 }
 
+const PAUSE: Time = 1000;
+const PAUSE_OVER: Time = 400;
+
 impl Front {
     pub fn new(me: NodeId, addr: Addr, seed: u64) -> Self {
         Front {
@@ -132,6 +113,8 @@
             served: 0,
             sights_at: 0,
             swept_at: 0,
+            polled_at: 0,
+            paused_until: 0,
         }
     }
 
@@ -154,6 +137,11 @@
 
     pub fn poll(&mut self, now: Time, i: FrontIn) -> FrontOut {
         let mut out = FrontOut::default();
+        if self.polled_at > 0 && now > self.polled_at + PAUSE {
+            self.paused_until = now + PAUSE_OVER;
+            out.log.push(format!("this node was paused for {} ms", now - self.polled_at));
+        }
+        self.polled_at = now;
         match i {
             FrontIn::Wakeup => (),
             FrontIn::Table(t, until) => self.new_table(now, t, until, &mut out),
--- /dev/null
+++ b/tenet/src/held.rs
@@ -0,0 +1,26 @@
+use crate::base::*;
+
+#[derive(Clone, Copy)]
+pub enum Use {
+    Poll(usize, Time),
+    Job(usize),
+    Nobody,
+}
+
+pub struct Relay {
+    pub addr: Addr,
+    pub go: u64,
+    pub until: Time,
+}
+
+pub struct TxnHeld {
+    pub conn: u64,
+    pub setup: u64,
+    pub server: usize,
+    pub db: usize,
+    pub epoch: Mark,
+    pub session: u64,
+    pub last: Time,
+    pub busy: bool,
+    pub life: u64,
+}
--- a/tenet/src/lib.rs
+++ b/tenet/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod gate;
 pub mod handoff;
 pub mod heirs;
+pub mod held;
 pub mod job;
 pub mod kind;
 pub mod labels;
