Forget a transaction at once when its caller rolls back

Cause: a rollback rejected by a node just thawed left the transaction open; the caller's next writes ran inside it, were answered, and were never committed. Ruled out: failover (acknowledged writes of one session only), lost commits.

--- a/chance/src/client.rs
+++ b/chance/src/client.rs
@@ -145,7 +145,7 @@
                     self.record(c, &res, Class::Write, id, key, value);
                     if begun && !gone && !committing {
                         self.clients[c].doing = Doing::Rolling;
-                        return self.send(c, Req::Rollback { session, budget: None });
+                        return self.send(c, Req::Rollback { session });
                     }
                 } else if at > steps.len() {
                     self.record(c, &res, Class::Write, id, key, value);
--- a/chance/src/main.rs
+++ b/chance/src/main.rs
@@ -49,7 +49,7 @@
                 if !f.is_empty() {
                     bad.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
                     text += &format!("FAIL {} {p} seed {seed}: {} faults\n", s.name, f.len());
-                    f.iter().take(6).for_each(|x| text += &format!("  {x}\n"));
+                    f.iter().take(60).for_each(|x| text += &format!("  {x}\n"));
                     text += &format!("  replay: chance --script {} --place {p} --from {seed} --seeds 1\n", s.name);
                 }
                 if a.times {
@@ -60,6 +60,9 @@
                     for n in &sim.nodes {
                         n.logs.iter().filter(|l| l.1.contains(w.as_str())).for_each(|l| text += &format!("  node {} at {} {}\n", n.i, l.0, l.1));
                     }
+                    for n in sim.nodes.iter().filter_map(|n| n.front.as_ref()) {
+                        n.explain(w).into_iter().for_each(|l| text += &format!("  {l}\n"));
+                    }
                     let c = sim.nodes.iter().filter_map(|n| n.control.as_ref()).max_by_key(|c| c.state().mark);
                     let v = c.map(|c| c.state().stories.clone()).unwrap_or_default();
                     v.iter().filter(|s| s.text.contains(w.as_str())).for_each(|s| text += &format!("  {} mark {} {}\n", s.at.saturating_sub(1_000_000), s.mark, s.text));
--- a/chance/src/node.rs
+++ b/chance/src/node.rs
@@ -72,7 +72,7 @@
             wall: 1_000_000 + t,
         };
         let (c, e) = Control::new(start, 1);
-        self.front = (!self.disk).then(|| Front::new(c.me.id, self.addr, seed ^ self.life as u64));
+        self.front = (!self.disk).then(|| Front::new(c.me.id, self.addr, mix(seed ^ mix(self.i as u64 * 1000 + self.life as u64) ^ 5)));
         self.control = Some(c);
         Ok(e)
     }
--- a/chance/src/scripts.rs
+++ b/chance/src/scripts.rs
@@ -193,7 +193,7 @@
                 self.watch.faults.push(format!("away: {d} took no write in the last 4 s"));
             }
         }
-        let newest = self.watch.accepted.iter().map(|a| a.1).max().unwrap_or(0);
+        let newest = self.watch.config_marks.iter().copied().max().unwrap_or(0);
         let c = self.nodes.iter().filter(|n| n.up && !n.disk).filter_map(|n| n.control.as_ref());
         let least = c.map(|c| c.state().cfg_mark).min().unwrap_or(0);
         if least < newest {
--- a/chance/src/watch.rs
+++ b/chance/src/watch.rs
@@ -13,6 +13,8 @@
     pub accepted: Vec<(Time, Mark)>,
     pub evacuated: BTreeMap<String, Time>,
     pub config_base: Mark,
+    pub config_calls: Vec<u64>,
+    pub config_marks: Vec<Mark>,
     pub bad_sent: Vec<u64>,
     pub stale_sent: Vec<u64>,
     pub first_call: u64,
@@ -41,7 +43,8 @@
         c.timeouts.patience_ms = 2500 + self.watch.accepted.len() as u64;
         let text = serde_json::to_string(&c).unwrap_or_default();
         let base = self.watch.config_base;
-        self.operator(Op::Config { base, text });
+        let k = self.operator(Op::Config { base, text });
+        self.watch.config_calls.push(k);
     }
 
     pub fn stale_configure(&mut self) {
@@ -68,7 +71,10 @@
             }
             Reply::Verdict(Verdict { mark, reject: None }) => {
                 self.watch.accepted.push((self.now, mark));
-                self.watch.config_base = self.watch.config_base.max(mark);
+                if self.watch.config_calls.contains(&call) {
+                    self.watch.config_base = self.watch.config_base.max(mark);
+                    self.watch.config_marks.push(mark);
+                }
             }
             Reply::Verdict(Verdict { reject: Some(r), .. }) if bad && r.kind != Kind::BadConfig => {
                 self.watch.faults.push(format!("configuration: a bad one was answered with {r}"));
--- a/chance/tests/seeds.rs
+++ b/chance/tests/seeds.rs
@@ -39,6 +39,7 @@
     let work = vec![
         ("new-disk", "alumni", 1),
         ("replace-servers", "thessaly", 4),
+        ("freeze-any", "thessaly", 2),
         ("freeze-fencer", "thessaly", 3),
         ("freeze-fencer", "thessaly", 4),
         ("freeze-fencer", "alumni", 4),
--- a/medium/src/paths.rs
+++ b/medium/src/paths.rs
@@ -127,7 +127,7 @@
             Req::Begin { session, kind: m.opt("kind")?, id: m.opt("id")?, budget: m.num("deadline_ms")? }
         }
         "commit" => Req::Commit { session, budget: Body::read(b, &["deadline_ms"])?.num("deadline_ms")? },
-        "rollback" => Req::Rollback { session, budget: Body::read(b, &["deadline_ms"])?.num("deadline_ms")? },
+        "rollback" => Body::read(b, &[]).map(|_| Req::Rollback { session })?,
         _ => return Ok(None),
     };
     Ok(Some(r))
--- a/tenet/src/collect.rs
+++ b/tenet/src/collect.rs
@@ -32,6 +32,11 @@
         out.response.push((call, r));
     }
 
+    pub fn explain(&self, id: &str) -> Vec<String> {
+        let v = self.traces.show(id).and_then(|v| v.as_array().cloned()).unwrap_or_default();
+        v.iter().map(|s| format!("{:x} +{} {}", self.me, s["at"], s["text"])).collect()
+    }
+
     fn figures(&self) -> Value {
         let opened: u64 = self.pools.iter().map(|p| p.opened).sum();
         let held: u32 = self.pools.iter().map(|p| p.total()).sum();
@@ -64,7 +69,7 @@
     }
 
     fn in_session(&mut self, now: Time, call: u64, req: Req, out: &mut FrontOut) -> Result<Option<Value>, Reject> {
-        if now < self.paused_until {
+        if now < self.paused_until && !matches!(req, Req::Rollback { .. } | Req::Close { .. }) {
             return Err(reject(Kind::NotCurrent, "this node was paused; what waited meanwhile is not run late"));
         }
         let id = req.session().unwrap_or(0);
@@ -83,12 +88,8 @@
                 Ok(Some(json!({"prepared": true})))
             }
             Req::Close { .. } => {
-                let s = self.sessions.remove(&id);
-                if let Some(x) = s.as_ref().and_then(|s| s.txn.as_ref()) {
-                    let load = Load { act: Act::Rollback, ..blank(x.id.clone()) };
-                    let s = s.as_ref().map(|s| s.db).unwrap_or(0);
-                    self.roll_back_for(now, s, x.key, x.fence, load, out);
-                }
+                self.forget_txn(now, id, out);
+                self.sessions.remove(&id);
                 Ok(Some(json!({"closed": true})))
             }
             Req::Run { kind, id: rid, body, prepared, budget, .. } => {
@@ -97,8 +98,11 @@
             Req::Begin { kind, id: rid, budget, .. } => {
                 self.begin(now, call, id, kind, rid, budget, out).map(|_| None)
             }
-            Req::Commit { budget, .. } => self.end_txn(now, call, id, Act::Commit, budget, out).map(|_| None),
-            Req::Rollback { budget, .. } => self.end_txn(now, call, id, Act::Rollback, budget, out).map(|_| None),
+            Req::Commit { budget, .. } => self.commit(now, call, id, budget, out).map(|_| None),
+            Req::Rollback { .. } => match self.forget_txn(now, id, out) {
+                true => Ok(Some(json!({"rolled_back": true}))),
+                false => Err(reject(Kind::BadState, "no transaction is open")),
+            },
             _ => Err(reject(Kind::BadRequest, "not a session request")),
         }
     }
@@ -172,8 +176,16 @@
         Ok(())
     }
 
-    fn end_txn(&mut self, now: Time, call: u64, sid: u64, act: Act, budget: Option<Time>, out: &mut FrontOut) -> Result<(), Reject> {
-        let r = self.pinned(now, sid, act, budget);
+    fn forget_txn(&mut self, now: Time, sid: u64, out: &mut FrontOut) -> bool {
+        let s = self.sessions.get_mut(&sid);
+        let Some((x, db)) = s.and_then(|s| s.txn.take().map(|x| (x, s.db))) else { return false };
+        let load = Load { act: Act::Rollback, session: sid, ..blank(x.id.clone()) };
+        self.roll_back_for(now, db, x.key, x.fence, load, out);
+        true
+    }
+
+    fn commit(&mut self, now: Time, call: u64, sid: u64, budget: Option<Time>, out: &mut FrontOut) -> Result<(), Reject> {
+        let r = self.pinned(now, sid, Act::Commit, budget);
         if let Err(e) = &r {
             if e.kind == Kind::Aborted {
                 self.sessions.get_mut(&sid).into_iter().for_each(|s| s.txn = None);
--- a/tenet/src/fence.rs
+++ b/tenet/src/fence.rs
@@ -72,6 +72,7 @@
         let held = self.txns.get_mut(&load.txn).filter(|x| x.epoch == epoch && x.session == load.session && x.server == p);
         match held {
             Some(x) if x.busy && load.act == Act::Rollback => {
+                x.epoch = 0;
                 return Err(reject(Kind::BadState, "a step of this transaction is under way"));
             }
             Some(x) if x.busy => return Err(reject(Kind::Unknown, "a step of this transaction is under way")),
--- a/tenet/src/session.rs
+++ b/tenet/src/session.rs
@@ -33,7 +33,7 @@
     Run { session: u64, kind: String, id: Option<String>, body: String, prepared: Option<String>, budget: Option<Time> },
     Begin { session: u64, kind: Option<String>, id: Option<String>, budget: Option<Time> },
     Commit { session: u64, budget: Option<Time> },
-    Rollback { session: u64, budget: Option<Time> },
+    Rollback { session: u64 },
     Close { session: u64 },
     Explain { id: String },
     Figures,
@@ -47,7 +47,7 @@
             | Req::Run { session, .. }
             | Req::Begin { session, .. }
             | Req::Commit { session, .. }
-            | Req::Rollback { session, .. }
+            | Req::Rollback { session }
             | Req::Close { session } => Some(*session),
             _ => None,
         }
