Tie a replica's answer to its own go, not to the place of its trip

Cause: a read of a crashed replica could outlive its trip; the trip's slot was taken by a commit and the late failure ended that commit's go, so the caller was told 'nothing kept' while the commit stood. Ruled out: pool tokens (checked per call), ids of gos (made unique before).

--- a/chance/tests/seeds.rs
+++ b/chance/tests/seeds.rs
@@ -40,6 +40,8 @@
         ("new-disk", "alumni", 1),
         ("replace-servers", "thessaly", 4),
         ("freeze-any", "thessaly", 2),
+        ("replace-servers", "thessaly", 9),
+        ("replace-servers", "alumni", 7),
         ("freeze-fencer", "thessaly", 3),
         ("freeze-fencer", "thessaly", 4),
         ("freeze-fencer", "alumni", 4),
--- a/tenet/src/job.rs
+++ b/tenet/src/job.rs
@@ -8,7 +8,7 @@
 
 #[derive(Clone, Copy, PartialEq)]
 pub enum Owner {
-    Trip(usize, usize),
+    Trip(usize, u64),
     Carry(Addr, u64),
 }
 
@@ -228,7 +228,8 @@
                 }
                 out.send.push((addr, Msg::Carried { go, clock: now, done }));
             }
-            Owner::Trip(i, n) if self.trips.contains(i) && self.trips[i].gos.len() == n => {
+            Owner::Trip(i, g) if self.trips.get(i).is_some_and(|t| t.go_id == g) => {
+                let n = self.trips[i].gos.len();
                 self.trip_back(now, i, n, done, out);
             }
             Owner::Trip(..) => (),
--- a/tenet/src/trip.rs
+++ b/tenet/src/trip.rs
@@ -47,7 +47,9 @@
                     To::Replica(s) => {
                         let name = self.t.as_ref().map_or(String::new(), |t| t.servers[s].name.clone());
                         self.traces.tell(now, &id, format!("go {n}: to replica {name}, recent enough"));
-                        self.job_start(now, crate::job::Owner::Trip(i, n), load, s, out);
+                        let go = self.ids.take();
+                        self.trips[i].go_id = go;
+                        self.job_start(now, crate::job::Owner::Trip(i, go), load, s, out);
                     }
                 }
             }
