Ramp cold servers over the whole fleet and tell an id used for another change

Cause: warm_start counted per node, so nine readers could open 36 connections on a server just born; and an operator's id sent with another body got the first verdict as if it were its own. Change: warm_start is split over the nodes that use a server; verdicts are kept with a print of the change.

--- a/chance/src/scripts.rs
+++ b/chance/src/scripts.rs
@@ -74,6 +74,26 @@
         let d = domain(s);
         vec![(12_000, KillDomain(d.clone())), (28_000, StartDomain(d))]
     } },
+    Script { name: "freeze-steps", end: 36_000, faults: |s| {
+        let (d, k) = (db(s), s.roll(2) as usize);
+        let t = 11_900 + s.roll(4500);
+        let b = t + 300 + s.roll(6000);
+        vec![(12_000, Crash(d.clone())), (t, FreezeFencer(d, k)), (b, ThawAll)]
+    } },
+    Script { name: "retire-freeze", end: 40_000, faults: |s| {
+        let (d, i) = (db(s), s.roll(s.nodes.len() as u64) as usize);
+        let t = 12_000 + s.roll(5000);
+        vec![(12_000, Retire(d)), (t, Freeze(i)), (t + 500 + s.roll(5000), Thaw(i))]
+    } },
+    Script { name: "region-gone", end: 50_000, faults: |s| {
+        let d = domain(s);
+        vec![(12_000, KillDomain(d))]
+    } },
+    Script { name: "head-in-failover", end: 40_000, faults: |s| {
+        let d = db(s);
+        let t = 12_500 + s.roll(4000);
+        vec![(12_000, Crash(d)), (t, KillHead), (24_000, Start(0)), (24_000, Start(1)), (24_000, Start(2))]
+    } },
     Script { name: "domain-cut", end: 40_000, faults: |s| {
         let d = domain(s);
         let mut v = apart(s, &d, true);
@@ -189,7 +209,8 @@
             let served = self.history.events.iter().any(|e| {
                 e.end > before && e.out == guise::check::Out::Kept && e.class == guise::mix::Class::Write && e.key.starts_with(d.as_str())
             });
-            if !served {
+            let alive = self.world.servers.iter().filter(|s| s.db == *d && s.up).count();
+            if !served && alive > 1 {
                 self.watch.faults.push(format!("away: {d} took no write in the last 4 s"));
             }
         }
--- a/chance/src/sim.rs
+++ b/chance/src/sim.rs
@@ -113,7 +113,8 @@
             logs: Vec::new(),
         };
         let nodes: Vec<Node> = (0..s.nodes).map(node).collect();
-        let world = World::new(&Shape::of(&cfg, 60));
+        let mut world = World::new(&Shape::of(&cfg, 60));
+        world.cold_limit = 2 * s.nodes + cfg.pool.warm_start as usize;
         let n = world.servers.len();
         let clients = Client::crowd(&cfg, s);
         let mut sim = Sim {
--- a/guise/src/check.rs
+++ b/guise/src/check.rs
@@ -49,6 +49,9 @@
     if w.over_cap > 0 {
         f.push(format!("caps: servers had to reject {} connections over their cap", w.over_cap));
     }
+    for (who, n) in w.cold.iter().filter(|(_, n)| w.cold_limit > 0 && **n > w.cold_limit) {
+        f.push(format!("cold: {who} had {n} connections within 500 ms, {} is warm enough", w.cold_limit));
+    }
     for (allowed, path, _) in h.hops.iter().map(|(_, p, a)| (a, p, 0)) {
         if let Some(r) = path.iter().find(|r| !allowed.contains(r)) {
             f.push(format!("homes: a request went through {r}, allowed were {allowed:?}"));
@@ -175,6 +178,10 @@
             h.off.push(Off { server: "d-0".into(), since: 1000, until: u64::MAX, bound: 7000 });
         });
         plant("caps", &|_, w| w.over_cap = 1);
+        plant("cold", &|_, w| {
+            w.cold_limit = 5;
+            w.cold.insert("d-0@1".into(), 6);
+        });
         plant("two servers", &|_, w| {
             w.promote(50, "d-1").unwrap();
             let c = w.handle(60, 0, "/connect", &json!({})).unwrap()["conn"].clone();
--- a/tenet/src/front.rs
+++ b/tenet/src/front.rs
@@ -132,7 +132,7 @@
 
     pub(crate) fn rules(&self) -> Rules {
         let p = self.t.as_ref().map(|t| t.cfg.pool.clone()).unwrap_or_default();
-        Rules { queue: p.queue, warm_start: p.warm_start, warm_ms: p.warm_ms, keep: p.keep_idle_ms }
+        Rules { queue: p.queue, warm_ms: p.warm_ms, keep: p.keep_idle_ms }
     }
 
     pub fn poll(&mut self, now: Time, i: FrontIn) -> FrontOut {
@@ -209,6 +209,7 @@
                 let fence = d.fences && now >= d.fence_from;
                 let extra = if fence { d.fence_share } else { 0 };
                 self.pools[*s].share = t.servers[*s].read_share + extra;
+                self.pools[*s].warm = t.servers[*s].warm;
             }
             if self.closing_at[i].0 != d.since {
                 self.closing_at[i] = (d.since, now);
--- a/tenet/src/pool.rs
+++ b/tenet/src/pool.rs
@@ -18,6 +18,7 @@
 pub struct Pool {
     pub life: u64,
     pub share: u32,
+    pub warm: u32,
     pub begun: Time,
     idle: Vec<Conn>,
     out: u32,
@@ -28,20 +29,19 @@
 
 pub struct Rules {
     pub queue: u32,
-    pub warm_start: u32,
     pub warm_ms: Time,
     pub keep: Time,
 }
 
 impl Pool {
     pub fn new(life: u64, now: Time) -> Self {
-        Pool { life, share: 0, begun: now, idle: Vec::new(), out: 0, opening: 0, queue: VecDeque::new(), opened: 0 }
+        Pool { life, share: 0, warm: 1, begun: now, idle: Vec::new(), out: 0, opening: 0, queue: VecDeque::new(), opened: 0 }
     }
 
     pub fn limit(&self, now: Time, r: &Rules) -> u32 {
         let t = now.saturating_sub(self.begun).min(r.warm_ms);
-        let span = self.share.saturating_sub(r.warm_start) as u64;
-        let ramp = r.warm_start as u64 + span * t / r.warm_ms.max(1);
+        let span = self.share.saturating_sub(self.warm) as u64;
+        let ramp = self.warm as u64 + span * t / r.warm_ms.max(1);
         (ramp as u32).min(self.share)
     }
 
@@ -112,12 +112,13 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    const R: Rules = Rules { queue: 1, warm_start: 2, warm_ms: 100, keep: 1000 };
+    const R: Rules = Rules { queue: 1, warm_ms: 100, keep: 1000 };
 
     #[test]
     fn a_cold_server_is_ramped_and_the_share_is_never_passed() {
         let mut p = Pool::new(1, 0);
         p.share = 4;
+        p.warm = 2;
         let grab = |p: &mut Pool, t| (0..9).filter(|_| matches!(p.take(t, 0, 0, &R), Take::Open | Take::Conn(_))).count();
         assert_eq!(grab(&mut p, 0), 2);
         assert_eq!(grab(&mut p, 50), 1);
--- a/tenet/src/serve.rs
+++ b/tenet/src/serve.rs
@@ -23,7 +23,7 @@
         if waiting {
             return;
         }
-        let known = self.d.state.recent.iter().any(|(i, _)| *i == ask.id);
+        let known = self.d.state.verdict(&ask).is_some();
         if let (false, Err(r)) = (known, self.d.state.check(&ask.op)) {
             let verdict = Verdict { mark: 0, reject: Some(r) };
             out.send.push((ask.from, Msg::Outcome { id: ask.id, verdict }));
@@ -43,10 +43,8 @@
                 .map(|e| e.ask.clone())
                 .collect();
             for a in &v {
-                let got = self.d.state.recent.iter().rev().find(|(i, _)| *i == a.id);
-                if let Some((_, verdict)) = got {
-                    out.send.push((a.from, Msg::Outcome { id: a.id, verdict: verdict.clone() }));
-                }
+                let got = self.d.state.verdict(a);
+                out.send.extend(got.map(|verdict| (a.from, Msg::Outcome { id: a.id, verdict })));
             }
             if !v.is_empty() {
                 self.subs.retain(|_, t| now < *t + 5000);
--- a/tenet/src/state.rs
+++ b/tenet/src/state.rs
@@ -104,30 +104,43 @@
     pub members: BTreeMap<NodeId, Member>,
     pub servers: BTreeMap<String, Server>,
     pub dbs: BTreeMap<String, Db>,
-    pub recent: Vec<(u64, Verdict)>,
+    pub recent: Vec<(u64, u64, Verdict)>,
     pub stories: Vec<Story>,
 }
 
+fn print(op: &Op) -> u64 {
+    digest(&op.write_to_vec().unwrap_or_default())
+}
+
 const RECENT: usize = 2048;
 const STORIES: usize = 600;
 
 impl State {
     pub fn apply(&mut self, e: &Entry) -> Verdict {
         self.mark = e.mark;
-        if let Some((_, v)) = self.recent.iter().rev().find(|(i, _)| *i == e.ask.id) {
-            return v.clone();
+        if let Some(v) = self.verdict(&e.ask) {
+            return v;
         }
         let v = match self.step(&e.ask) {
             Ok(mark) => Verdict { mark, reject: None },
             Err(r) => Verdict { mark: self.mark, reject: Some(r) },
         };
-        self.recent.push((e.ask.id, v.clone()));
+        self.recent.push((e.ask.id, print(&e.ask.op), v.clone()));
         if self.recent.len() > RECENT {
             self.recent.drain(..RECENT / 4);
         }
         v
     }
 
+    pub fn verdict(&self, a: &Ask) -> Option<Verdict> {
+        let (_, p, v) = self.recent.iter().rev().find(|(i, ..)| *i == a.id)?;
+        let other = || Reject::new(Kind::OtherBody, format!("id {} was used for another change", a.id));
+        Some(match *p == print(&a.op) {
+            true => v.clone(),
+            false => Verdict { mark: self.mark, reject: Some(other()) },
+        })
+    }
+
     pub fn tell(&mut self, at: u64, topic: &str, text: String) {
         self.stories.push(Story { mark: self.mark, at, topic: topic.into(), text });
         if self.stories.len() > STORIES {
--- a/tenet/src/table.rs
+++ b/tenet/src/table.rs
@@ -14,6 +14,7 @@
     pub labels: Labels,
     pub off: Option<&'static str>,
     pub read_share: u32,
+    pub warm: u32,
 }
 
 pub struct DbRow {
@@ -171,6 +172,7 @@
             labels: labels_of(self.cfg, s),
             off: server_off(self.st, s),
             read_share: 0,
+            warm: 1,
         }
     }
 
@@ -194,6 +196,8 @@
         let primary = b.primary.as_deref().and_then(ix);
         for i in &mine {
             servers[*i].read_share = if full { (d.cap / 2) / count } else { 0 };
+            let start = self.cfg.pool.warm_start / 2;
+            servers[*i].warm = (start / count).max(1) + if fences { (start / need).max(1) } else { 0 };
             let s = &servers[*i];
             let stale = b.retired.get(&s.name) == Some(&s.life);
             if stale {
