--- a/chance/src/fault.rs
+++ b/chance/src/fault.rs
@@ -25,6 +25,7 @@
     BadConfigure,
     CutNode(usize),
     FreezeFencer(String, usize),
+    FreezeSending(String, usize),
     ThawAll,
     KillHead,
     KillTail,
--- a/chance/src/scripts.rs
+++ b/chance/src/scripts.rs
@@ -178,6 +178,14 @@
     } },
 ];
 
+pub const FROZEN_SEND: Script = Script { name: "frozen-send", end: 40_000, faults: |s| {
+    let d = db(s);
+    let at = s.world.leader(&d).map(|l| s.world.servers[l].domain.clone()).unwrap_or_default();
+    let mut v = apart(s, &at, true);
+    v.extend([(11_500, FreezeSending(d, 0)), (24_000, Heal), (24_500, ThawAll)]);
+    v
+} };
+
 pub fn find(n: &str) -> Option<&'static Script> {
     ALL.iter().find(|s| s.name == n)
 }
--- a/chance/src/sim.rs
+++ b/chance/src/sim.rs
@@ -51,6 +51,7 @@
     pub messages: BTreeMap<&'static str, (u64, u64)>,
     pub region_ms: u64,
     pub stop_clients: bool,
+    pub held: Vec<Ev>,
     heap: BinaryHeap<Reverse<(Time, u64)>>,
     evs: BTreeMap<(Time, u64), Ev>,
     seq: u64,
@@ -140,6 +141,7 @@
             messages: BTreeMap::new(),
             region_ms: s.region_ms,
             stop_clients: false,
+            held: Vec::new(),
             heap: BinaryHeap::new(),
             evs: BTreeMap::new(),
             seq: 0,
@@ -190,6 +192,17 @@
         }
     }
 
+    pub fn hold_sends(&mut self, i: usize) {
+        let mine = |e: &Ev| match e {
+            Ev::Back { node, path, body, .. } => *node == i && *path == "/statement" && body["write"] == true && body["id"].is_string(),
+            _ => false,
+        };
+        let keys: Vec<(Time, u64)> = self.evs.iter().filter(|(_, e)| mine(e)).map(|(k, _)| *k).collect();
+        for k in keys {
+            self.held.extend(self.evs.remove(&k));
+        }
+    }
+
     pub fn cut(&self, a: &str, b: &str) -> bool {
         self.cuts.iter().any(|(x, y)| x == a && y == b)
     }
--- a/chance/src/watch.rs
+++ b/chance/src/watch.rs
@@ -172,19 +172,31 @@
             Fault::Configure => self.configure(),
             Fault::StaleConfigure => self.stale_configure(),
             Fault::BadConfigure => self.bad_configure(),
-            Fault::FreezeFencer(db, k) => {
-                let ids = self.nodes.iter().filter_map(|n| n.control.as_ref()).filter_map(|c| c.state().dbs.get(&db)).map(|d| d.fencers.clone()).next();
-                let id = ids.and_then(|v| v.get(k).copied());
-                let n = self.nodes.iter().position(|n| n.control.as_ref().is_some_and(|c| Some(c.me.id) == id));
-                n.into_iter().for_each(|i| self.nodes[i].frozen = true);
+            Fault::FreezeSending(db, k) => {
+                if let Some(i) = self.fencer(&db, k) {
+                    self.hold_sends(i);
+                    self.nodes[i].frozen = !self.held.is_empty();
+                    if self.held.is_empty() {
+                        self.at(self.now + 1, Ev::Fault(Fault::FreezeSending(db, k)));
+                    }
+                }
             }
+            Fault::FreezeFencer(db, k) => self.fencer(&db, k).into_iter().for_each(|i| self.nodes[i].frozen = true),
             Fault::KillHead => self.seat(true).into_iter().for_each(|i| self.kill(i)),
             Fault::KillTail => self.seat(false).into_iter().for_each(|i| self.kill(i)),
             Fault::CallersStop => self.stop_clients = true,
         }
     }
 
+    fn fencer(&self, db: &str, k: usize) -> Option<usize> {
+        let c = self.nodes.iter().filter_map(|n| n.control.as_ref());
+        let id = c.filter_map(|c| c.state().dbs.get(db)).map(|d| d.fencers.clone()).next()?.get(k).copied();
+        self.nodes.iter().position(|n| n.control.as_ref().is_some_and(|c| Some(c.me.id) == id))
+    }
+
     fn thaw(&mut self, i: usize) {
+        let now = self.now;
+        std::mem::take(&mut self.held).into_iter().for_each(|e| self.at(now + 1, e));
         if self.nodes[i].frozen {
             self.nodes[i].frozen = false;
             self.nodes[i].thawed = self.now;
--- a/chance/tests/seeds.rs
+++ b/chance/tests/seeds.rs
@@ -1,5 +1,5 @@
 use chance::fault::Plant;
-use chance::scripts::{find, run, ALL};
+use chance::scripts::{find, run, ALL, FROZEN_SEND};
 use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::sync::Mutex;
 
@@ -82,3 +82,27 @@
 fn a_server_that_does_not_know_ids_is_found() {
     planted(Plant::BlindRetry, &["calm"], "lost");
 }
+
+#[test]
+fn what_a_frozen_fencer_still_sends_is_bounded_and_never_acknowledged() {
+    let mut met = 0;
+    for seed in 1..=12 {
+        let s = run(&FROZEN_SEND, "alumni", seed, Plant::None);
+        let f = s.faults();
+        let (two, rest): (Vec<_>, Vec<_>) = f.iter().partition(|f| f.starts_with("two servers"));
+        assert_eq!(rest, Vec::<&String>::new(), "seed {seed}");
+        let share = s.cfg.databases.values().map(|d| d.cap / 4).max().unwrap_or(0) as usize;
+        assert!(two.len() <= share, "seed {seed}: {} statements past the permit, {share} connections", two.len());
+        met += two.len();
+    }
+    assert!(met > 0, "no seed froze a node between its check and its send");
+}
+
+#[test]
+fn a_planned_retirement_leaves_no_answer_unknown() {
+    for (place, seed) in [("alumni", 1), ("alumni", 2), ("thessaly", 1), ("thessaly", 2)] {
+        let s = run(find("retire").unwrap(), place, seed, Plant::None);
+        let bad: Vec<_> = s.history.kinds.iter().filter(|(k, _)| k.contains("unknown")).collect();
+        assert!(bad.is_empty(), "{place} {seed}: {bad:?}");
+    }
+}
