--- /dev/null
+++ b/guise/tests/doors.rs
@@ -0,0 +1,185 @@
+use guise::fleet::{until, Plan, Stage};
+use guise::procs::free_port;
+use serde_json::{json, Value};
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream, UdpSocket};
+use std::path::Path;
+use std::process::Command;
+use tenet::front::BackRes;
+use volo_http::http::Method;
+
+fn plan(name: &str) -> Plan {
+    Plan {
+        config: concat!(env!("CARGO_MANIFEST_DIR"), "/../examples/small.json").into(),
+        nodes: 7,
+        sessions: 0,
+        seconds: 0,
+        pause: 60,
+        connect: 2,
+        data: std::env::temp_dir().join(format!("firramp-{name}-{}", std::process::id())),
+        events: vec![],
+    }
+}
+
+async fn call(s: &Stage, m: Method, to: SocketAddr, path: &str, b: &Value) -> (u16, Value) {
+    match s.site.back.send(m, to.into(), path, b, 9000).await {
+        BackRes::Ok(v) => (200, v),
+        BackRes::Rejected(c, t) => (c, serde_json::from_str(&t).unwrap_or(Value::Null)),
+        r => panic!("{path}: {r:?}"),
+    }
+}
+
+async fn post(s: &Stage, to: SocketAddr, path: &str, b: Value) -> (u16, Value) {
+    call(s, Method::POST, to, path, &b).await
+}
+
+fn bin(name: &str) -> Command {
+    let me = std::env::current_exe().unwrap();
+    Command::new(me.parent().unwrap().parent().unwrap().join(name))
+}
+
+#[test]
+fn every_door_names_what_is_wrong_and_state_stays() {
+    let rt = tokio::runtime::Runtime::new().unwrap();
+    rt.block_on(async {
+        let p = plan("doors");
+        let s = Stage::set(&p).await.unwrap();
+        let mark = s.configure(0, 6).await.unwrap();
+        s.ready().await.unwrap();
+        let at = s.flows()[0];
+        let (_, v) = post(&s, at, "/sessions", json!({"database": "ledger", "user": "u"})).await;
+        let ses = format!("/sessions/{}", v["session"]);
+        let run = format!("{ses}/run");
+        let put = |id: &str, n: i64| json!({"kind": "order", "id": id, "body": {"op": "put", "key": "k", "value": n}});
+        let first = post(&s, at, &run, put("one", 1)).await;
+        assert_eq!((first.0, &first.1["repeat"]), (200, &json!(false)));
+        let other = s.flows()[2];
+        let (_, v) = post(&s, other, "/sessions", json!({"database": "ledger"})).await;
+        let again = post(&s, other, &format!("/sessions/{}/run", v["session"]), put("one", 1)).await;
+        assert_eq!((again.0, &again.1["repeat"], &again.1["mark"]), (200, &json!(true), &first.1["mark"]));
+
+        let bad: Vec<(String, Value, u16, &str, &str)> = vec![
+            ("/sessions".into(), json!({"database": "nope"}), 404, "unknown-database", "nope"),
+            ("/sessions".into(), json!({"user": "u"}), 400, "bad-request", "database"),
+            ("/sessions".into(), json!({"database": "ledger", "colour": 1}), 400, "bad-request", "colour"),
+            ("/sessions".into(), json!({"database": 7}), 400, "bad-request", "database"),
+            ("/sessions".into(), json!([1]), 400, "bad-request", "body"),
+            ("/sessions/77/run".into(), put("x", 1), 404, "unknown-session", "77"),
+            ("/sessions/x/run".into(), put("x", 1), 404, "unknown-session", "x"),
+            (run.clone(), json!({"kind": "nope"}), 404, "unknown-kind", "nope"),
+            (run.clone(), json!({"kind": "order", "prepared": "p"}), 404, "unknown-name", "p"),
+            (run.clone(), put("one", 2), 409, "other-body", "another body"),
+            (run.clone(), json!({"kind": "order", "body": {"op": "fail"}}), 422, "failed", "asked to fail"),
+            (run.clone(), json!({"kind": "order", "deadline_ms": "x"}), 400, "bad-request", "deadline_ms"),
+            (format!("{ses}/commit"), json!({}), 409, "bad-state", "no transaction"),
+            (format!("{ses}/rollback"), json!({}), 409, "bad-state", "no transaction"),
+            (format!("{ses}/fly"), json!({}), 404, "no-route", "fly"),
+            ("/announce".into(), json!({"server": "a", "addr": "x", "domain": "d", "life": 1}), 400, "bad-request", "addr"),
+            ("/domains/nowhere/evacuate".into(), json!({}), 404, "unknown-name", "nowhere"),
+            ("/servers/nobody/drain".into(), json!({}), 404, "unknown-name", "nobody"),
+        ];
+        for (path, body, code, kind, says) in bad {
+            let (c, v) = post(&s, at, &path, body.clone()).await;
+            let why = v["why"].as_str().unwrap_or("");
+            assert!(c == code && v["error"] == kind && why.contains(says), "{path} {body}: {c} {v}");
+            assert!(v["kept"] == "nothing" || v["kept"] == "unchanged", "{v}");
+        }
+        let cfg = serde_json::to_value(&s.cfg).unwrap();
+        let mut broken = cfg.clone();
+        broken["databases"]["ledger"]["cap"] = json!(0);
+        for (b, kind, says) in [
+            (json!({"base": mark, "configuration": broken}), "bad-config", "databases.ledger.cap"),
+            (json!({"base": mark + 9, "configuration": cfg}), "stale-base", "current"),
+            (json!({"configuration": cfg}), "bad-request", "base"),
+        ] {
+            let (_, v) = call(&s, Method::PUT, at, "/configuration", &b).await;
+            assert!(v["error"] == kind && v["why"].as_str().unwrap_or("").contains(says), "{v}");
+        }
+        let now = s.site.back.get(at, "/configuration").await.unwrap();
+        assert_eq!(now["mark"], json!(mark));
+        let big = json!({"database": "x".repeat(2 << 20)});
+        assert_eq!(post(&s, at, "/sessions", big).await.1["error"], "too-large");
+
+        let udp = UdpSocket::bind("127.0.0.1:0").unwrap();
+        for p in &s.procs {
+            for b in [&b""[..], &[1, 2, 3], &[255; 900], &[1; 1200]] {
+                udp.send_to(b, p.listen).unwrap();
+            }
+            let mut t = TcpStream::connect(p.listen).unwrap();
+            let _ = t.write_all(&[255; 64]);
+            let mut t = TcpStream::connect(p.listen).unwrap();
+            let _ = t.write_all(&[9, 0, 0, 0, 1, 9, 9, 9, 9, 9, 9, 9, 9]);
+        }
+        let id = first.1["id"].as_str().unwrap();
+        let (s, run) = (&s, &run);
+        until("the fleet to serve as before", 15_000, || async move { post(s, at, run, put("two", 2)).await.0 == 200 }).await.unwrap();
+        let e = s.site.back.get(s.procs[0].http, &format!("/explain/{id}")).await.unwrap();
+        let text = e.to_string();
+        assert!(text.contains("to gateway") && text.contains("sends it to the primary"), "{text}");
+        let m = bin("motive").arg("--node").arg(at.to_string()).arg(id).output().unwrap();
+        assert!(m.status.success() && String::from_utf8_lossy(&m.stdout).contains("answered from"));
+        let m = bin("motive").arg("--node").arg(at.to_string()).arg("no-such").output().unwrap();
+        assert_eq!(m.status.code(), Some(1));
+        let _ = std::fs::remove_dir_all(&p.data);
+    });
+}
+
+#[test]
+fn a_stopped_node_lets_its_transaction_end_and_exits_with_0() {
+    let rt = tokio::runtime::Runtime::new().unwrap();
+    rt.block_on(async {
+        let p = plan("stop");
+        let mut s = Stage::set(&p).await.unwrap();
+        s.configure(0, 3).await.unwrap();
+        s.ready().await.unwrap();
+        let at = s.procs[6].http;
+        let (_, v) = post(&s, at, "/sessions", json!({"database": "ledger"})).await;
+        let ses = format!("/sessions/{}", v["session"]);
+        assert_eq!(post(&s, at, &format!("{ses}/begin"), json!({"id": "t1"})).await.0, 200);
+        s.procs[6].signal("-TERM");
+        until("the node to turn unready", 10_000, || async { s.site.back.get(at, "/ready").await.is_none() }).await.unwrap();
+        let step = json!({"kind": "order", "body": {"op": "put", "key": "t", "value": 5}});
+        assert_eq!(post(&s, at, &format!("{ses}/run"), step).await.0, 200);
+        assert_eq!(post(&s, at, "/sessions", json!({"database": "ledger"})).await.1["error"], "leaving");
+        let done = post(&s, at, &format!("{ses}/commit"), json!({})).await;
+        assert_eq!(done.0, 200, "{}", done.1);
+        let c = s.procs[6].child.take();
+        let code = tokio::task::spawn_blocking(move || c.and_then(|mut c| c.wait().ok()).and_then(|s| s.code())).await.unwrap();
+        assert_eq!(code, Some(0));
+        let _ = std::fs::remove_dir_all(&p.data);
+    });
+}
+
+fn accord(data: &Path) -> (Option<i32>, String) {
+    let a = || free_port().unwrap().to_string();
+    let mut c = bin("accord");
+    c.arg(format!("--listen={}", a())).arg(format!("--http={}", a())).arg("--domain=d");
+    (0..3).for_each(|_| {
+        c.arg(format!("--seed={}", a()));
+    });
+    let o = c.arg(format!("--data={}", data.display())).output().unwrap();
+    (o.status.code(), String::from_utf8_lossy(&o.stderr).into())
+}
+
+#[test]
+fn a_damaged_folder_and_bad_settings_end_with_their_exit_codes() {
+    let d = std::env::temp_dir().join(format!("firramp-damaged-{}", std::process::id()));
+    std::fs::create_dir_all(&d).unwrap();
+    std::fs::write(d.join("slot.0"), b"not ours").unwrap();
+    std::fs::write(d.join("slot.1"), b"nor this").unwrap();
+    let (code, says) = accord(&d);
+    assert!(code == Some(1) && says.contains("damaged") && says.contains("refused"), "{code:?} {says}");
+    assert_eq!(std::fs::read(d.join("slot.1")).unwrap(), b"nor this");
+    let o = bin("flow").arg("--settings=/nowhere.json").output().unwrap();
+    assert!(o.status.code() == Some(2) && String::from_utf8_lossy(&o.stderr).contains("/nowhere.json"));
+    let f = d.join("bad.json");
+    std::fs::write(&f, r#"{"listen": "127.0.0.1:1", "wrong": 1}"#).unwrap();
+    let o = bin("flow").arg(format!("--settings={}", f.display())).output().unwrap();
+    assert!(o.status.code() == Some(2) && String::from_utf8_lossy(&o.stderr).contains("wrong"));
+    for b in ["flow", "accord", "motive", "guise", "chance"] {
+        assert!(bin(b).arg("--help").output().unwrap().status.success(), "{b} --help");
+    }
+    let o = bin("accord").arg("check").arg(&f).output().unwrap();
+    assert!(o.status.code() == Some(1) && String::from_utf8_lossy(&o.stderr).contains("unknown field"));
+    let _ = std::fs::remove_dir_all(&d);
+}
