Count no rebuilt server as heir, and take roles off a stopping node

Cause: the table listed heirs by name; one rebuilt empty kept passing for a holder of every acknowledged commit, so a bounded read could have gone to it. A stopping fencing node kept its role until gossip called it gone. Before: place test 'a rebuilt heir counts no more' failed. After: passes.

--- a/tenet/src/colleagues.rs
+++ b/tenet/src/colleagues.rs
@@ -62,6 +62,10 @@
         id == self.me.id || self.all.get(&id).is_some_and(|c| c.s.status == ALIVE)
     }
 
+    pub fn serves(&self, id: NodeId) -> bool {
+        self.all.get(&id).is_some_and(|c| c.s.status == ALIVE && !c.s.stopping)
+    }
+
     pub fn quiet(&self, id: NodeId, now: Time) -> Option<Time> {
         self.all.get(&id).filter(|c| c.s.status != ALIVE).map(|c| now.saturating_sub(c.since))
     }
@@ -70,6 +74,10 @@
         self.all.values().map(|c| &c.s).filter(|s| s.status == ALIVE)
     }
 
+    pub fn spread(&mut self) {
+        self.next = 0;
+    }
+
     pub(crate) fn news(&mut self) -> Vec<Summary> {
         let mut v = vec![self.me.clone()];
         for _ in 0..self.fresh.len().min(NEWS) {
--- a/tenet/src/control.rs
+++ b/tenet/src/control.rs
@@ -58,6 +58,7 @@
             view: s.durable.as_ref().map_or(0, |d| d.view.n),
             mark: 0,
             allows: false,
+            stopping: false,
         };
         let d = s.durable.unwrap_or(Durable { id, ..Durable::default() });
         let view = d.view.clone();
@@ -137,6 +138,9 @@
             }
             In::Stopping => {
                 self.stopping = true;
+                self.c.me.stopping = true;
+                self.c.me.life += 1;
+                self.c.spread();
                 self.stale = true;
             }
         }
--- a/tenet/src/pilot.rs
+++ b/tenet/src/pilot.rs
@@ -114,7 +114,7 @@
             return;
         }
         let fit = |m: &Member| {
-            m.phase != "leaving" && k.c.alive(m.id) && !k.st.evacuated.contains_key(&m.domain)
+            m.phase != "leaving" && k.c.serves(m.id) && !k.st.evacuated.contains_key(&m.domain)
         };
         let blank = Db::default();
         let d = k.st.dbs.get(n).unwrap_or(&blank);
--- a/tenet/src/reasons.rs
+++ b/tenet/src/reasons.rs
@@ -55,7 +55,7 @@
             let status = ["alive", "suspect", "gone"][s.status.min(2) as usize];
             json!({"id": format!("{:x}", s.id), "addr": s.addr.to_string(), "http": s.http.to_string(),
                 "domain": s.domain, "disk": s.disk, "status": status, "since": since, "why": why,
-                "view": s.view, "mark": s.mark, "allows": s.allows,
+                "view": s.view, "mark": s.mark, "allows": s.allows, "stopping": s.stopping,
                 "member": m.map(|m| m.phase.clone())})
         };
         let mut v = vec![sum(&self.c.me, 0, "this node")];
--- a/tenet/src/table.rs
+++ b/tenet/src/table.rs
@@ -219,7 +219,7 @@
             since: b.since,
             planned: b.planned,
             primary,
-            heirs: list(b.heirs.keys().collect()),
+            heirs: list(b.heirs.keys().filter(|h| st.heir(b, h)).collect()),
             joining: list(b.joining.keys().collect()),
             servers: mine,
             fencers: b.fencers.clone(),
--- a/tenet/src/wire.rs
+++ b/tenet/src/wire.rs
@@ -18,6 +18,7 @@
     pub view: Mark,
     pub mark: Mark,
     pub allows: bool,
+    pub stopping: bool,
 }
 
 #[derive(Clone, PartialEq, Debug, Readable, Writable)]
--- /dev/null
+++ b/tenet/tests/place.rs
@@ -0,0 +1,122 @@
+#![cfg(not(loom))]
+use std::sync::Arc;
+use tenet::base::*;
+use tenet::config::Config;
+use tenet::kind::Kind;
+use tenet::place::place;
+use tenet::route::{hop, Hop};
+use tenet::state::*;
+use tenet::table::{Maker, Table};
+use tenet::wire::{Act, Load};
+
+const ALUMNI: &str = include_str!("../../examples/alumni.json");
+const DOMAINS: [&str; 3] = ["geneva-1", "zurich-1", "lugano-1"];
+
+fn put(s: &mut State, op: Op) -> Mark {
+    let mark = s.mark + 1;
+    let v = s.apply(&Entry { mark, ask: Ask { id: mark * 31, from: Addr::NONE, at: 0, op } });
+    assert_eq!(v.reject, None);
+    mark
+}
+
+fn announce(name: &str, domain: &str, life: u64) -> Op {
+    let labels = [("db".to_string(), "members".to_string())].into();
+    let (server, domain) = (name.into(), domain.into());
+    let addr = Addr { ip: [1; 16], port: life as u16 };
+    Op::Announce { server, addr, domain, labels, life, leads: false, leaving: false }
+}
+
+fn fleet() -> (Arc<Config>, State, Mark) {
+    let c = Arc::new(Config::parse(ALUMNI).unwrap_or_else(|e| panic!("{e:?}")));
+    let mut s = State::default();
+    put(&mut s, Op::Config { base: 0, text: ALUMNI.into() });
+    for id in 1..=9 {
+        let domain = DOMAINS[id as usize % 3].to_string();
+        put(&mut s, Op::Enrol { id, addr: Addr::NONE, http: Addr::NONE, domain, disk: false });
+        put(&mut s, Op::Phase { id, event: "settle".into() });
+    }
+    for (i, n) in ["a", "b", "c"].iter().enumerate() {
+        put(&mut s, announce(n, DOMAINS[i % 2], 10 + i as u64));
+    }
+    let db = || "members".to_string();
+    put(&mut s, Op::Place { db: db(), fencers: vec![], gateways: vec![] });
+    let epoch = put(&mut s, Op::Adopt { db: db(), server: "a".into() });
+    for n in ["b", "c"] {
+        put(&mut s, Op::HeirJoin { db: db(), epoch, server: n.into() });
+        put(&mut s, Op::HeirFull { db: db(), epoch, server: n.into() });
+    }
+    seat(&c, &mut s, &|_| true);
+    (c, s, epoch)
+}
+
+fn seat(c: &Config, s: &mut State, fit: &dyn Fn(&Member) -> bool) {
+    let v = place(c, s, "members", fit).expect("a placement");
+    put(s, Op::Place { db: "members".into(), fencers: v.fencers, gateways: v.gateways });
+}
+
+fn table(c: &Arc<Config>, s: &State, me: NodeId) -> Table {
+    Maker { me, domain: DOMAINS[me as usize % 3], now: 1, cfg: c, st: s, alive: &|_| true, old: None }.make()
+}
+
+fn load(regions: &[&str], hops: Vec<NodeId>) -> Load {
+    let mut l = tenet::plan::blank("x".into());
+    l.act = Act::Single;
+    l.regions = regions.iter().map(|r| r.to_string()).collect();
+    l.hops = hops;
+    l
+}
+
+#[test]
+fn two_fence_beside_the_primary_and_each_home_region_has_gateways() {
+    let (c, mut s, _) = fleet();
+    let region = |s: &State, n: &NodeId| c.region(&s.members[n].domain).unwrap().to_string();
+    let d = s.dbs["members"].clone();
+    assert_eq!(d.fencers.len(), 2);
+    assert!(d.fencers.iter().all(|f| region(&s, f) == "geneva"));
+    assert_eq!(d.gateways.len(), 4);
+    assert!(d.gateways.iter().all(|g| region(&s, g) != "lugano"), "lugano is no home of members");
+    let dead = d.fencers[0];
+    seat(&c, &mut s, &|m| m.id != dead);
+    let e = s.dbs["members"].clone();
+    assert!(e.fencers.contains(&d.fencers[1]) && !e.fencers.contains(&dead) && e.fencers.len() == 2);
+    seat(&c, &mut s, &|m| c.region(&m.domain) != Some("geneva"));
+    assert!(s.dbs["members"].fencers.iter().all(|f| region(&s, f) == "zurich"), "the other home region takes over");
+}
+
+#[test]
+fn only_fencing_holds_the_primary_s_address() {
+    let (c, s, _) = fleet();
+    for me in 1..=9 {
+        let t = table(&c, &s, me);
+        let row = &t.servers[t.dbs[t.db_ix["members"]].primary.unwrap()];
+        assert_eq!(row.addr == Addr::NONE, !s.dbs["members"].fencers.contains(&me), "node {me}");
+    }
+}
+
+#[test]
+fn a_rebuilt_heir_counts_no_more() {
+    let (c, mut s, _) = fleet();
+    let heirs = |s: &State| table(&c, s, 1).dbs[table(&c, s, 1).db_ix["members"]].heirs.len();
+    assert_eq!(heirs(&s), 2);
+    put(&mut s, announce("b", DOMAINS[1], 99));
+    assert_eq!(heirs(&s), 1);
+}
+
+#[test]
+fn the_path_crosses_a_region_unless_homes_forbid_it() {
+    let (c, s, _) = fleet();
+    let d = s.dbs["members"].clone();
+    let region = |n: NodeId| c.region(&s.members[&n].domain).unwrap().to_string();
+    let local = *d.gateways.iter().find(|g| region(**g) == "geneva").unwrap();
+    let remote = *d.gateways.iter().find(|g| region(**g) == "zurich").unwrap();
+    let go = |me: NodeId, l: &Load| {
+        let t = table(&c, &s, me);
+        hop(&t, &t.dbs[t.db_ix["members"]], l, 0)
+    };
+    let homes = ["geneva", "zurich"];
+    assert!(matches!(go(local, &load(&homes, vec![9])), Hop::Gateway(g) if region(g) == "zurich"));
+    assert!(matches!(go(remote, &load(&homes, vec![9])), Hop::Fence(f) if d.fencers.contains(&f)));
+    assert!(matches!(go(local, &load(&homes, vec![9, remote])), Hop::Fence(_)));
+    assert!(matches!(go(local, &load(&["geneva"], vec![9])), Hop::Fence(_)));
+    assert!(matches!(go(remote, &load(&["zurich"], vec![9])), Hop::Nowhere(Kind::NoHome, _)));
+}
