Let a newcomer into the next view even while views follow fast

Cause: two voters kept agreeing on views without the newcomer: it counted only if gossip showed it in the very same view, and each new view came before that word; an agreement younger than its own duration was taken for one left open. Ruled out: lost votes (each agreement succeeded).

--- a/chance/tests/seeds.rs
+++ b/chance/tests/seeds.rs
@@ -42,6 +42,7 @@
         ("freeze-any", "thessaly", 2),
         ("replace-servers", "thessaly", 9),
         ("replace-servers", "alumni", 7),
+        ("new-disk", "thessaly", 1000),
         ("freeze-fencer", "thessaly", 3),
         ("freeze-fencer", "thessaly", 4),
         ("freeze-fencer", "alumni", 4),
--- a/tenet/src/view.rs
+++ b/tenet/src/view.rs
@@ -7,6 +7,7 @@
 
 const ROUND: Time = 50;
 pub const HOLD: Time = 300;
+const OPEN: Time = 1500;
 const REPLACE: Time = 4000;
 
 #[derive(Default)]
@@ -19,6 +20,7 @@
     pub sent: Time,
     pub next: Time,
     pub heard: u64,
+    pub touched: Time,
 }
 
 fn majority(v: &View) -> usize {
@@ -65,13 +67,13 @@
         if self.stuck(now) {
             return Some("the next in the chain does not sync".into());
         }
-        if self.d.promised > 0 && now > self.agree.next + HOLD {
+        if self.d.promised > 0 && now > self.agree.touched + OPEN {
             return Some("an agreement was left open".into());
         }
         let seat = |id: NodeId| v.chain.iter().any(|s| s.id == id);
         let votes = |id: NodeId| v.voters.iter().any(|s| s.id == id);
         let room = v.voters.iter().any(|s| self.missing(s.id, now, c));
-        let join = c.live().filter(|s| s.disk && s.view == v.n).find(|s| !seat(s.id) && (votes(s.id) || room));
+        let join = c.live().filter(|s| s.disk && s.view > 0).find(|s| !seat(s.id) && (votes(s.id) || room));
         let me_out = !seat(self.me.id);
         join.map(|s| format!("{:x} can join the chain", s.id)).or(me_out.then(|| "this disk can join the chain".into()))
     }
@@ -93,12 +95,12 @@
             let round = (self.agree.heard.max(self.d.promised) >> 8) + 1;
             let heard = self.agree.heard;
             out.stories.push(("view".into(), format!("proposing view {}: {why}", n + 1)));
-            self.agree = Agreement { ballot: (round << 8) | at, began: now, heard, ..Agreement::default() };
+            self.agree = Agreement { ballot: (round << 8) | at, began: now, heard, touched: now, ..Agreement::default() };
         }
         let b = self.agree.ballot;
         if now > self.agree.began + 2500 {
             let heard = self.agree.heard.max(b);
-            self.agree = Agreement { next: now + HOLD * (1 + rank), heard, ..Agreement::default() };
+            self.agree = Agreement { next: now + HOLD * (1 + rank), heard, touched: now, ..Agreement::default() };
             return;
         }
         let enough = self.agree.promises.len() >= majority(&self.d.view);
@@ -107,7 +109,7 @@
             self.agree.value = self.build(now, c);
             self.agree.sent = 0;
             if self.agree.value.is_none() {
-                self.agree = Agreement { next: now + HOLD * (2 + rank), heard: b, ..Agreement::default() };
+                self.agree = Agreement { next: now + HOLD * (2 + rank), heard: b, touched: now, ..Agreement::default() };
                 return;
             }
         }
@@ -135,7 +137,7 @@
         let mut voters = v.voters.clone();
         let new: Vec<Seat> = c
             .live()
-            .filter(|s| s.disk && s.view == v.n && !voters.iter().any(|t| t.id == s.id))
+            .filter(|s| s.disk && s.view > 0 && !voters.iter().any(|t| t.id == s.id))
             .map(|s| Seat { id: s.id, addr: s.addr })
             .collect();
         let lost = |s: &Seat| s.id != self.me.id
@@ -167,6 +169,7 @@
             }
             Msg::Prepare { inst, ballot } if inst == n + 1 && self.voter() => {
                 self.agree.heard = self.agree.heard.max(ballot);
+                self.agree.touched = now;
                 if ballot < self.d.promised {
                     out.send.push((addr, Msg::Nack { inst, ballot: self.d.promised }));
                     return;
@@ -204,7 +207,7 @@
             }
             Msg::Nack { inst, ballot } if inst == n + 1 && self.agree.ballot > 0 && ballot > self.agree.ballot => {
                 let next = now + HOLD + mix(self.me.id ^ now) % HOLD;
-                self.agree = Agreement { next, heard: ballot, ..Agreement::default() };
+                self.agree = Agreement { next, heard: ballot, touched: now, ..Agreement::default() };
             }
             Msg::TailAsk { view, seq } if view == n && self.voter() && self.d.promised == 0 => {
                 let tail = self.d.view.chain.last().is_some_and(|s| s.id == from);
