Hold what a silent primary would only lose, and report clean sooner

Cause: until the offline mark, writes were still sent to the dead primary and each hung for its full timeout; fencing then waited for them, and for look-ups that send nothing, before it said that nothing was under way. Ruled out: detection (offline committed 1.1 to 1.3 s after the crash), promote (1 s).

--- a/tenet/src/fence.rs
+++ b/tenet/src/fence.rs
@@ -144,7 +144,7 @@
         let Some(t) = self.t.clone() else { return };
         for (i, d) in t.dbs.iter().enumerate() {
             let shut = d.fences && matches!(d.phase.as_str(), "closing" | "fenced");
-            let busy = self.jobs.iter().any(|(_, j)| j.db == i && matches!(j.owner, Owner::Carry(..)) && j.step != Step::Acks);
+            let busy = self.jobs.iter().any(|(_, j)| j.db == i && matches!(j.owner, Owner::Carry(..)) && j.step == Step::Run);
             let acks = d.phase == "closing" && self.jobs.iter().any(|(_, j)| j.db == i && j.step == Step::Acks);
             if shut && !busy && !acks && !self.txns.values().any(|x| x.db == i) {
                 out.clean.push((d.name.clone(), d.since));
--- a/tenet/src/job.rs
+++ b/tenet/src/job.rs
@@ -15,6 +15,7 @@
 #[derive(Clone, Copy, PartialEq, Debug)]
 pub enum Step {
     Queue,
+    Held,
     Open,
     Reset,
     Run,
@@ -78,6 +79,15 @@
 
     pub(crate) fn job_take(&mut self, now: Time, j: usize, out: &mut FrontOut) {
         let rules = self.rules();
+        let silent = !self.known[self.jobs[j].server].reach && matches!(self.jobs[j].owner, Owner::Carry(..));
+        if silent {
+            let held = self.jobs.iter().filter(|(_, x)| x.step == Step::Held).count();
+            if held >= rules.queue as usize {
+                return self.job_end(now, j, Err(Reject::new(Kind::Busy, "too many wait for a silent primary")), out);
+            }
+            self.jobs[j].step = Step::Held;
+            return;
+        }
         let job = &mut self.jobs[j];
         let setup = setup_digest(&job.load.setup);
         let (s, user) = (job.server, job.load.session);
--- a/tenet/src/waits.rs
+++ b/tenet/src/waits.rs
@@ -22,14 +22,22 @@
                 self.job_end(now, j, unknown("the permit ended before a replica held it"), out);
             }
             Step::Acks if self.acked(&t.dbs[job.db], job.pos) => self.job_end(now, j, Ok(()), out),
-            Step::Again(_) if fenced && !self.still(now, job.db, job.epoch) => {
+            Step::CloseFirst | Step::LookAfter | Step::Again(_) if fenced && !self.still(now, job.db, job.epoch) => {
                 self.job_end(now, j, unknown("the permit ended before it could be looked up"), out);
             }
             Step::Again(at) if now >= at && now < job.deadline => match job.lost {
                 0 => self.look_up(now, j, Step::LookUp, out),
                 _ => self.close_first(now, j, out),
             },
-            Step::Queue if now >= job.deadline => {
+            Step::Held if !self.still(now, job.db, job.epoch) => {
+                self.job_end(now, j, Err(Reject::new(Kind::NoPrimary, "the primary fell silent before it was sent")), out);
+            }
+            Step::Held if now < job.deadline => {
+                if self.known[job.server].reach {
+                    self.job_take(now, j, out);
+                }
+            }
+            Step::Held | Step::Queue if now >= job.deadline => {
                 self.job_end(now, j, Err(Reject::new(Kind::Busy, "no connection came free in time")), out);
             }
             Step::Acks | Step::Again(_) if now >= job.deadline => {
