End a lost commit as soon as the new primary is known not to hold it

Cause: after a crash the look-up of a commit found that the new primary lacks it, but the ledger kept asking until the deadline and then said 'unknown'; a gateway also sent the look-up only to the fencing node that had lost the role. Ruled out: single writes (they are run again under their id).

--- a/tenet/src/ledger.rs
+++ b/tenet/src/ledger.rs
@@ -74,6 +74,9 @@
         _ => p.none,
     };
     let doubt = unsure(p, gos);
+    if p.commit && gos.len() > 1 && last == Some(End::Rejected(Kind::Aborted)) {
+        return Move::Give(Kind::Aborted);
+    }
     if p.pinned && last.is_some() && !(p.commit && doubt) {
         return give(p, gos, Kind::Aborted);
     }
@@ -134,6 +137,18 @@
         assert_eq!(next(&p, &gos, 500), Move::Give(Kind::NoPrimary));
     }
 
+    #[test]
+    fn a_lost_commit_ends_as_soon_as_the_new_primary_is_known_not_to_hold_it() {
+        let p = Plan { pinned: true, commit: true, ..plan() };
+        let lost = go(1, End::Lost);
+        let found = next(&p, &[lost.clone()], 10);
+        assert_eq!(found, Move::Send { to: To::Gateway(2), look_up: true });
+        let gos = vec![lost.clone(), go(2, End::Rejected(Kind::Aborted))];
+        assert_eq!(next(&p, &gos, 10), Move::Give(Kind::Aborted));
+        let gos = vec![lost, go(2, End::Rejected(Kind::NoPrimary))];
+        assert_eq!(next(&p, &gos, 1000), Move::Give(Kind::Unknown));
+    }
+
     #[test]
     fn the_same_gos_always_give_the_same_move() {
         arbtest::arbtest(|u| {
--- a/tenet/src/route.rs
+++ b/tenet/src/route.rs
@@ -1,7 +1,7 @@
 use crate::base::*;
 use crate::kind::Kind;
 use crate::table::*;
-use crate::wire::Load;
+use crate::wire::{Act, Load};
 
 #[derive(Clone, Copy, PartialEq, Debug)]
 pub enum Hop {
@@ -47,7 +47,7 @@
             return Hop::Gateway(*g);
         }
     }
-    if l.fence != 0 {
+    if l.fence != 0 && !(l.act == Act::Commit && l.look_up && !db.fencers.contains(&l.fence)) {
         let known = db.fencers.contains(&l.fence);
         return if known { Hop::Fence(l.fence) } else { Hop::Nowhere(Kind::Aborted, "its fencing node holds the role no more") };
     }
