--- a/chance/src/main.rs
+++ b/chance/src/main.rs
@@ -1,6 +1,6 @@
 use bpaf::{construct, long, Parser};
 use chance::fault::Plant;
-use chance::scripts::{find, run, ALL};
+use chance::scripts::{find, run_with, ALL};
 
 struct Args {
     script: Option<String>,
@@ -9,6 +9,7 @@
     seeds: u64,
     tell: Option<String>,
     times: bool,
+    nodes: usize,
 }
 
 fn main() {
@@ -18,7 +19,8 @@
     let seeds = long("seeds").help("How many seeds").argument("N").fallback(10);
     let tell = long("tell").help("Print the reasons whose text holds WORD").argument("WORD").optional();
     let times = long("times").help("Print what callers met, message counts and syncs").switch();
-    let a = construct!(Args { script, place, from, seeds, tell, times })
+    let nodes = long("nodes").help("Processes in all, when not as the deployment sizes them").argument("N").fallback(0);
+    let a = construct!(Args { script, place, from, seeds, tell, times, nodes })
         .to_options()
         .descr("chance: runs the real machines under virtual time and seeded failures. Exit 1 when a fault is found; each failing run prints its replay line.")
         .version(env!("CARGO_PKG_VERSION"))
@@ -43,7 +45,7 @@
             t.spawn(|| loop {
                 let i = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
                 let Some((s, p, seed)) = work.get(i) else { return };
-                let sim = run(s, p, *seed, Plant::None);
+                let sim = run_with(s, p, *seed, Plant::None, a.nodes);
                 let f = sim.faults();
                 let mut text = String::new();
                 if !f.is_empty() {
@@ -53,8 +55,8 @@
                     text += &format!("  replay: chance --script {} --place {p} --from {seed} --seeds 1\n", s.name);
                 }
                 if a.times {
-                    text += &format!("{} {p} {seed}: {:?}\n  worst wait for a success {} ms, slowest adoption {} ms, messages {:?}\n", s.name, sim.history.kinds,
-                        sim.clients.iter().map(|c| c.worst).max().unwrap_or(0), sim.watch.slowest_adopt, sim.messages);
+                    text += &format!("{} {p} {seed}: {:?}\n  worst wait for a success {} ms, slowest adoption {} ms, back {} ms after a loss, syncs {}, messages {:?}\n", s.name, sim.history.kinds,
+                        sim.clients.iter().map(|c| c.worst).max().unwrap_or(0), sim.watch.slowest_adopt, sim.watch.back_after, sim.nodes.iter().map(|n| n.syncs).sum::<u64>(), sim.messages);
                 }
                 if let Some(w) = &a.tell {
                     for n in &sim.nodes {
--- a/chance/src/scripts.rs
+++ b/chance/src/scripts.rs
@@ -191,10 +191,18 @@
 }
 
 pub fn run(sc: &Script, place: &str, seed: u64, plant: Plant) -> Sim {
+    run_with(sc, place, seed, plant, 0)
+}
+
+pub fn run_with(sc: &Script, place: &str, seed: u64, plant: Plant, nodes: usize) -> Sim {
     let thessaly = place == "thessaly";
     let setup = Setup {
         text: if thessaly { THESSALY } else { ALUMNI }.into(),
-        nodes: if thessaly { 9 } else { 12 },
+        nodes: match nodes {
+            0 if thessaly => 9,
+            0 => 12,
+            n => n,
+        },
         sessions: 36,
         seed,
         pause: 250,
@@ -222,6 +230,17 @@
                 self.watch.faults.push(format!("away: {d} took no write in the last 4 s"));
             }
         }
+        let loss = self.watch.loss_at;
+        for d in self.cfg.databases.keys().filter(|_| loss > 0) {
+            let back = self.history.events.iter().filter(|e| {
+                e.start > loss && e.out == guise::check::Out::Kept && e.class == guise::mix::Class::Write && e.key.starts_with(d.as_str())
+            });
+            let after = back.map(|e| e.end - loss).min().unwrap_or(Time::MAX);
+            self.watch.back_after = self.watch.back_after.max(after);
+            if after > 12_000 {
+                self.watch.faults.push(format!("away: {d} was back {after} ms after the total loss"));
+            }
+        }
         let newest = self.watch.config_marks.iter().copied().max().unwrap_or(0);
         let c = self.nodes.iter().filter(|n| n.up && !n.disk).filter_map(|n| n.control.as_ref());
         let least = c.map(|c| c.state().cfg_mark).min().unwrap_or(0);
--- a/chance/src/watch.rs
+++ b/chance/src/watch.rs
@@ -20,6 +20,8 @@
     pub first_call: u64,
     pub no_primary: BTreeMap<String, (Time, Time)>,
     pub slowest_adopt: Time,
+    pub loss_at: Time,
+    pub back_after: Time,
 }
 
 const BAD: &str = r#"{"name":"x","domains":{},"databases":{},"kinds":{}}"#;
@@ -127,8 +129,14 @@
             Fault::Freeze(i) => self.nodes[i].frozen = true,
             Fault::Thaw(i) => self.thaw(i),
             Fault::ThawAll => (0..self.nodes.len()).for_each(|i| self.thaw(i)),
-            Fault::KillAll => (0..self.nodes.len()).for_each(|i| self.kill(i)),
-            Fault::StartAll => (0..self.nodes.len()).for_each(|i| self.boot(i)),
+            Fault::KillAll => {
+                self.watch.loss_at = self.now;
+                (0..self.nodes.len()).for_each(|i| self.kill(i))
+            }
+            Fault::StartAll => {
+                self.watch.loss_at = self.now;
+                (0..self.nodes.len()).for_each(|i| self.boot(i))
+            }
             Fault::KillDomain(d) => {
                 self.in_domain(&d).into_iter().for_each(|i| self.kill(i));
                 (0..self.world.servers.len()).filter(|s| self.world.servers[*s].domain == d).collect::<Vec<_>>().into_iter().for_each(|s| self.world.crash(s));
