See callers off a stopping node instead of rejecting them

Cause: a stopping node rejected each session's next request, and exited while requests on kept connections were still arriving. Ruled out: the platform's probe (new sessions went elsewhere at once). Change: for 2.5 s a leaving node serves as before and says so in each answer, then rejects; it closes connections after each answer and exits when none is under way.

--- a/chance/src/client.rs
+++ b/chance/src/client.rs
@@ -126,7 +126,7 @@
         }
         let gone = match &res {
             BackRes::Rejected(_, w) => w.contains("unknown-session") || w.contains("leaving"),
-            BackRes::Ok(_) => false,
+            BackRes::Ok(v) => v["leaving"] == true && !matches!(self.clients[c].doing, Doing::Txn { .. }),
             _ => true,
         };
         let doing = std::mem::replace(&mut self.clients[c].doing, Doing::Idle);
--- a/guise/src/callers.rs
+++ b/guise/src/callers.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tenet::front::BackRes;
+use volo_http::http::Method;
 
 pub struct Site {
     pub clock: Clock,
@@ -97,7 +98,11 @@
         let end = self.site.clock.now();
         let (out, v) = kept(&r);
         let error = v["error"].as_str().unwrap_or("").to_string();
-        if error == "unknown-session" || error == "leaving" || matches!(r, BackRes::NotSent | BackRes::Lost) {
+        let moving = v["leaving"] == true;
+        if moving {
+            let _ = self.site.back.send(Method::DELETE, self.nodes[self.at % self.nodes.len()].into(), &format!("/sessions/{s}"), &json!({}), 2000).await;
+        }
+        if moving || error == "unknown-session" || error == "leaving" || matches!(r, BackRes::NotSent | BackRes::Lost) {
             self.session = None;
             self.at += 1;
         }
--- a/medium/src/doors.rs
+++ b/medium/src/doors.rs
@@ -4,7 +4,7 @@
 use serde_json::{json, Value};
 use std::future::Future;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::Sender;
 use std::sync::Arc;
 use tenet::control::{In, Reply};
@@ -25,6 +25,8 @@
     pub back: Back,
     pub stopping: Arc<AtomicBool>,
     pub drained: Arc<AtomicBool>,
+    pub empty: Arc<AtomicBool>,
+    pub busy: AtomicUsize,
     pub disk: bool,
 }
 
--- a/medium/src/run.rs
+++ b/medium/src/run.rs
@@ -7,7 +7,7 @@
 use crate::settings::{Flags, Place};
 use crate::threads::*;
 use eyre::{Result, WrapErr};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::channel;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,6 +15,7 @@
 use tenet::front::{Front, FrontIn};
 use tenet::handoff::Handoff;
 use tenet::wire::Msg;
+use volo_http::http::HeaderValue;
 
 fn thread(name: &str, f: impl FnOnce() + Send + 'static) -> Result<()> {
     let n = name.to_string();
@@ -85,6 +86,7 @@
     let front_calls = Arc::new(Calls::default());
     let drained = Arc::new(AtomicBool::new(disk));
     let stopping = Arc::new(AtomicBool::new(false));
+    let empty = Arc::new(AtomicBool::new(disk));
     let mut dtx = None;
     if let Some(f) = folder {
         let (a, b) = channel();
@@ -113,8 +115,8 @@
     thread("control", move || side.run(control, first))?;
     if !disk {
         let f = Front::new(me.id, me.addr, seed);
-        let (control, calls, drained) = (tx.clone(), front_calls.clone(), drained.clone());
-        let side = FrontSide { clock, rx: frx, tx: ftx, control, net, calls, news, back: back.clone(), rt, drained };
+        let (control, calls, drained, empty) = (tx.clone(), front_calls.clone(), drained.clone(), empty.clone());
+        let side = FrontSide { clock, rx: frx, tx: ftx, control, net, calls, news, back: back.clone(), rt, drained, empty };
         thread("traffic", move || side.run(f))?;
     }
     let app = Arc::new(App {
@@ -125,13 +127,23 @@
         back,
         stopping: stopping.clone(),
         drained,
+        empty,
+        busy: AtomicUsize::new(0),
         disk,
     });
     log::info!("node: {:x} in {}, peers at {}, http at {}", me.id, p.domain, p.listen, p.http);
     let a = app.clone();
     let h = move |m: String, path: String, q: String, b: Vec<u8>| {
         let a = a.clone();
-        async move { response(a.handle(&m, &path, &q, &b).await) }
+        async move {
+            a.busy.fetch_add(1, Ordering::Relaxed);
+            let mut r = response(a.handle(&m, &path, &q, &b).await);
+            if a.stopping.load(Ordering::Relaxed) {
+                r.headers_mut().insert("connection", HeaderValue::from_static("close"));
+            }
+            a.busy.fetch_sub(1, Ordering::Relaxed);
+            r
+        }
     };
     let drain = async move {
         log::info!("node: asked to stop, letting work under way end");
@@ -140,7 +152,8 @@
         app.front.as_ref().map(|f| f.send(FrontIn::Stopping));
         for i in 0..70 {
             tokio::time::sleep(Duration::from_millis(50)).await;
-            if i > 8 && app.drained.load(Ordering::Relaxed) {
+            let seen_off = app.empty.load(Ordering::Relaxed) && i > 20;
+            if (seen_off || i > 54) && app.drained.load(Ordering::Relaxed) && app.busy.load(Ordering::Relaxed) == 0 {
                 break;
             }
         }
--- a/medium/src/threads.rs
+++ b/medium/src/threads.rs
@@ -90,6 +90,7 @@
     pub back: Back,
     pub rt: Handle,
     pub drained: Arc<std::sync::atomic::AtomicBool>,
+    pub empty: Arc<std::sync::atomic::AtomicBool>,
 }
 
 impl FrontSide {
@@ -109,6 +110,7 @@
             wake = o.wakeup;
             self.act(&f, o);
             self.drained.store(f.drained(), std::sync::atomic::Ordering::Relaxed);
+            self.empty.store(f.empty(), std::sync::atomic::Ordering::Relaxed);
         }
     }
 
--- a/tenet/src/collect.rs
+++ b/tenet/src/collect.rs
@@ -13,6 +13,8 @@
     Reject::new(k, why)
 }
 
+const SEE_OFF: Time = 2500;
+
 impl Front {
     pub(crate) fn call(&mut self, now: Time, call: u64, req: Req, out: &mut FrontOut) {
         let r = match req {
@@ -44,19 +46,18 @@
             "connections": held, "trips": self.trips.len(), "jobs": self.jobs.len(), "transactions": self.txns.len()})
     }
 
-    fn welcome(&self, now: Time) -> Result<std::sync::Arc<Table>, Reject> {
+    fn welcome(&self, now: Time, known: bool) -> Result<std::sync::Arc<Table>, Reject> {
         let t = self.table()?;
-        if self.stopping {
-            return Err(reject(Kind::Leaving, "this node is stopping"));
-        }
         if !self.allows(now) {
             return Err(reject(Kind::NotCurrent, "this node could not confirm its configuration in time"));
         }
-        t.closed.map_or(Ok(t.clone()), |w| Err(reject(Kind::Leaving, w)))
+        let late = self.leaving.is_some_and(|at| !known || now > at + SEE_OFF);
+        let why = t.closed.unwrap_or("this node is stopping");
+        if late { Err(reject(Kind::Leaving, why)) } else { Ok(t) }
     }
 
     fn open(&mut self, now: Time, db: String, user: String, tenant: Option<String>, settings: Vec<(String, String)>) -> Result<Value, Reject> {
-        let t = self.welcome(now)?;
+        let t = self.welcome(now, false)?;
         let i = *t.db_ix.get(&db).ok_or_else(|| reject(Kind::UnknownDatabase, db))?;
         if let Some(x) = tenant.as_ref().filter(|x| !t.dbs[i].tenants.contains_key(*x)) {
             return Err(reject(Kind::UnknownName, format!("no tenant '{x}'")));
@@ -134,7 +135,7 @@
         if s.txn.is_some() {
             return self.step(now, call, sid, body, budget, out);
         }
-        self.welcome(now)?;
+        self.welcome(now, true)?;
         let (db, mark) = (s.db, s.mark);
         let mut load = self.load(&t, sid, rid, Act::Single);
         load.body = body;
@@ -157,7 +158,7 @@
     }
 
     fn begin(&mut self, now: Time, call: u64, sid: u64, kind: Option<String>, rid: Option<String>, budget: Option<Time>, out: &mut FrontOut) -> Result<(), Reject> {
-        let t = self.welcome(now)?;
+        let t = self.welcome(now, true)?;
         kind.filter(|k| !t.kind_ix.contains_key(k)).map_or(Ok(()), |k| Err(reject(Kind::UnknownKind, k)))?;
         if self.sessions[&sid].txn.is_some() {
             return Err(reject(Kind::BadState, "a transaction is open already"));
--- a/tenet/src/front.rs
+++ b/tenet/src/front.rs
@@ -57,6 +57,7 @@
     pub addr: Addr,
     pub t: Option<Arc<Table>>,
     pub until: Time,
+    pub(crate) leaving: Option<Time>,
     pub(crate) stopping: bool,
     pub(crate) ids: Ids,
     pub(crate) sessions: BTreeMap<u64, Session>,
@@ -92,6 +93,7 @@
             addr,
             t: None,
             until: 0,
+            leaving: None,
             stopping: false,
             ids: Ids::new(mix(seed ^ 77)),
             sessions: BTreeMap::new(),
@@ -156,7 +158,10 @@
                 Some(Use::Job(j)) if self.jobs.contains(j) => self.job_back(now, j, token, res, &mut out),
                 _ => (),
             },
-            FrontIn::Stopping => self.stopping = true,
+            FrontIn::Stopping => {
+                self.stopping = true;
+                self.leaving = self.leaving.or(Some(now));
+            }
         }
         self.tick(now, &mut out);
         let own: Vec<Msg> = {
@@ -219,6 +224,10 @@
                 }
             }
         }
+        self.leaving = match t.closed.is_some() || self.stopping {
+            true => self.leaving.or(Some(now)),
+            false => None,
+        };
         self.t = Some(t);
         self.drop_old_txns(now, out);
     }
--- a/tenet/src/polls.rs
+++ b/tenet/src/polls.rs
@@ -184,4 +184,8 @@
         let open = self.sessions.values().any(|s| s.txn.is_some());
         !work && !calls && !open && self.txns.is_empty()
     }
+
+    pub fn empty(&self) -> bool {
+        self.sessions.is_empty()
+    }
 }
--- a/tenet/src/trip.rs
+++ b/tenet/src/trip.rs
@@ -194,6 +194,6 @@
         let body = serde_json::from_str::<Value>(&d.body).unwrap_or(Value::Null);
         let hops: Vec<String> = d.hops.iter().map(|h| format!("{h:x}")).collect();
         json!({"id": t.load.id, "result": body, "mark": d.pos, "epoch": d.epoch, "server": d.server,
-            "repeat": d.repeat, "transaction": t.load.act == Act::Step, "hops": hops, "goes": t.gos.len()})
+            "repeat": d.repeat, "transaction": t.load.act == Act::Step, "leaving": self.leaving.is_some(), "hops": hops, "goes": t.gos.len()})
     }
 }
