Choose another heir when the platform will not promote the dead one

Cause: with the chosen replica dead the same target was asked for without end. Only the process that chose it, with no ask of unknown outcome, may take it back. Also: fleets on one machine give each door its own loopback address (a port could be handed out twice), and http equal to listen is rejected by name.

--- /dev/null
+++ b/chance/src/cause.rs
@@ -0,0 +1,139 @@
+use crate::fault::*;
+use crate::sim::*;
+use guise::check::Off;
+use tenet::state::Op;
+
+impl Sim {
+    pub fn fault(&mut self, f: Fault) {
+        match f {
+            Fault::Kill(i) => self.kill(i),
+            Fault::Start(i) => self.boot(i),
+            Fault::Wipe(i) => {
+                self.kill(i);
+                self.nodes[i].files.clear();
+            }
+            Fault::Freeze(i) => self.nodes[i].frozen = true,
+            Fault::Thaw(i) => self.thaw(i),
+            Fault::ThawAll => (0..self.nodes.len()).for_each(|i| self.thaw(i)),
+            Fault::KillAll => {
+                self.watch.loss_at = self.now;
+                (0..self.nodes.len()).for_each(|i| self.kill(i))
+            }
+            Fault::StartAll => {
+                self.watch.loss_at = self.now;
+                (0..self.nodes.len()).for_each(|i| self.boot(i))
+            }
+            Fault::KillDomain(d) => {
+                self.in_domain(&d).into_iter().for_each(|i| self.kill(i));
+                (0..self.world.servers.len()).filter(|s| self.world.servers[*s].domain == d).collect::<Vec<_>>().into_iter().for_each(|s| self.world.crash(s));
+            }
+            Fault::StartDomain(d) => {
+                self.in_domain(&d).into_iter().for_each(|i| self.boot(i));
+                let v: Vec<usize> = (0..self.world.servers.len()).filter(|s| self.world.servers[*s].domain == d).collect();
+                v.into_iter().for_each(|s| self.world.restart(self.now, s));
+            }
+            Fault::Cut(a, b) => self.cuts.push((a, b)),
+            Fault::CutNode(i) => self.lost_node = Some(i),
+            Fault::Heal => {
+                self.cuts.clear();
+                self.lost_node = None;
+            }
+            Fault::Crash(n) => self.server(&n).into_iter().for_each(|s| self.world.crash(s)),
+            Fault::CrashTarget(db) => {
+                let c = self.nodes.iter().filter_map(|n| n.control.as_ref()).max_by_key(|c| c.state().mark);
+                let t = c.and_then(|c| c.state().dbs.get(&db)).and_then(|d| d.target.clone());
+                t.and_then(|t| self.world.ix(&t)).into_iter().for_each(|s| self.world.crash(s));
+            }
+            Fault::Restart(n) => self.server(&n).into_iter().for_each(|s| self.world.restart(self.now, s)),
+            Fault::Replace(n) => self.server(&n).into_iter().for_each(|s| self.world.replace(self.now, s)),
+            Fault::Retire(n) => {
+                if let Some(s) = self.server(&n) {
+                    self.world.servers[s].leaving = true;
+                    let name = self.world.servers[s].name.clone();
+                    self.history.off.push(Off { server: name, since: self.now, until: u64::MAX, bound: 7000 });
+                }
+            }
+            Fault::Stall(n, on) => self.server(&n).into_iter().for_each(|s| self.world.servers[s].stalled = on),
+            Fault::LoseAnswers(p) => self.lose = p,
+            Fault::Platform(m) => self.mood = m,
+            Fault::Evacuate(d, on) => {
+                let since = self.now;
+                let v: Vec<String> = self.world.servers.iter().filter(|s| s.domain == d).map(|s| s.name.clone()).collect();
+                match on {
+                    true => self.history.off.extend(v.into_iter().map(|server| Off { server, since, until: u64::MAX, bound: 5000 })),
+                    false => self.history.off.iter_mut().filter(|o| v.contains(&o.server)).for_each(|o| o.until = since),
+                }
+                self.operator(Op::Evacuate { domain: d, on });
+            }
+            Fault::Drain(s, on) => {
+                self.operator(Op::Drain { server: s, on });
+            }
+            Fault::Configure => self.configure(),
+            Fault::StaleConfigure => self.stale_configure(),
+            Fault::BadConfigure => self.bad_configure(),
+            Fault::FreezeSending(db, k) => {
+                if let Some(i) = self.fencer(&db, k) {
+                    self.hold_sends(i);
+                    self.nodes[i].frozen = !self.held.is_empty();
+                    if self.held.is_empty() {
+                        self.at(self.now + 1, Ev::Fault(Fault::FreezeSending(db, k)));
+                    }
+                }
+            }
+            Fault::FreezeFencer(db, k) => self.fencer(&db, k).into_iter().for_each(|i| self.nodes[i].frozen = true),
+            Fault::KillHead => self.seat(true).into_iter().for_each(|i| self.kill(i)),
+            Fault::KillTail => self.seat(false).into_iter().for_each(|i| self.kill(i)),
+            Fault::CallersStop => self.stop_clients = true,
+        }
+    }
+
+    fn fencer(&self, db: &str, k: usize) -> Option<usize> {
+        let c = self.nodes.iter().filter_map(|n| n.control.as_ref());
+        let id = c.filter_map(|c| c.state().dbs.get(db)).map(|d| d.fencers.clone()).next()?.get(k).copied();
+        self.nodes.iter().position(|n| n.control.as_ref().is_some_and(|c| Some(c.me.id) == id))
+    }
+
+    fn thaw(&mut self, i: usize) {
+        let now = self.now;
+        std::mem::take(&mut self.held).into_iter().for_each(|e| self.at(now + 1, e));
+        if self.nodes[i].frozen {
+            self.nodes[i].frozen = false;
+            self.nodes[i].thawed = self.now;
+        }
+    }
+
+    fn seat(&self, head: bool) -> Option<usize> {
+        let c = self.nodes.iter().filter(|n| n.up && n.disk).filter_map(|n| n.control.as_ref());
+        let v = c.map(|c| c.view()).max_by_key(|v| v.n)?;
+        let s = if head { v.chain.first() } else { v.chain.last() }?.id;
+        self.nodes.iter().position(|n| n.control.as_ref().is_some_and(|c| c.me.id == s))
+    }
+
+    pub fn server(&self, n: &str) -> Option<usize> {
+        self.world.leader(n).or_else(|| self.world.ix(n))
+    }
+
+    fn in_domain(&self, d: &str) -> Vec<usize> {
+        self.nodes.iter().filter(|n| n.domain == d).map(|n| n.i).collect()
+    }
+
+    fn kill(&mut self, i: usize) {
+        if self.nodes[i].up {
+            let r = self.roll(1 << 20);
+            self.nodes[i].crash(r);
+            self.node_died(i);
+        }
+    }
+
+    fn boot(&mut self, i: usize) {
+        if self.nodes[i].up {
+            return;
+        }
+        let seeds = (0..3).map(node_addr).collect();
+        let (now, seed) = (self.now, self.seed);
+        match self.nodes[i].boot(now, seeds, seed) {
+            Ok(e) => self.effect(i, e),
+            Err(e) => self.watch.faults.push(format!("disk: node {i} cannot read its own disk: {e}")),
+        }
+    }
+}
--- a/chance/src/fault.rs
+++ b/chance/src/fault.rs
@@ -12,6 +12,7 @@
     Cut(String, String),
     Heal,
     Crash(String),
+    CrashTarget(String),
     Restart(String),
     Replace(String),
     Retire(String),
--- a/chance/src/lib.rs
+++ b/chance/src/lib.rs
@@ -1,7 +1,9 @@
+pub mod cause;
 pub mod client;
 pub mod fault;
 pub mod node;
 pub mod outside;
+pub mod runs;
 pub mod scripts;
 pub mod sim;
 pub mod step;
--- a/chance/src/main.rs
+++ b/chance/src/main.rs
@@ -1,6 +1,7 @@
 use bpaf::{construct, long, Parser};
 use chance::fault::Plant;
-use chance::scripts::{find, run_with, ALL};
+use chance::runs::run_with;
+use chance::scripts::{find, ALL};
 
 struct Args {
     script: Option<String>,
--- a/chance/tests/seeds.rs
+++ b/chance/tests/seeds.rs
@@ -1,5 +1,6 @@
 use chance::fault::Plant;
-use chance::scripts::{find, run, ALL, FROZEN_SEND};
+use chance::runs::run;
+use chance::scripts::{find, ALL, FROZEN_SEND};
 use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::sync::Mutex;
 
@@ -107,3 +108,28 @@
         assert!(bad.is_empty(), "{place} {seed}: {bad:?}");
     }
 }
+
+#[test]
+fn a_seed_replays_to_the_letter() {
+    let tell = || {
+        let s = run(find("storm").unwrap(), "thessaly", 5, Plant::None);
+        let last = s.history.events.last().map(|e| (e.start, e.end, e.id.clone()));
+        (s.messages.clone(), s.history.events.len(), last, s.history.kinds.clone())
+    };
+    assert_eq!(tell(), tell());
+}
+
+#[test]
+fn any_surviving_node_tells_what_a_failover_did_and_why() {
+    for seed in 1..=3 {
+        let s = run(find("crash").unwrap(), "alumni", seed, Plant::None);
+        let db = s.world.last_leader.iter().find(|(_, i)| !s.world.servers[**i].name.ends_with("-0")).map(|x| x.0.clone()).unwrap();
+        let won = s.world.servers[s.world.last_leader[&db]].name.clone();
+        for n in s.nodes.iter().filter(|n| n.up) {
+            let v: Vec<_> = n.control.as_ref().unwrap().state().stories.iter().filter(|x| x.topic == db).collect();
+            let at = |w: &str| v.iter().position(|x| x.text.contains(w)).unwrap_or_else(|| panic!("node {} does not tell '{w}'", n.i));
+            let (a, b, c) = (at(&format!("fencing nodes lost {db}-0")), at(&format!("{won} chosen")), at(&format!("{won} takes writes")));
+            assert!(a < b && b < c && v[a].mark < v[b].mark && v[b].mark < v[c].mark);
+        }
+    }
+}
--- a/guise/src/procs.rs
+++ b/guise/src/procs.rs
@@ -1,6 +1,7 @@
 use eyre::{Result, WrapErr};
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::process::{Child, Command, Stdio};
 use tenet::config::Config;
 
@@ -17,8 +18,11 @@
 }
 
 pub fn free_port() -> Result<SocketAddr> {
-    let l = TcpListener::bind("127.0.0.1:0")?;
-    Ok(l.local_addr()?)
+    static NEXT: AtomicU16 = AtomicU16::new(1);
+    let n = NEXT.fetch_add(1, Ordering::Relaxed);
+    let net = 1 + (std::process::id() % 250) as u8;
+    let ip = std::net::Ipv4Addr::new(127, net, (n / 250) as u8, 1 + (n % 250) as u8);
+    Ok(TcpListener::bind((ip, 0))?.local_addr()?)
 }
 
 impl Proc {
--- a/medium/src/settings.rs
+++ b/medium/src/settings.rs
@@ -96,6 +96,9 @@
     }
     let listen = addr("listen", &s.listen)?;
     let http = addr("http", &s.http)?;
+    if listen == http {
+        return Err(eyre!("settings.http: the same address as settings.listen"));
+    }
     let open = [("listen", listen), ("http", http)];
     if let Some((f, _)) = open.iter().find(|(_, a)| a.ip().is_unspecified()) {
         return Err(eyre!("settings.{f}: name one address, the others must be able to reach it"));
@@ -122,7 +125,8 @@
     #[test]
     fn each_bad_setting_is_named() {
         assert!(check(ok(), false).is_ok());
-        let bad: [(&str, bool, fn(&mut Settings)); 8] = [
+        let bad: [(&str, bool, fn(&mut Settings)); 9] = [
+            ("settings.http", false, |s| s.http = s.listen.clone()),
             ("settings.listen", false, |s| s.listen = "here".into()),
             ("settings.listen", false, |s| s.listen = "0.0.0.0:1".into()),
             ("settings.http", false, |s| s.http.clear()),
--- a/tenet/src/apply.rs
+++ b/tenet/src/apply.rs
@@ -132,6 +132,7 @@
             }
             Op::Asker { db, epoch, asker } => (db, Some(*epoch), "asker", format!("{asker:x} asks for the promotion now")),
             Op::Promoted { db, epoch, server } => (db, Some(*epoch), "promoted", format!("{server} takes writes")),
+            Op::Rejected { db, epoch, server } => (db, Some(*epoch), "rejected", format!("the platform will not promote {server}")),
             Op::HeirJoin { db, epoch, server } => return self.turn_heir(db, *epoch, server, 0),
             Op::HeirFull { db, epoch, server } => return self.turn_heir(db, *epoch, server, 1),
             Op::HeirLeave { db, epoch, server, why } => {
@@ -151,7 +152,7 @@
         }
         let to = chart::failover().step(&d.phase, ev).ok_or_else(|| stale(format!("{ev} in {}", d.phase)))?;
         match &a.op {
-            Op::Promoted { server, .. } if d.target.as_ref() != Some(server) => return Err(stale("another target")),
+            Op::Promoted { server, .. } | Op::Rejected { server, .. } if d.target.as_ref() != Some(server) => return Err(stale("another target")),
             Op::Target { .. } if !heir => return Err(stale("no heir")),
             Op::Reopen { .. } if d.phase == "fenced" => {
                 d.primary = d.old.take();
@@ -186,6 +187,7 @@
                 d.asker = *asker;
             }
             Op::Asker { asker, .. } => d.asker = *asker,
+            Op::Rejected { .. } => d.target = None,
             Op::Promoted { server, .. } => {
                 d.primary = Some(server.clone());
                 d.target = None;
--- a/tenet/src/failover.rs
+++ b/tenet/src/failover.rs
@@ -23,7 +23,7 @@
         }
     }
 
-    pub(crate) fn fenced(&self, k: &Sky, n: &str, d: &Db, at: Time, ops: &mut Vec<Op>) {
+    pub(crate) fn fenced(&mut self, k: &Sky, n: &str, d: &Db, at: Time, ops: &mut Vec<Op>) {
         let sure = k.now > at + FULL || self.all_clean(k, n, d);
         if !sure {
             return;
@@ -31,7 +31,7 @@
         let (db, epoch) = (n.to_string(), d.epoch);
         let since = at;
         let old = d.old.as_ref().and_then(|o| k.st.servers.get(o));
-        let old_seen = old.and_then(|o| self.sight(k, &o.name, o.life, since)).filter(|x| x.leads);
+        let old_seen = old.and_then(|o| self.sight(k, &o.name, o.life, since)).filter(|x| x.leads).map(|x| x.pos);
         let mut best: Vec<(bool, u64, &String)> = d
             .heirs
             .keys()
@@ -40,10 +40,11 @@
             .map(|(s, x, h)| (server_off(k.st, s).is_none(), x.pos, h))
             .collect();
         best.sort();
-        let caught = |pos: u64| !d.planned || old_seen.is_none_or(|o| pos >= o.pos);
+        let caught = |pos: u64| !d.planned || old_seen.is_none_or(|o| pos >= o);
         let patience = k.now > at + 5000;
         if let Some((_, pos, h)) = best.last() {
             if caught(*pos) || patience {
+                self.chosen.insert(db.clone(), epoch);
                 ops.push(Op::Target { db, epoch, server: (*h).clone(), asker: k.me });
             }
         } else if old_seen.is_some() && k.now > at + 3000 {
--- a/tenet/src/follow.rs
+++ b/tenet/src/follow.rs
@@ -142,7 +142,7 @@
             now,
             cfg: &cfg,
             st: &self.f.state,
-            alive: &|n| c.alive(n),
+            alive: &|n| c.serves(n) || n == c.me.id,
             old: self.table.as_deref(),
         }
         .make();
--- a/tenet/src/pilot.rs
+++ b/tenet/src/pilot.rs
@@ -34,6 +34,7 @@
     pub(crate) placed: BTreeMap<String, (Vec<NodeId>, Time)>,
     pub(crate) asks: BTreeMap<String, (Mark, Ask3)>,
     pub(crate) unknown: BTreeMap<String, Mark>,
+    pub(crate) chosen: BTreeMap<String, Mark>,
     pub(crate) member_at: BTreeMap<NodeId, (Mark, Time)>,
     pub(crate) join_at: BTreeMap<(String, String), (Mark, Time)>,
     pub(crate) gone_at: BTreeMap<(String, String), Time>,
@@ -122,7 +123,8 @@
         if e.0 != d.fencers {
             *e = (d.fencers.clone(), k.now);
         }
-        if let Some(s) = place(k.cfg, k.st, n, &fit) {
+        let stay = |m: &Member| m.phase != "leaving" && k.c.alive(m.id) && !k.st.evacuated.contains_key(&m.domain);
+        if let Some(s) = place(k.cfg, k.st, n, &fit, &stay) {
             if s.fencers != d.fencers || s.gateways != d.gateways {
                 ops.push(Op::Place { db: n.into(), fencers: s.fencers, gateways: s.gateways });
             }
@@ -200,7 +202,9 @@
                 self.unknown.insert(db.into(), epoch);
             }
             self.asks.insert(db.into(), (epoch, Ask3::Wait(now + 500)));
-            return None;
+            let sure = self.chosen.get(db) == Some(&epoch) && self.unknown.get(db) != Some(&epoch);
+            let gone = sure && !unknown && self.seen.iter().all(|((_, s), x)| s != server || !x.s.reach);
+            return gone.then(|| Op::Rejected { db: db.into(), epoch, server: server.into() });
         }
         Some(Op::Promoted { db: db.into(), epoch, server: server.into() })
     }
--- a/tenet/src/place.rs
+++ b/tenet/src/place.rs
@@ -7,16 +7,18 @@
     pub gateways: Vec<NodeId>,
 }
 
-fn pick(want: usize, old: &[NodeId], from: &[&Member], salt: u64) -> Vec<NodeId> {
-    let fit = |n: &NodeId| from.iter().any(|m| m.id == *n);
-    let mut v: Vec<NodeId> = old.iter().filter(|n| fit(n)).copied().take(want).collect();
-    let mut rest: Vec<NodeId> = from.iter().map(|m| m.id).filter(|n| !v.contains(n)).collect();
+fn pick(want: usize, old: &[NodeId], from: &[NodeId], stay: &[NodeId], salt: u64) -> Vec<NodeId> {
+    let keeps = |n: &NodeId| from.iter().chain(stay).any(|m| m == n);
+    let mut v: Vec<NodeId> = old.iter().filter(|n| keeps(n)).copied().take(want).collect();
+    let mut rest: Vec<NodeId> = from.iter().copied().filter(|n| !v.contains(n)).collect();
     rest.sort_by_key(|n| mix(n ^ salt));
     v.extend(rest.into_iter().take(want - v.len().min(want)));
     v
 }
 
-pub fn place(c: &Config, st: &State, name: &str, fit: &dyn Fn(&Member) -> bool) -> Option<Seats> {
+pub type Fit<'a> = &'a dyn Fn(&Member) -> bool;
+
+pub fn place(c: &Config, st: &State, name: &str, fit: Fit, stay: Fit) -> Option<Seats> {
     let cfg = c.databases.get(name)?;
     let blank = Db::default();
     let db = st.dbs.get(name).unwrap_or(&blank);
@@ -24,19 +26,21 @@
     let region = |s: &String| st.servers.get(s).and_then(|s| c.region(&s.domain));
     let home = at.and_then(region).unwrap_or(&cfg.homes[0]);
     let members: Vec<&Member> = st.members.values().filter(|m| !m.disk && fit(m)).collect();
-    let within = |r: &str| -> Vec<&Member> {
-        members.iter().filter(|m| c.region(&m.domain) == Some(r)).copied().collect()
+    let staying: Vec<&Member> = st.members.values().filter(|m| !m.disk && stay(m)).collect();
+    let of = |v: &[&Member], r: &str| -> Vec<NodeId> {
+        v.iter().filter(|m| c.region(&m.domain) == Some(r)).map(|m| m.id).collect()
     };
     let salt = digest(name.as_bytes());
     let want = if cfg.homes.len() == 1 { 3 } else { 2 };
-    let mut f = pick(want, &db.fencers, &within(home), salt);
+    let mut f = pick(want, &db.fencers, &of(&members, home), &of(&staying, home), salt);
     let mut others = cfg.homes.iter().filter(|h| *h != home);
     while f.is_empty() {
-        f = pick(want, &db.fencers, &within(others.next()?), salt);
+        let h = others.next()?;
+        f = pick(want, &db.fencers, &of(&members, h), &of(&staying, h), salt);
     }
     let gateways = match cfg.homes.len() {
         1 => f.clone(),
-        _ => cfg.homes.iter().flat_map(|h| pick(2, &db.gateways, &within(h), salt ^ 1)).collect(),
+        _ => cfg.homes.iter().flat_map(|h| pick(2, &db.gateways, &of(&members, h), &[], salt ^ 1)).collect(),
     };
     Some(Seats { fencers: f, gateways })
 }
--- a/tenet/src/state.rs
+++ b/tenet/src/state.rs
@@ -76,6 +76,7 @@
     HeirJoin { db: String, epoch: Mark, server: String },
     HeirFull { db: String, epoch: Mark, server: String },
     HeirLeave { db: String, epoch: Mark, server: String, why: String },
+    Rejected { db: String, epoch: Mark, server: String },
 }
 
 #[derive(Clone, Readable, Writable, PartialEq, Debug)]
--- a/tenet/tests/place.rs
+++ b/tenet/tests/place.rs
@@ -50,7 +50,7 @@
 }
 
 fn seat(c: &Config, s: &mut State, fit: &dyn Fn(&Member) -> bool) {
-    let v = place(c, s, "members", fit).expect("a placement");
+    let v = place(c, s, "members", fit, fit).expect("a placement");
     put(s, Op::Place { db: "members".into(), fencers: v.fencers, gateways: v.gateways });
 }
 
@@ -75,6 +75,10 @@
     assert!(d.fencers.iter().all(|f| region(&s, f) == "geneva"));
     assert_eq!(d.gateways.len(), 4);
     assert!(d.gateways.iter().all(|g| region(&s, g) != "lugano"), "lugano is no home of members");
+    let out = d.fencers[0];
+    let v = place(&c, &s, "members", &|m| m.id != out, &|_| true).unwrap();
+    assert!(v.fencers == d.fencers, "a stopping node keeps fencing what is open");
+    assert!(!v.gateways.contains(&out) && v.gateways.len() == 4);
     let dead = d.fencers[0];
     seat(&c, &mut s, &|m| m.id != dead);
     let e = s.dbs["members"].clone();
