Send a transaction's step through another gateway when the first took nothing

Cause: when a gateway's role moved off a stopping node, the next step of each transaction that had come through it was rejected there and the transaction was called aborted, though nothing had been sent and fencing still held it open. Ruled out: fencing (it keeps its open transactions while stopping).

--- a/guise/src/callers.rs
+++ b/guise/src/callers.rs
@@ -102,6 +102,9 @@
         if moving {
             let _ = self.site.back.send(Method::DELETE, self.nodes[self.at % self.nodes.len()].into(), &format!("/sessions/{s}"), &json!({}), 2000).await;
         }
+        if error == "aborted" {
+            log::warn!("aborted: {}", v["why"]);
+        }
         if moving || error == "unknown-session" || error == "leaving" || matches!(r, BackRes::NotSent | BackRes::Lost) {
             self.session = None;
             self.at += 1;
--- a/tenet/src/collect.rs
+++ b/tenet/src/collect.rs
@@ -211,8 +211,9 @@
         let mut plan = self.plan(now, &t, sid, &load, budget);
         plan.pinned = true;
         plan.commit = commit;
-        plan.gateways.retain(|g| *g != via);
-        plan.gateways.insert(0, via);
+        if let Some(i) = plan.gateways.iter().position(|g| *g == via) {
+            plan.gateways.swap(0, i);
+        }
         Ok((load, plan))
     }
 
--- a/tenet/src/ledger.rs
+++ b/tenet/src/ledger.rs
@@ -77,7 +77,9 @@
     if p.commit && gos.len() > 1 && last == Some(End::Rejected(Kind::Aborted)) {
         return Move::Give(Kind::Aborted);
     }
-    if p.pinned && last.is_some() && !(p.commit && doubt) {
+    let passed = gos.iter().filter(|g| matches!(g.to, To::Gateway(_))).count();
+    let untaken = matches!(last, Some(End::Rejected(k)) if k != Kind::Aborted) && passed < p.gateways.len();
+    if p.pinned && last.is_some() && !untaken && !(p.commit && doubt) {
         return give(p, gos, Kind::Aborted);
     }
     let fresh = p.replicas.iter().find(|r| gos.iter().all(|g| g.to != To::Replica(**r)));
@@ -87,7 +89,7 @@
     if p.gateways.is_empty() {
         return give(p, gos, p.none);
     }
-    let n = gos.iter().filter(|g| matches!(g.to, To::Gateway(_))).count();
+    let n = passed;
     let to = To::Gateway(p.gateways[n % p.gateways.len()]);
     if n < p.gateways.len() {
         return Move::Send { to, look_up: doubt };
@@ -149,6 +151,15 @@
         assert_eq!(next(&p, &gos, 1000), Move::Give(Kind::Unknown));
     }
 
+    #[test]
+    fn a_step_that_no_gateway_took_goes_through_another_and_a_lost_one_does_not() {
+        let p = Plan { pinned: true, writes: false, ..plan() };
+        let no = go(1, End::Rejected(Kind::NoPrimary));
+        assert_eq!(next(&p, &[no.clone()], 10), Move::Send { to: To::Gateway(2), look_up: false });
+        assert_eq!(next(&p, &[no, go(2, End::Rejected(Kind::NoPrimary))], 10), Move::Give(Kind::Aborted));
+        assert_eq!(next(&p, &[go(1, End::Lost)], 10), Move::Give(Kind::Aborted));
+    }
+
     #[test]
     fn the_same_gos_always_give_the_same_move() {
         arbtest::arbtest(|u| {
