--- a/guise/src/fleet.rs
+++ b/guise/src/fleet.rs
@@ -27,6 +27,21 @@
     pub events: Vec<String>,
 }
 
+impl Plan {
+    pub fn small(name: &str, nodes: usize, sessions: usize) -> Plan {
+        Plan {
+            config: concat!(env!("CARGO_MANIFEST_DIR"), "/../examples/small.json").into(),
+            nodes,
+            sessions,
+            seconds: 0,
+            pause: 60,
+            connect: 2,
+            data: std::env::temp_dir().join(format!("firramp-{name}-{}", std::process::id())),
+            events: vec![],
+        }
+    }
+}
+
 pub struct Stage {
     pub procs: Vec<Proc>,
     pub world: Shared,
--- a/guise/tests/doors.rs
+++ b/guise/tests/doors.rs
@@ -8,19 +8,6 @@
 use tenet::front::BackRes;
 use volo_http::http::Method;
 
-fn plan(name: &str) -> Plan {
-    Plan {
-        config: concat!(env!("CARGO_MANIFEST_DIR"), "/../examples/small.json").into(),
-        nodes: 7,
-        sessions: 0,
-        seconds: 0,
-        pause: 60,
-        connect: 2,
-        data: std::env::temp_dir().join(format!("firramp-{name}-{}", std::process::id())),
-        events: vec![],
-    }
-}
-
 async fn call(s: &Stage, m: Method, to: SocketAddr, path: &str, b: &Value) -> (u16, Value) {
     match s.site.back.send(m, to.into(), path, b, 9000).await {
         BackRes::Ok(v) => (200, v),
@@ -42,7 +29,7 @@
 fn every_door_names_what_is_wrong_and_state_stays() {
     let rt = tokio::runtime::Runtime::new().unwrap();
     rt.block_on(async {
-        let p = plan("doors");
+        let p = Plan::small("doors", 7, 0);
         let s = Stage::set(&p).await.unwrap();
         let mark = s.configure(0, 6).await.unwrap();
         s.ready().await.unwrap();
@@ -128,7 +115,7 @@
 fn a_stopped_node_lets_its_transaction_end_and_exits_with_0() {
     let rt = tokio::runtime::Runtime::new().unwrap();
     rt.block_on(async {
-        let p = plan("stop");
+        let p = Plan::small("stop", 7, 0);
         let mut s = Stage::set(&p).await.unwrap();
         s.configure(0, 3).await.unwrap();
         s.ready().await.unwrap();
--- a/guise/tests/fleet.rs
+++ b/guise/tests/fleet.rs
@@ -3,19 +3,6 @@
 use guise::hosts::lock;
 use std::sync::atomic::Ordering::Relaxed;
 
-fn plan(name: &str, nodes: usize) -> Plan {
-    Plan {
-        config: concat!(env!("CARGO_MANIFEST_DIR"), "/../examples/small.json").into(),
-        nodes,
-        sessions: 24,
-        seconds: 0,
-        pause: 60,
-        connect: 2,
-        data: std::env::temp_dir().join(format!("firramp-{name}-{}", std::process::id())),
-        events: vec![],
-    }
-}
-
 async fn served(s: &Stage, more: usize) {
     let n = |s: &Stage| s.site.history.lock().unwrap().events.iter().filter(|e| e.out == guise::check::Out::Kept).count();
     let from = n(s);
@@ -26,7 +13,7 @@
 fn a_real_fleet_serves_through_the_loss_of_a_primary_and_of_a_node() {
     let rt = tokio::runtime::Runtime::new().unwrap();
     rt.block_on(async {
-        let p = plan("fleet", 9);
+        let p = Plan::small("fleet", 9, 24);
         let mut s = Stage::set(&p).await.unwrap();
         s.configure(0, 8).await.unwrap();
         s.ready().await.unwrap();
--- a/guise/tests/operators.rs
+++ b/guise/tests/operators.rs
@@ -3,19 +3,6 @@
 use std::net::SocketAddr;
 use tenet::front::BackRes;
 
-fn plan(name: &str) -> Plan {
-    Plan {
-        config: concat!(env!("CARGO_MANIFEST_DIR"), "/../examples/small.json").into(),
-        nodes: 9,
-        sessions: 0,
-        seconds: 0,
-        pause: 60,
-        connect: 2,
-        data: std::env::temp_dir().join(format!("firramp-{name}-{}", std::process::id())),
-        events: vec![],
-    }
-}
-
 async fn post(s: &Stage, to: SocketAddr, path: &str, b: Value) -> Result<Value, Value> {
     match s.site.back.post(to.into(), path, &b, u64::MAX, 9000).await {
         BackRes::Ok(v) => Ok(v),
@@ -42,7 +29,7 @@
 fn settings_and_prepared_statements_follow_a_session_and_nobody_else() {
     let rt = tokio::runtime::Runtime::new().unwrap();
     rt.block_on(async {
-        let p = plan("prepared");
+        let p = Plan::small("prepared", 9, 0);
         let s = Stage::set(&p).await.unwrap();
         s.configure(0, 4).await.unwrap();
         s.ready().await.unwrap();
@@ -77,7 +64,7 @@
 fn evacuation_drain_and_the_loss_of_every_process_are_survived_and_explained() {
     let rt = tokio::runtime::Runtime::new().unwrap();
     rt.block_on(async {
-        let p = plan("operators");
+        let p = Plan::small("operators", 9, 0);
         let mut s = Stage::set(&p).await.unwrap();
         let mark = s.configure(0, 4).await.unwrap();
         s.ready().await.unwrap();
--- a/tenet/src/apply.rs
+++ b/tenet/src/apply.rs
@@ -97,23 +97,15 @@
     }
 
     fn announce(&mut self, a: &Ask) -> Res {
-        if let Op::Announce { server, addr, domain, labels, life, leads, leaving } = &a.op {
-            let s = Server {
-                name: server.clone(),
-                addr: *addr,
-                domain: domain.clone(),
-                labels: labels.clone(),
-                life: *life,
-                leads: *leads,
-                leaving: *leaving,
-            };
+        if let Some(s) = Server::told(&a.op) {
+            let (server, addr, life, leaving) = (&s.name.clone(), s.addr, s.life, s.leaving);
             let o = self.servers.insert(server.clone(), s);
-            let born = o.as_ref().is_none_or(|o| o.life != *life);
+            let born = o.as_ref().is_none_or(|o| o.life != life);
             if born {
                 self.drained.remove(server);
                 self.tell(a.at, server, format!("server {server} announced itself at {addr}, life {life:x}"));
             }
-            if *leaving && o.is_none_or(|o| !o.leaving) {
+            if leaving && o.is_none_or(|o| !o.leaving) {
                 self.tell(a.at, server, format!("server {server} says it is leaving"));
             }
         }
--- a/tenet/src/asks.rs
+++ b/tenet/src/asks.rs
@@ -23,17 +23,8 @@
     }
 
     pub(crate) fn announce(&mut self, now: Time, call: u64, op: Op, out: &mut Out, e: &mut Effect) {
-        if let Op::Announce { server, addr, domain, labels, life, leads, leaving } = &op {
-            let s = Server {
-                name: server.clone(),
-                addr: *addr,
-                domain: domain.clone(),
-                labels: labels.clone(),
-                life: *life,
-                leads: *leads,
-                leaving: *leaving,
-            };
-            if self.f.state.servers.get(server) == Some(&s) {
+        if let Some(s) = Server::told(&op) {
+            if self.f.state.servers.get(&s.name) == Some(&s) {
                 let verdict = Verdict { mark: self.f.state.mark, reject: None };
                 e.response.push((call, Reply::Verdict(verdict)));
                 return;
--- a/tenet/src/collect.rs
+++ b/tenet/src/collect.rs
@@ -222,18 +222,7 @@
         self.sessions.get_mut(&sid).into_iter().for_each(|s| s.busy = true);
         let owner = For::Caller { call, session: sid };
         self.traces.tell(now, &load.id, format!("taken in at {:x}: {:?} on {}", self.me, load.act, load.db));
-        let t = Trip {
-            owner,
-            load,
-            plan,
-            gos: Vec::new(),
-            go_id: 0,
-            born: now,
-            wake: now,
-            bound,
-            done: None,
-            why: String::new(),
-        };
+        let t = Trip::new(now, owner, load, plan, bound);
         self.trip_start(now, t, out);
     }
 }
--- a/tenet/src/polls.rs
+++ b/tenet/src/polls.rs
@@ -162,18 +162,7 @@
                 none: Kind::NoPrimary,
             };
             let owner = For::Pos { db: i };
-            let trip = Trip {
-                owner,
-                load,
-                plan,
-                gos: Vec::new(),
-                go_id: 0,
-                born: now,
-                wake: now,
-                bound: None,
-                done: None,
-                why: String::new(),
-            };
+            let trip = Trip::new(now, owner, load, plan, None);
             self.trip_start(now, trip, out);
         }
     }
--- a/tenet/src/state.rs
+++ b/tenet/src/state.rs
@@ -26,6 +26,21 @@
     pub leaving: bool,
 }
 
+impl Server {
+    pub fn told(op: &Op) -> Option<Server> {
+        let Op::Announce { server, addr, domain, labels, life, leads, leaving } = op else { return None };
+        Some(Server {
+            name: server.clone(),
+            addr: *addr,
+            domain: domain.clone(),
+            labels: labels.clone(),
+            life: *life,
+            leads: *leads,
+            leaving: *leaving,
+        })
+    }
+}
+
 #[derive(Clone, Readable, Writable, Default)]
 pub struct Db {
     pub epoch: Mark,
--- a/tenet/src/trip.rs
+++ b/tenet/src/trip.rs
@@ -24,6 +24,13 @@
     pub why: String,
 }
 
+impl Trip {
+    pub fn new(now: Time, owner: For, load: Load, plan: Plan, bound: Option<Time>) -> Trip {
+        let (gos, why) = (Vec::new(), String::new());
+        Trip { owner, load, plan, gos, go_id: 0, born: now, wake: now, bound, done: None, why }
+    }
+}
+
 const ANSWER_WAIT: Time = 1000;
 
 impl Front {
