End a transaction with the answer to its commit, whatever the answer

Cause: a commit rejected by a node just thawed left the transaction open; the caller took it for ended and its next writes ran inside it, answered and lost.

--- a/chance/src/client.rs
+++ b/chance/src/client.rs
@@ -202,6 +202,11 @@
         };
         if let BackRes::Ok(v) = res {
             self.hops(c, &id, v);
+            if class == Class::Current {
+                let n = v["hops"].as_array().map_or(0, |a| a.len());
+                let far = self.history.hops.last().map_or(0, |h| h.1.windows(2).filter(|w| w[0] != w[1]).count());
+                self.watch.tiers.entry((n, far)).or_default().push(end - start);
+            }
             let k = &mut self.clients[c];
             k.worst = k.worst.max(if k.kept_at > 0 { end - k.kept_at } else { 0 });
             k.kept_at = end;
--- a/chance/src/main.rs
+++ b/chance/src/main.rs
@@ -59,6 +59,11 @@
                     text += &format!("{} {p} {seed}: {:?}\n  worst wait for a success {} ms, slowest adoption {} ms, back {} ms after a loss, syncs {}, messages {:?}\n", s.name, sim.history.kinds,
                         sim.clients.iter().map(|c| c.worst).max().unwrap_or(0), sim.watch.slowest_adopt, sim.watch.back_after, sim.nodes.iter().map(|n| n.syncs).sum::<u64>(), sim.messages);
                 }
+                for ((hops, far), v) in sim.watch.tiers.iter().filter(|_| a.times) {
+                    let mut v = v.clone();
+                    v.sort_unstable();
+                    text += &format!("  current reads over {hops} nodes, {far} region crossings: {} of them, median {} ms, max {} ms\n", v.len(), v[v.len() / 2], v[v.len() - 1]);
+                }
                 if let Some(w) = &a.tell {
                     for n in &sim.nodes {
                         n.logs.iter().filter(|l| l.1.contains(w.as_str())).for_each(|l| text += &format!("  node {} at {} {}\n", n.i, l.0, l.1));
--- a/chance/src/watch.rs
+++ b/chance/src/watch.rs
@@ -18,6 +18,7 @@
     pub first_call: u64,
     pub no_primary: BTreeMap<String, (Time, Time)>,
     pub slowest_adopt: Time,
+    pub tiers: BTreeMap<(usize, usize), Vec<Time>>,
     pub loss_at: Time,
     pub back_after: Time,
 }
--- a/chance/tests/seeds.rs
+++ b/chance/tests/seeds.rs
@@ -44,6 +44,7 @@
         ("replace-servers", "thessaly", 9),
         ("replace-servers", "alumni", 7),
         ("new-disk", "thessaly", 1000),
+        ("retire-freeze", "alumni", 20009),
         ("freeze-fencer", "thessaly", 3),
         ("freeze-fencer", "thessaly", 4),
         ("freeze-fencer", "alumni", 4),
--- a/guise/tests/doors.rs
+++ b/guise/tests/doors.rs
@@ -71,6 +71,11 @@
             assert!(c == code && v["error"] == kind && why.contains(says), "{path} {body}: {c} {v}");
             assert!(v["kept"] == "nothing" || v["kept"] == "unchanged", "{v}");
         }
+        let mut hasty = put("hasty", 3);
+        hasty["deadline_ms"] = json!(25);
+        let (c, v) = post(&s, at, &run, hasty).await;
+        assert!(c == 504 && v["kept"] == "unknown" || c == 503 || v["kept"] == "nothing", "a deadline below the replicas' lag: {c} {v}");
+        assert_eq!(post(&s, at, &run, put("hasty", 3)).await.0, 200);
         let cfg = serde_json::to_value(&s.cfg).unwrap();
         let mut broken = cfg.clone();
         broken["databases"]["ledger"]["cap"] = json!(0);
--- a/tenet/src/collect.rs
+++ b/tenet/src/collect.rs
@@ -71,6 +71,9 @@
 
     fn in_session(&mut self, now: Time, call: u64, req: Req, out: &mut FrontOut) -> Result<Option<Value>, Reject> {
         if now < self.paused_until && !matches!(req, Req::Rollback { .. } | Req::Close { .. }) {
+            if let Req::Commit { session, .. } = req {
+                self.forget_txn(now, session, out);
+            }
             return Err(reject(Kind::NotCurrent, "this node was paused; what waited meanwhile is not run late"));
         }
         let id = req.session().unwrap_or(0);
@@ -187,10 +190,8 @@
 
     fn commit(&mut self, now: Time, call: u64, sid: u64, budget: Option<Time>, out: &mut FrontOut) -> Result<(), Reject> {
         let r = self.pinned(now, sid, Act::Commit, budget);
-        if let Err(e) = &r {
-            if e.kind == Kind::Aborted {
-                self.sessions.get_mut(&sid).into_iter().for_each(|s| s.txn = None);
-            }
+        if r.is_err() {
+            self.forget_txn(now, sid, out);
         }
         let (load, plan) = r?;
         self.set_off(now, call, sid, load, plan, None, out);
