Wait for an heir that stays before promoting one that must leave too

Cause: when a domain is emptied, the heir outside it was not seen for a moment and one inside was promoted; it had to be retired next, and with both old primaries not rebuilt no heir was left: writes were rejected until one came back. Ruled out: the set of heirs (both were whole). Change: a planned failover waits up to 3 s for an heir that is not itself leaving.

--- a/chance/tests/seeds.rs
+++ b/chance/tests/seeds.rs
@@ -45,6 +45,7 @@
         ("replace-servers", "alumni", 7),
         ("new-disk", "thessaly", 1000),
         ("retire-freeze", "alumni", 20009),
+        ("evacuate", "alumni", 30004),
         ("freeze-fencer", "thessaly", 3),
         ("freeze-fencer", "thessaly", 4),
         ("freeze-fencer", "alumni", 4),
--- a/tenet/src/failover.rs
+++ b/tenet/src/failover.rs
@@ -42,7 +42,12 @@
         best.sort();
         let caught = |pos: u64| !d.planned || old_seen.is_none_or(|o| pos >= o);
         let patience = k.now > at + 5000;
-        if let Some((_, pos, h)) = best.last() {
+        let on = |h: &String| k.st.heir(d, h) && k.st.servers.get(h).is_some_and(|s| server_off(k.st, s).is_none());
+        let better = d.planned && k.now < at + 3000 && d.heirs.keys().any(on);
+        if let Some((good, pos, h)) = best.last() {
+            if !good && better {
+                return;
+            }
             if caught(*pos) || patience {
                 self.chosen.insert(db.clone(), epoch);
                 ops.push(Op::Target { db, epoch, server: (*h).clone(), asker: k.me });
