Keep fencing where it is until an evacuated primary has moved

Cause: an evacuation moved fencing and closed the primary at the same moment; a changed fencing list makes the failover wait a full permit instead of the word of each fencing node. Ruled out: open transactions (few), promotion (1 s as ever). Also: a process that cannot start says so in one line.

--- a/medium/src/run.rs
+++ b/medium/src/run.rs
@@ -36,8 +36,8 @@
         std::process::exit(2);
     });
     run(p, disk).map_err(|e| {
-        log::error!("node: {e:#}");
-        e
+        log::error!("node: could not start: {e:#}");
+        std::process::exit(1)
     })
 }
 
--- a/tenet/src/pilot.rs
+++ b/tenet/src/pilot.rs
@@ -123,7 +123,11 @@
         if e.0 != d.fencers {
             *e = (d.fencers.clone(), k.now);
         }
-        let stay = |m: &Member| m.phase != "leaving" && k.c.alive(m.id) && !k.st.evacuated.contains_key(&m.domain);
+        let lead = d.primary.as_ref().and_then(|p| k.st.servers.get(p));
+        let moving = d.phase != "steady" || lead.is_some_and(|s| server_off(k.st, s).is_some());
+        let stay = |m: &Member| {
+            m.phase != "leaving" && k.c.alive(m.id) && (moving || !k.st.evacuated.contains_key(&m.domain))
+        };
         if let Some(s) = place(k.cfg, k.st, n, &fit, &stay) {
             if s.fencers != d.fencers || s.gateways != d.gateways {
                 ops.push(Op::Place { db: n.into(), fencers: s.fencers, gateways: s.gateways });
