Say once what shares, closes and moments of change were said twice

Shares were set by the same loop in two places, /close was sent by two copies, and the pilot kept 'since when is this so' in four hand-made maps; each is one function now.

--- a/guise/src/hosts.rs
+++ b/guise/src/hosts.rs
@@ -2,7 +2,7 @@
 use medium::back::Back;
 use medium::clock::Clock;
 use medium::doors::{response, serve};
-use serde_json::{json, Value};
+use serde_json::Value;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -106,7 +106,3 @@
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
 }
-
-pub fn ask(db: &str, server: &str) -> Value {
-    json!({"database": db, "server": server})
-}
--- a/tenet/src/front.rs
+++ b/tenet/src/front.rs
@@ -209,13 +209,8 @@
                 self.pools[i] = Pool::new(s.life, now);
             }
         }
+        self.set_shares(now, &t);
         for (i, d) in t.dbs.iter().enumerate() {
-            for s in &d.servers {
-                let fence = d.fences && now >= d.fence_from;
-                let extra = if fence { d.fence_share } else { 0 };
-                self.pools[*s].share = t.servers[*s].read_share + extra;
-                self.pools[*s].warm = t.servers[*s].warm;
-            }
             if self.closing_at[i].0 != d.since {
                 self.closing_at[i] = (d.since, now);
                 let lead = self.t.as_ref().and_then(|o| o.dbs.get(i)).and_then(|o| o.primary);
--- a/tenet/src/heirs.rs
+++ b/tenet/src/heirs.rs
@@ -40,11 +40,7 @@
                 continue;
             }
             if let Some(m) = d.joining.get(&s.name) {
-                let e = self.join_at.entry(key).or_insert((*m, k.now));
-                if e.0 != *m {
-                    *e = (*m, k.now);
-                }
-                let (_, t) = *e;
+                let t = since(&mut self.join_at, key, *m, k.now);
                 let ready = k.now > t + FULL;
                 let past = |m: Time| self.seen.iter().find(|((_, a), x)| *a == p && x.at.saturating_sub(x.s.age) > m);
                 let q = past(t + FULL).map(|(_, x)| x.s.pos);
--- a/tenet/src/job.rs
+++ b/tenet/src/job.rs
@@ -168,10 +168,7 @@
 
     pub(crate) fn discard(&mut self, now: Time, server: usize, conn: u64, out: &mut FrontOut) {
         self.pools[server].lost();
-        let token = self.use_token(Use::Nobody);
-        let to = self.t.as_ref().map_or(Addr::NONE, |t| t.servers[server].addr);
-        let body = json!({ "conn": conn });
-        out.back.push(BackCall { token, to, path: "/close", body, not_after: now + 1000, timeout: 1000 });
+        self.send_close(now, server, conn, out);
     }
 
     pub(crate) fn job_discard(&mut self, now: Time, j: usize, out: &mut FrontOut) {
--- a/tenet/src/pilot.rs
+++ b/tenet/src/pilot.rs
@@ -52,6 +52,16 @@
     pub c: &'a Colleagues,
 }
 
+pub(crate) fn since<K: Ord, V: PartialEq>(m: &mut BTreeMap<K, (V, Time)>, k: K, v: V, now: Time) -> Time {
+    match m.get(&k) {
+        Some((w, t)) if *w == v => *t,
+        _ => {
+            m.insert(k, (v, now));
+            now
+        }
+    }
+}
+
 impl Watch {
     pub fn stopped(&mut self) {
         let (seen, clean) = (std::mem::take(&mut self.seen), std::mem::take(&mut self.clean));
@@ -73,9 +83,7 @@
         for n in k.cfg.databases.keys() {
             self.placing(k, n, began, &mut ops);
             if let Some(d) = k.st.dbs.get(n) {
-                let at = self.learned.get(n).filter(|(m, _)| *m == d.since).map(|(_, t)| *t);
-                let at = at.unwrap_or(k.now);
-                self.learned.insert(n.clone(), (d.since, at));
+                let at = since(&mut self.learned, n.clone(), d.since, k.now);
                 match d.phase.as_str() {
                     "empty" => self.adopt(k, n, &mut ops),
                     "steady" => self.steady(k, n, d, at, &mut ops),
@@ -92,11 +100,7 @@
     fn members(&mut self, k: &Sky, began: Time, ops: &mut Vec<Op>) {
         self.member_at.retain(|id, _| k.st.members.contains_key(id));
         for m in k.st.members.values() {
-            let e = self.member_at.entry(m.id).or_insert((m.at, k.now));
-            if e.0 != m.at {
-                *e = (m.at, k.now);
-            }
-            let due = k.now > e.1 + FULL;
+            let due = k.now > since(&mut self.member_at, m.id, m.at, k.now) + FULL;
             let lost = k.c.quiet(m.id, k.now).is_some_and(|q| q > 3000)
                 || (!k.c.alive(m.id) && !k.c.all.contains_key(&m.id) && k.now > began + 4000);
             let twin = k.c.live().any(|s| s.addr == m.addr && s.id != m.id);
@@ -119,10 +123,7 @@
         };
         let blank = Db::default();
         let d = k.st.dbs.get(n).unwrap_or(&blank);
-        let e = self.placed.entry(n.into()).or_insert((d.fencers.clone(), k.now));
-        if e.0 != d.fencers {
-            *e = (d.fencers.clone(), k.now);
-        }
+        since(&mut self.placed, n.into(), d.fencers.clone(), k.now);
         let lead = d.primary.as_ref().and_then(|p| k.st.servers.get(p));
         let moving = d.phase != "steady" || lead.is_some_and(|s| server_off(k.st, s).is_some());
         let stay = |m: &Member| {
--- a/tenet/src/polls.rs
+++ b/tenet/src/polls.rs
@@ -47,6 +47,23 @@
         }
     }
 
+    pub(crate) fn set_shares(&mut self, now: Time, t: &Table) {
+        for d in &t.dbs {
+            let extra = if d.fences && now >= d.fence_from { d.fence_share } else { 0 };
+            for s in &d.servers {
+                self.pools[*s].share = t.servers[*s].read_share + extra;
+                self.pools[*s].warm = t.servers[*s].warm;
+            }
+        }
+    }
+
+    pub(crate) fn send_close(&mut self, now: Time, server: usize, conn: u64, out: &mut FrontOut) {
+        let token = self.use_token(Use::Nobody);
+        let to = self.t.as_ref().map_or(Addr::NONE, |t| t.servers[server].addr);
+        let body = json!({ "conn": conn });
+        out.back.push(BackCall { token, to, path: "/close", body, not_after: now + 1000, timeout: 1000 });
+    }
+
     fn give_back(&mut self, now: Time, t: &Table, out: &mut FrontOut) {
         let rules = self.rules();
         let lost = now > self.until;
@@ -55,19 +72,11 @@
                 self.pools[s].share = 0;
             }
             for conn in self.pools[s].surplus(now, &rules) {
-                let token = self.use_token(Use::Nobody);
-                let body = json!({ "conn": conn });
-                let to = t.servers[s].addr;
-                out.back.push(BackCall { token, to, path: "/close", body, not_after: now + 1000, timeout: 1000 });
+                self.send_close(now, s, conn, out);
             }
         }
         if !lost {
-            for d in &t.dbs {
-                for s in &d.servers {
-                    let extra = if d.fences && now >= d.fence_from { d.fence_share } else { 0 };
-                    self.pools[*s].share = t.servers[*s].read_share + extra;
-                }
-            }
+            self.set_shares(now, t);
         }
     }
 
--- a/tenet/src/trip.rs
+++ b/tenet/src/trip.rs
@@ -125,14 +125,13 @@
 
     fn too_old(&self, now: Time, i: usize, d: &Done) -> bool {
         let t = &self.trips[i];
-        let replica = matches!(t.gos.last().map(|g| g.to), Some(To::Replica(_)));
-        let (For::Caller { session, .. }, Some(b), true) = (&t.owner, t.bound, replica) else {
+        let last = t.gos.last().map(|g| g.to);
+        let (For::Caller { session, .. }, Some(b), Some(To::Replica(s))) = (&t.owner, t.bound, last) else {
             return false;
         };
         let (Some(db), Some(table)) = (self.sessions.get(session).map(|s| s.db), self.t.as_ref()) else {
             return true;
         };
-        let Some(To::Replica(s)) = t.gos.last().map(|g| g.to) else { return true };
         self.proof(now, table, db, s, d.pos).is_none_or(|a| a >= b)
     }
 
@@ -187,7 +186,7 @@
                     state: TxnState::Open,
                 });
             }
-            (Act::Commit | Act::Rollback, _) => s.txn = None,
+            (Act::Commit, _) => s.txn = None,
             (Act::Step, Err(e)) if e.kind != Kind::Failed => {
                 if let Some(x) = s.txn.as_mut() {
                     x.state = TxnState::Broken(e.to_string());
