--- a/tenet/tests/place.rs
+++ b/tenet/tests/place.rs
@@ -7,7 +7,9 @@
 use tenet::route::{hop, Hop};
 use tenet::state::*;
 use tenet::table::{Maker, Table};
-use tenet::wire::{Act, Load};
+use tenet::colleagues::Colleagues;
+use tenet::pilot::{Sky, Watch};
+use tenet::wire::{Act, Load, Sight, Summary};
 
 const ALUMNI: &str = include_str!("../../examples/alumni.json");
 const DOMAINS: [&str; 3] = ["geneva-1", "zurich-1", "lugano-1"];
@@ -124,3 +126,23 @@
     assert!(matches!(go(local, &load(&["geneva"], vec![9])), Hop::Fence(_)));
     assert!(matches!(go(remote, &load(&["zurich"], vec![9])), Hop::Nowhere(Kind::NoHome, _)));
 }
+
+#[test]
+fn the_last_heir_that_was_rebuilt_joins_anew() {
+    let (c, mut s, epoch) = fleet();
+    let why = String::new();
+    put(&mut s, Op::HeirLeave { db: "members".into(), epoch, server: "c".into(), why });
+    put(&mut s, announce("b", DOMAINS[1], 99));
+    let me = Summary { id: 1, addr: Addr::NONE, http: Addr::NONE, domain: DOMAINS[1].into(), disk: true, life: 1, status: 0, view: 1, mark: 1, allows: true, stopping: false };
+    let peers = Colleagues::new(me, vec![]);
+    let sight = |n: &str, life, leads: bool| Sight {
+        server: n.into(), life, age: 0, reach: true, pos: 5, follows: if leads { "" } else { "a" }.into(), leads, link: true,
+    };
+    let mut w = Watch::default();
+    let mut joins = |now| {
+        w.sights(now, 2, vec![sight("a", 10, true), sight("b", 99, false)]);
+        let (ops, _) = w.tick(&Sky { now, me: 1, st: &s, cfg: &c, c: &peers });
+        ops.iter().any(|o| matches!(o, Op::HeirJoin { server, .. } if server == "b"))
+    };
+    assert!(joins(5000) && joins(9000));
+}
