Never wait past the moment of giving up

Cause: the pause before the next go (up to 200 ms) was not bounded by the deadline or by patience, so a hopeless request was answered that much late.

--- a/tenet/src/ledger.rs
+++ b/tenet/src/ledger.rs
@@ -101,7 +101,7 @@
     let due = end + 40 * (n / p.gateways.len()).min(5) as Time;
     match now >= due {
         true => Move::Send { to, look_up: doubt },
-        false => Move::Wait(due),
+        false => Move::Wait(due.min(if doubt { p.deadline } else { p.patience })),
     }
 }
 
@@ -160,6 +160,14 @@
         assert_eq!(next(&p, &[go(1, End::Lost)], 10), Move::Give(Kind::Aborted));
     }
 
+    #[test]
+    fn a_pause_before_the_next_go_never_passes_the_moment_of_giving_up() {
+        let no = |at| Go { end_at: at, ..go(1, End::Rejected(Kind::NoPrimary)) };
+        assert_eq!(next(&plan(), &[no(0), no(0), no(0), no(480)], 490), Move::Wait(500));
+        let lost = Go { end_at: 900, ..go(1, End::Lost) };
+        assert_eq!(next(&plan(), &[lost, no(950), no(960), no(980)], 990), Move::Wait(1000));
+    }
+
     #[test]
     fn the_same_gos_always_give_the_same_move() {
         arbtest::arbtest(|u| {
