--- a/chance/src/cause.rs
+++ b/chance/src/cause.rs
@@ -5,13 +5,27 @@
 
 impl Sim {
     pub fn fault(&mut self, f: Fault) {
+        match &f {
+            Fault::Stop(_) | Fault::Retire(_) | Fault::Evacuate(_, true) | Fault::Drain(_, true) => self.watch.planned.push(self.now),
+            Fault::Start(_) | Fault::Configure | Fault::StaleConfigure | Fault::BadConfigure | Fault::Evacuate(..) | Fault::Drain(..) => (),
+            _ => self.watch.unplanned = true,
+        }
         match f {
             Fault::Kill(i) => self.kill(i),
             Fault::Start(i) => self.boot(i),
             Fault::Wipe(i) => {
                 self.kill(i);
-                self.nodes[i].files.clear();
+                self.nodes[i].platter.wipe();
+            }
+            Fault::Stop(i) => self.stop(i),
+            Fault::Move(i, to) => {
+                self.kill(i);
+                let d: Vec<String> = self.cfg.domains.keys().cloned().collect();
+                self.nodes[i].domain = d[to as usize % d.len()].clone();
+                self.nodes[i].addr.port += 1;
+                self.boot(i);
             }
+            Fault::FullDisk(i, on) => self.nodes[i].platter.full = on,
             Fault::Freeze(i) => self.nodes[i].frozen = true,
             Fault::Thaw(i) => self.thaw(i),
             Fault::ThawAll => (0..self.nodes.len()).for_each(|i| self.thaw(i)),
@@ -120,11 +134,16 @@
         self.nodes.iter().filter(|n| n.domain == d).map(|n| n.i).collect()
     }
 
-    fn kill(&mut self, i: usize) {
+    pub(crate) fn kill(&mut self, i: usize) {
+        let power = self.roll(2) == 0;
+        self.kill_with(i, power);
+    }
+
+    pub(crate) fn kill_with(&mut self, i: usize, power: bool) {
         if self.nodes[i].up {
             let r = self.roll(1 << 20);
             self.node_gone(i);
-            self.nodes[i].crash(r);
+            self.nodes[i].crash(power, r);
             self.node_died(i);
         }
     }
@@ -133,10 +152,15 @@
         if self.nodes[i].up {
             return;
         }
-        let seeds = (0..3).map(node_addr).collect();
+        let k = self.roll(self.nodes.len() as u64) as usize;
+        let most = self.nodes.iter().filter(|n| n.up).count() * 2 > self.nodes.len();
+        let seeds = match most {
+            true => (0..3).map(|j| self.nodes[(k + j) % self.nodes.len()].addr).collect(),
+            false => (0..3).map(node_addr).collect(),
+        };
         let (now, seed) = (self.now, self.seed);
         match self.nodes[i].boot(now, seeds, seed) {
-            Ok(e) => self.effect(i, e),
+            Ok(e) => e.into_iter().for_each(|e| self.effect(i, e)),
             Err(e) => self.watch.faults.push(format!("disk: node {i} cannot read its own disk: {e}")),
         }
     }
--- a/chance/src/client.rs
+++ b/chance/src/client.rs
@@ -1,5 +1,4 @@
 use crate::sim::*;
-use guise::check::Event;
 use guise::mix::{Caller, Class, Do};
 use serde_json::Value;
 use tenet::base::*;
@@ -30,6 +29,14 @@
     pub kept_at: Time,
     pub worst: Time,
     pub sent: Time,
+    pub tenant: Option<String>,
+    pub waiting: Option<Req>,
+    pub begun: Time,
+}
+
+fn tenant(c: &Config, db: &str, i: usize) -> Option<String> {
+    let v: Vec<&String> = c.databases[db].tenants.keys().collect();
+    (i % 4 == 1).then(|| v.get(i / 12 % v.len().max(1)).map(|t| t.to_string())).flatten()
 }
 
 impl Client {
@@ -45,11 +52,14 @@
                 doing: Doing::Idle,
                 start: 0,
                 turn: 0,
-                pause: s.pause,
+                pause: if i % 12 == 11 { 15_000 } else { s.pause },
                 call: 0,
                 kept_at: 0,
                 worst: 0,
                 sent: 0,
+                tenant: tenant(c, dbs[i % dbs.len()], i),
+                waiting: None,
+                begun: 0,
             })
             .collect()
     }
@@ -62,6 +72,9 @@
         if self.clients[c].turn != turn {
             return;
         }
+        if let Some(r) = self.clients[c].waiting.take() {
+            return self.send(c, r);
+        }
         if !matches!(self.clients[c].doing, Doing::Idle) {
             let call = self.clients[c].call;
             return self.reply(call, BackRes::Lost);
@@ -73,7 +86,8 @@
         let Some(session) = self.clients[c].session else {
             self.clients[c].doing = Doing::Opening;
             let (db, user) = (self.clients[c].db.clone(), format!("caller-{c}"));
-            return self.send(c, Req::Open { db, user, tenant: None, settings: vec![] });
+            let tenant = self.clients[c].tenant.clone();
+            return self.send(c, Req::Open { db, user, tenant, settings: vec![] });
         };
         let kinds = self.kinds.clone();
         match self.clients[c].caller.next(&kinds) {
@@ -141,6 +155,7 @@
             Doing::Txn { id, steps, at, key, value, begun } => {
                 if !ok {
                     let committing = at > steps.len();
+                    self.cut_short(c, begun, &res);
                     let res = if committing { res } else { BackRes::NotSent };
                     self.record(c, &res, Class::Write, id, key, value);
                     if begun && !gone && !committing {
@@ -157,8 +172,11 @@
                         }
                         None => Req::Commit { session, budget: None },
                     };
+                    if !begun {
+                        self.clients[c].begun = self.now;
+                    }
                     self.clients[c].doing = Doing::Txn { id, steps, at: at + 1, key, value, begun: true };
-                    return self.send(c, req);
+                    return self.later(c, req);
                 }
             }
             Doing::Setting { name, value } if ok => {
@@ -185,53 +203,30 @@
         self.at(self.now + p, Ev::Client(c, turn));
     }
 
-    fn move_on(&mut self, c: usize) {
-        self.clients[c].session = None;
-        let n = self.nodes.len();
-        let k = &mut self.clients[c].node;
-        *k = if *k + 1 >= n { 3 } else { *k + 1 };
+    fn later(&mut self, c: usize, req: Req) {
+        let p = self.clients[c].caller.roll(500);
+        if p > 250 {
+            return self.send(c, req);
+        }
+        self.clients[c].waiting = Some(req);
+        self.clients[c].turn += 1;
+        let turn = self.clients[c].turn;
+        self.at(self.now + p, Ev::Client(c, turn));
     }
 
-    fn record(&mut self, c: usize, res: &BackRes, class: Class, id: String, key: String, value: i64) {
-        let out = Sim::out(res);
-        let (start, end) = (self.clients[c].start, self.now);
-        let value = match (class, res) {
-            (Class::Write, _) => value,
-            (_, BackRes::Ok(v)) => v["result"].as_i64().unwrap_or(0),
-            _ => 0,
-        };
-        if let BackRes::Ok(v) = res {
-            self.hops(c, &id, v);
-            if class == Class::Current {
-                let n = v["hops"].as_array().map_or(0, |a| a.len());
-                let far = self.history.hops.last().map_or(0, |h| h.1.windows(2).filter(|w| w[0] != w[1]).count());
-                self.watch.tiers.entry((n, far)).or_default().push(end - start);
-            }
-            let heal = self.watch.heal_at;
-            if heal > 0 && start >= heal && class == Class::Write {
-                self.watch.healed.entry(self.clients[c].node).or_insert(end - heal);
-            }
-            let k = &mut self.clients[c];
-            k.worst = k.worst.max(if k.kept_at > 0 { end - k.kept_at } else { 0 });
-            k.kept_at = end;
+    fn cut_short(&mut self, c: usize, begun: bool, res: &BackRes) {
+        let (at, now) = (self.clients[c].begun, self.now);
+        let first = self.watch.planned.iter().find(|p| at <= **p);
+        let soon = first.filter(|p| now < **p + 2900).copied();
+        if let (true, false, Some(p)) = (begun, self.watch.unplanned, soon) {
+            self.watch.faults.push(format!("cut: a transaction of caller {c} on {} ended {} ms after a planned change at {p}: {res:?}", self.clients[c].db, now - p));
         }
-        let word = match res {
-            BackRes::Rejected(_, w) => w.split(':').next().unwrap_or("").to_string(),
-            r => format!("{:?}", Sim::out(r)).to_lowercase(),
-        };
-        *self.history.kinds.entry(format!("{class:?} {word}")).or_default() += 1;
-        self.history.events.push(Event { start, end, session: c as u64, class, id, key, value, out });
     }
 
-    fn hops(&mut self, c: usize, id: &str, v: &Value) {
-        let node = |h: &Value| {
-            let h = u64::from_str_radix(h.as_str()?, 16).ok()?;
-            let n = self.nodes.iter().find(|n| n.control.as_ref().is_some_and(|c| c.me.id == h))?;
-            self.cfg.region(&n.domain).map(String::from)
-        };
-        let path: Vec<String> = v["hops"].as_array().map_or(vec![], |a| a.iter().filter_map(node).collect());
-        let mut ok = self.cfg.databases[&self.clients[c].db].homes.clone();
-        ok.extend(self.cfg.region(&self.nodes[self.clients[c].node].domain).map(String::from));
-        self.history.hops.push((id.into(), path, ok));
+    fn move_on(&mut self, c: usize) {
+        self.clients[c].session = None;
+        let n = self.nodes.len();
+        let k = &mut self.clients[c].node;
+        *k = if *k + 1 >= n { 3 } else { *k + 1 };
     }
 }
--- a/chance/src/node.rs
+++ b/chance/src/node.rs
@@ -1,7 +1,8 @@
-use std::collections::BTreeMap;
+use crate::platter::{micros, Platter};
 use tenet::base::*;
 use tenet::control::*;
 use tenet::disk::*;
+use tenet::drain::Drain;
 use tenet::front::Front;
 
 pub struct Node {
@@ -14,7 +15,7 @@
     pub life: u32,
     pub control: Option<Control>,
     pub front: Option<Front>,
-    pub files: BTreeMap<&'static str, Vec<u8>>,
+    pub platter: Platter,
     pub shelf: Option<Shelf>,
     pub durable: Durable,
     pub writing: Vec<(u64, Vec<Rec>)>,
@@ -27,6 +28,8 @@
     pub mark: Mark,
     pub syncs: u64,
     pub thawed: Time,
+    pub wire: u8,
+    pub drain: Option<Drain>,
     pub logs: Vec<(Time, String)>,
 }
 
@@ -41,9 +44,10 @@
         self.start + (d * 1000 / (1000 + self.drift)) as Time + 1
     }
 
-    pub fn boot(&mut self, t: Time, seeds: Vec<Addr>, seed: u64) -> Result<Effect, String> {
+    pub fn boot(&mut self, t: Time, seeds: Vec<Addr>, seed: u64) -> Result<Option<Effect>, String> {
         self.up = true;
         self.frozen = false;
+        self.drain = None;
         self.start = t;
         self.life += 1;
         self.disk_free = t;
@@ -51,7 +55,7 @@
         self.mark = 0;
         let mut durable = None;
         if self.disk {
-            let f = |n: &str| self.files.get(n).cloned().unwrap_or_default();
+            let f = |n: &str| self.platter.files.get(n).cloned().unwrap_or_default();
             let (s, l) = ([f(SLOTS[0]), f(SLOTS[1])], [f(LOGS[0]), f(LOGS[1])]);
             let (shelf, d) = Shelf::recover([&s[0], &s[1]], [&l[0], &l[1]])?;
             self.shelf = Some(shelf);
@@ -59,7 +63,10 @@
             self.durable = durable.clone().unwrap_or_default();
             let d = self.durable.clone();
             let ops = self.shelf.as_mut().map(|s| s.fresh(&d)).unwrap_or_default();
-            ops.into_iter().for_each(|o| self.file(o));
+            if !self.platter.run(ops) {
+                self.up = false;
+                return Ok(None);
+            }
         }
         let start = Start {
             addr: self.addr,
@@ -70,58 +77,50 @@
             durable,
             seed: mix(seed ^ mix(self.i as u64 * 1000 + self.life as u64)),
             wall: 1_000_000 + t,
+            wire: self.wire,
         };
         let (c, e) = Control::new(start, 1);
         self.front = (!self.disk).then(|| Front::new(c.me.id, self.addr, mix(seed ^ mix(self.i as u64 * 1000 + self.life as u64) ^ 5)));
         self.control = Some(c);
-        Ok(e)
+        Ok(Some(e))
     }
 
-    pub fn file(&mut self, op: FileOp) {
-        self.syncs += 1;
-        match op {
-            FileOp::Append { name, bytes } => self.files.entry(name).or_default().extend(bytes),
-            FileOp::Replace { name, bytes } => {
-                self.files.insert(name, bytes);
-            }
-        }
+    pub fn synced(&mut self, seq: u64) -> Result<bool, ()> {
+        let Some(p) = self.writing.iter().position(|w| w.0 == seq) else { return Ok(false) };
+        let v: Vec<Rec> = self.writing.drain(..=p).flat_map(|w| w.1).collect();
+        let ops = self.ops(&v);
+        self.syncs += ops.len() as u64;
+        self.platter.run(ops).then_some(true).ok_or(())
     }
 
-    pub fn synced(&mut self, seq: u64) -> bool {
-        let Some(p) = self.writing.iter().position(|w| w.0 == seq) else { return false };
-        let done: Vec<(u64, Vec<Rec>)> = self.writing.drain(..=p).collect();
-        for (_, v) in done {
-            v.iter().for_each(|r| {
-                self.durable.play(r);
-            });
-            let d = self.durable.clone();
-            let ops = self.shelf.as_mut().map(|s| s.keep(&v, &d)).unwrap_or_default();
-            ops.into_iter().for_each(|o| self.file(o));
-        }
-        true
+    fn ops(&mut self, v: &[Rec]) -> Vec<FileOp> {
+        v.iter().for_each(|r| {
+            self.durable.play(r);
+        });
+        let d = self.durable.clone();
+        self.shelf.as_mut().map(|s| s.keep(v, &d)).unwrap_or_default()
     }
 
-    pub fn crash(&mut self, roll: u64) {
-        let torn = self.writing.first().cloned();
-        if let (Some((_, v)), Some(s)) = (torn, self.shelf.as_mut()) {
-            for r in &v {
-                self.durable.play(r);
-            }
-            for op in s.keep(&v, &self.durable) {
-                match op {
-                    FileOp::Append { name, bytes } => {
-                        let n = roll as usize % (bytes.len() + 1);
-                        self.files.entry(name).or_default().extend(&bytes[..n]);
-                    }
-                    FileOp::Replace { name, bytes } => {
-                        let n = roll as usize % (bytes.len() + 1);
-                        self.files.insert(name, bytes[..n].to_vec());
-                        break;
+    pub fn crash(&mut self, power: bool, roll: u64) {
+        let torn: Vec<Rec> = self.writing.drain(..).flat_map(|w| w.1).collect();
+        let mut k = roll;
+        let mut coin = || {
+            k = mix(k);
+            k % 2 == 0
+        };
+        if !torn.is_empty() && self.up {
+            let ops = self.ops(&torn);
+            let mut left = roll % 8;
+            for o in &ops {
+                for m in micros(&self.platter, o) {
+                    if left > 0 {
+                        left -= 1;
+                        self.platter.act(m);
                     }
                 }
             }
         }
-        self.writing.clear();
+        self.platter.crash(power, &mut coin);
         self.up = false;
         self.frozen = false;
         self.control = None;
--- a/chance/src/scripts.rs
+++ b/chance/src/scripts.rs
@@ -173,6 +173,32 @@
         let k = 1 + s.roll(2);
         vec![(10_000, CutServer(format!("{d}-{k}"), 0)), (12_000 + s.roll(4000), Crash(d)), (20_000, Heal)]
     } },
+    Script { name: "stops", end: 64_000, faults: |s| {
+        (0..s.nodes.len()).flat_map(|i| {
+            let t = 10_000 + 4200 * i as u64;
+            [(t, Stop(i)), (t + 5500, Start(i))]
+        }).collect()
+    } },
+    Script { name: "stop-anytime", end: 40_000, faults: |s| {
+        let (d, z, i) = (db(s), domain(s), s.roll(s.nodes.len() as u64) as usize);
+        let f = [Crash(d.clone()), Retire(d), Evacuate(z.clone(), true), KillHead][s.roll(4) as usize].clone();
+        let t = 12_000 + s.roll(5000);
+        vec![(12_000, f), (t, Stop(i)), (t + 6000, Start(i)), (24_000, Evacuate(z, false)), (24_000, Start(0)), (24_000, Start(1)), (24_000, Start(2))]
+    } },
+    Script { name: "full-disk", end: 44_000, faults: |s| {
+        let i = s.roll(3) as usize;
+        vec![(12_000, FullDisk(i, true)), (12_500, Configure), (14_000, Start(i)), (16_000, Configure), (20_000, FullDisk(i, false)),
+            (21_000, Start(i)), (30_000, Kill((i + 1) % 3)), (31_000, Configure)]
+    } },
+    Script { name: "moved", end: 50_000, faults: |s| {
+        let n = s.nodes.len() as u64;
+        let mut v = Vec::new();
+        for k in 0..4 {
+            let (i, to) = (if k < 3 { k as usize } else { 3 + s.roll(n - 3) as usize }, s.roll(9));
+            v.extend([(12_000 + 7000 * k, Move(i, to)), (14_000 + 7000 * k, Configure)]);
+        }
+        v
+    } },
     Script { name: "storm", end: 70_000, faults: |s| {
         let mut v = Vec::new();
         for k in 0..6 {
--- a/chance/src/sim.rs
+++ b/chance/src/sim.rs
@@ -21,6 +21,7 @@
     WakeF(usize, u32, Time),
     Back { node: usize, life: u32, token: u64, server: usize, path: &'static str, body: Value },
     Lost(usize, u32, u64),
+    Drain(usize, u32),
     Client(usize, u64),
     Reply { call: u64, res: BackRes },
     Synced(usize, u32, u64),
@@ -114,7 +115,7 @@
             life: 0,
             control: None,
             front: None,
-            files: BTreeMap::new(),
+            platter: Default::default(),
             shelf: None,
             durable: Default::default(),
             writing: Vec::new(),
@@ -127,6 +128,8 @@
             mark: 0,
             syncs: 0,
             thawed: 0,
+            wire: tenet::wire::WIRE,
+            drain: None,
             logs: Vec::new(),
         };
         let nodes: Vec<Node> = (0..s.nodes).map(node).collect();
--- a/chance/src/step.rs
+++ b/chance/src/step.rs
@@ -17,8 +17,20 @@
             Ev::WakeC(..) | Ev::WakeF(..) => (),
             Ev::Synced(i, life, seq) => {
                 let n = &mut self.nodes[i];
-                if n.life == life && n.up && (self.plant == Plant::LyingDisk || n.synced(seq)) {
-                    self.control(i, life, In::Synced(seq));
+                if n.life != life || !n.up {
+                    return;
+                }
+                match self.plant == Plant::LyingDisk || n.frozen {
+                    true if n.frozen => self.at(self.now + 20, Ev::Synced(i, life, seq)),
+                    true => self.control(i, life, In::Synced(seq)),
+                    false => match n.synced(seq) {
+                        Ok(true) => self.control(i, life, In::Synced(seq)),
+                        Ok(false) => (),
+                        Err(()) => {
+                            self.watch.disk_ends += 1;
+                            self.kill_with(i, false);
+                        }
+                    },
                 }
             }
             Ev::Back { node, life, token, server, path, body } => self.back(node, life, token, server, path, body),
@@ -26,6 +38,7 @@
                 self.given_up(i, token);
                 self.front(i, life, FrontIn::Back { token, res: BackRes::Lost });
             }
+            Ev::Drain(i, life) => self.draining(i, life),
             Ev::Client(c, turn) => self.client(c, turn),
             Ev::Reply { call, res } => self.reply(call, res),
             Ev::Promote { node, life, db, server, epoch } => self.promote(node, life, db, server, epoch),
--- a/chance/src/watch.rs
+++ b/chance/src/watch.rs
@@ -21,6 +21,9 @@
     pub tiers: BTreeMap<(usize, usize), Vec<Time>>,
     pub loss_at: Time,
     pub back_after: Time,
+    pub disk_ends: u64,
+    pub planned: Vec<Time>,
+    pub unplanned: bool,
     pub heal_at: Time,
     pub healed: BTreeMap<usize, Time>,
 }
--- a/chance/src/wires.rs
+++ b/chance/src/wires.rs
@@ -157,7 +157,7 @@
 
     pub fn post(&mut self, i: usize, to: Addr, p: Packet) {
         let k = match p.msg {
-            Msg::Probe { .. } | Msg::ProbeAck { .. } | Msg::ProbeFor { .. } => "gossip",
+            Msg::Probe { .. } | Msg::ProbeAck { .. } | Msg::ProbeFor { .. } | Msg::ProbeOf { .. } | Msg::Speaks { .. } => "gossip",
             Msg::Carry { .. } | Msg::Carried { .. } => "traffic",
             Msg::Append { .. } | Msg::Have { .. } | Msg::Propose { .. } | Msg::Outcome { .. } => "chain",
             Msg::Sights { .. } => "sights",
--- a/guise/src/mix.rs
+++ b/guise/src/mix.rs
@@ -93,7 +93,7 @@
             let value = self.value;
             let tag = format!("caller-{}", self.n);
             let mut steps = vec![json!({"op": "get", "key": mine, "tag": tag})];
-            for _ in 0..self.roll(6) {
+            for _ in 0..self.roll(11) {
                 steps.push(json!({"op": "get", "key": peer, "tag": tag}));
             }
             steps.push(json!({"op": "put", "key": mine, "value": value, "tag": tag}));
--- a/medium/src/files.rs
+++ b/medium/src/files.rs
@@ -34,6 +34,13 @@
 impl Folder {
     fn act(&self, op: FileOp) -> Result<()> {
         match op {
+            FileOp::Settle => {
+                let all = SLOTS.iter().chain(&LOGS).map(|n| self.path.join(n)).filter(|p| p.exists());
+                for p in all {
+                    File::open(p)?.sync_all()?;
+                }
+                File::open(&self.path)?.sync_all()?;
+            }
             FileOp::Append { name, bytes } => {
                 let mut f = OpenOptions::new().create(true).append(true).open(self.path.join(name))?;
                 f.write_all(&bytes)?;
--- a/medium/src/run.rs
+++ b/medium/src/run.rs
@@ -12,6 +12,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tenet::control::{Control, In, Start};
+use tenet::drain::Drain;
 use tenet::front::{Front, FrontIn};
 use tenet::handoff::Handoff;
 use tenet::wire::Msg;
@@ -78,13 +79,14 @@
         durable,
         seed,
         wall: wall(),
+        wire: tenet::wire::WIRE,
     };
     let (control, first) = Control::new(start, clock.now());
     let me = control.me;
     let (give, news) = Handoff::new(None);
     let control_calls = Arc::new(Calls::default());
     let front_calls = Arc::new(Calls::default());
-    let drained = Arc::new(AtomicBool::new(disk));
+    let drained = Arc::new(AtomicBool::new(false));
     let stopping = Arc::new(AtomicBool::new(false));
     let empty = Arc::new(AtomicBool::new(disk));
     let mut dtx = None;
@@ -111,6 +113,8 @@
         back: back.clone(),
         platform: p.platform,
         rt: rt.clone(),
+        left: drained.clone(),
+        disk_machine: disk,
     };
     thread("control", move || side.run(control, first))?;
     if !disk {
@@ -150,12 +154,10 @@
         app.stopping.store(true, Ordering::Relaxed);
         let _ = app.control.send(In::Stopping);
         app.front.as_ref().map(|f| f.send(FrontIn::Stopping));
-        for i in 0..70 {
+        let d = Drain::new(clock.now());
+        let on = |b: &AtomicBool| b.load(Ordering::Relaxed);
+        while !d.done(clock.now(), on(&app.empty), on(&app.drained), app.busy.load(Ordering::Relaxed)) {
             tokio::time::sleep(Duration::from_millis(50)).await;
-            let seen_off = app.empty.load(Ordering::Relaxed) && i > 20;
-            if (seen_off || i > 54) && app.drained.load(Ordering::Relaxed) && app.busy.load(Ordering::Relaxed) == 0 {
-                break;
-            }
         }
         log::info!("node: stopped");
         std::process::exit(0);
--- a/medium/src/threads.rs
+++ b/medium/src/threads.rs
@@ -30,6 +30,8 @@
     pub back: Back,
     pub platform: Option<SocketAddr>,
     pub rt: Handle,
+    pub left: Arc<std::sync::atomic::AtomicBool>,
+    pub disk_machine: bool,
 }
 
 impl ControlSide {
@@ -44,6 +46,9 @@
                 Err(RecvTimeoutError::Disconnected) => return,
             };
             e = c.poll(self.clock.now(), i);
+            if self.disk_machine {
+                self.left.store(c.left(), std::sync::atomic::Ordering::Relaxed);
+            }
         }
     }
 
--- a/tenet/src/base.rs
+++ b/tenet/src/base.rs
@@ -8,8 +8,11 @@
 
 pub const PERMIT: Time = 1500;
 pub const PERMIT_DRIFT: Time = 150;
-pub const BYTES_ACK: Time = 350;
-pub const BYTES_LIFE: Time = 700;
+pub const REFRESH: Time = 250;
+pub const REFRESH_LATE: Time = 400;
+pub const REFRESH_AGAIN: Time = 80;
+pub const BYTES_ACK: Time = 200;
+pub const BYTES_LIFE: Time = 500;
 pub const LINE_ACK: Time = 600;
 pub const LINE_OLD: Time = 600;
 pub const TAIL_PERMIT: Time = 600;
--- /dev/null
+++ b/tenet/src/build.rs
@@ -0,0 +1,45 @@
+use crate::base::*;
+use crate::chain::Chain;
+use crate::colleagues::Colleagues;
+use crate::disk::*;
+
+impl Chain {
+    pub(crate) fn build(&self, now: Time, c: &Colleagues) -> Option<View> {
+        let v = &self.d.view;
+        let best = self.agree.promises.values().filter(|p| p.1 > 0).max_by_key(|p| p.1);
+        if let Some(x) = best.and_then(|p| p.2.clone()) {
+            return Some(x);
+        }
+        let whole = |s: &&Seat| self.agree.promises.get(&s.id).is_some_and(|p| p.0 == v.n);
+        let mut chain: Vec<Seat> = v.chain.iter().filter(whole).copied().collect();
+        if chain.is_empty() {
+            return None;
+        }
+        let go: Vec<NodeId> = chain.iter().map(|s| s.id).filter(|id| c.stops(*id)).collect();
+        if chain.len() >= go.len() + 2 {
+            chain.retain(|s| !go.contains(&s.id));
+        }
+        let mut voters = v.voters.clone();
+        let new: Vec<Seat> = c
+            .live()
+            .filter(|s| !s.stopping && s.disk && s.view > 0 && !voters.iter().any(|t| t.id == s.id))
+            .map(|s| Seat { id: s.id, addr: s.addr })
+            .collect();
+        let lost = |s: &Seat| s.id != self.me.id
+            && !self.agree.promises.contains_key(&s.id)
+            && self.missing(s.id, now, c);
+        for s in new {
+            if let Some(i) = voters.iter().position(lost) {
+                voters[i] = s;
+            }
+        }
+        let add: Vec<Seat> = voters
+            .iter()
+            .filter(|s| c.alive(s.id) && !c.stops(s.id) && !chain.iter().any(|t| t.id == s.id))
+            .copied()
+            .collect();
+        chain.extend(add);
+        chain.iter_mut().chain(voters.iter_mut()).for_each(|s| s.addr = self.now_at(s, c));
+        Some(View { n: v.n + 1, cluster: v.cluster, voters, chain })
+    }
+}
--- a/tenet/src/chain.rs
+++ b/tenet/src/chain.rs
@@ -89,6 +89,9 @@
         while self.sync_q.front().is_some_and(|(s, _)| *s <= seq) {
             if let Some((_, m)) = self.sync_q.pop_front() {
                 let from = self.synced;
+                if self.succ_have >= from {
+                    self.succ_at = now;
+                }
                 self.synced = m;
                 self.advance(now, from, out);
             }
@@ -151,7 +154,7 @@
     pub fn take(&mut self, now: Time, from: NodeId, addr: Addr, m: Msg, c: &Colleagues, out: &mut Out) {
         let n = self.d.view.n;
         match m {
-            Msg::Propose { ask } => self.propose(now, ask, out),
+            Msg::Propose { ask } => self.propose(ask, out),
             Msg::Append { view, prev, entries } if view == n && self.pred().is_some_and(|p| p.id == from) => {
                 if self.whole() && prev <= self.d.state.mark {
                     for e in entries {
@@ -183,6 +186,8 @@
                 if newer {
                     self.log.clear();
                     self.keep(Rec::Frame { state, whole: n }, out);
+                } else {
+                    out.send.push((addr, Msg::Have { view, mark: self.synced }));
                 }
             }
             Msg::Append { view, .. } | Msg::Have { view, .. } | Msg::FrameAsk { view } if view < n => {
--- a/tenet/src/colleagues.rs
+++ b/tenet/src/colleagues.rs
@@ -15,6 +15,7 @@
     pub since: Time,
     pub heard: Time,
     pub why: String,
+    pub wire: u8,
 }
 
 pub(crate) struct Open {
@@ -27,10 +28,11 @@
 
 pub struct Colleagues {
     pub me: Summary,
+    pub wire: u8,
     pub all: BTreeMap<NodeId, Colleague>,
     pub(crate) seeds: Vec<Addr>,
     pub(crate) open: Vec<Open>,
-    pub(crate) relay: Vec<(u32, Addr, u32, Time)>,
+    pub(crate) relay: Vec<(u32, Addr, u32, NodeId, Time)>,
     fresh: VecDeque<(NodeId, u8)>,
     pub(crate) cursor: NodeId,
     news_cursor: NodeId,
@@ -41,9 +43,10 @@
 }
 
 impl Colleagues {
-    pub fn new(me: Summary, seeds: Vec<Addr>) -> Self {
+    pub fn new(me: Summary, seeds: Vec<Addr>, wire: u8) -> Self {
         Colleagues {
             me,
+            wire,
             all: BTreeMap::new(),
             seeds,
             open: Vec::new(),
@@ -66,6 +69,17 @@
         self.all.get(&id).is_some_and(|c| c.s.status == ALIVE && !c.s.stopping)
     }
 
+    pub fn stops(&self, id: NodeId) -> bool {
+        match id == self.me.id {
+            true => self.me.stopping,
+            false => self.all.get(&id).is_some_and(|c| c.s.stopping),
+        }
+    }
+
+    pub fn suspect(&self, id: NodeId) -> bool {
+        self.all.get(&id).is_some_and(|c| c.s.status == SUSPECT)
+    }
+
     pub fn quiet(&self, id: NodeId, now: Time) -> Option<Time> {
         self.all.get(&id).filter(|c| c.s.status != ALIVE).map(|c| now.saturating_sub(c.since))
     }
@@ -139,7 +153,8 @@
             let id = s.id;
             let mut s = s;
             s.status = s.status.min(GONE);
-            self.all.insert(id, Colleague { s, since, heard: now, why: "told".into() });
+            let wire = self.all.get(&id).map_or(1, |c| c.wire);
+            self.all.insert(id, Colleague { s, since, heard: now, why: "told".into(), wire });
             self.fresh.push_back((id, 6));
         } else if let Some(c) = self.all.get_mut(&s.id) {
             if s.life == c.s.life && (direct || s.mark >= c.s.mark) {
@@ -149,6 +164,13 @@
         }
     }
 
+    fn probe_for(&mut self, now: Time, to: Addr, seq: u32, target: Addr, id: NodeId, send: &mut Vec<(Addr, Msg)>) {
+        self.seq += 1;
+        self.relay.push((self.seq, to, seq, id, now));
+        let news = self.news();
+        send.push((target, Msg::Probe { seq: self.seq, news }));
+    }
+
     pub fn heard(&mut self, id: NodeId, now: Time) {
         if let Some(c) = self.all.get_mut(&id) {
             c.heard = now;
@@ -157,7 +179,11 @@
 
     pub fn take(&mut self, now: Time, from: NodeId, addr: Addr, m: &Msg, send: &mut Vec<(Addr, Msg)>) {
         let news = match m {
-            Msg::Probe { news, .. } | Msg::ProbeAck { news, .. } | Msg::ProbeFor { news, .. } => news,
+            Msg::Probe { news, .. } | Msg::ProbeAck { news, .. } | Msg::ProbeFor { news, .. } | Msg::ProbeOf { news, .. } => news,
+            Msg::Speaks { wire } => {
+                self.all.get_mut(&from).into_iter().for_each(|c| c.wire = *wire);
+                return;
+            }
             _ => return,
         };
         for s in news {
@@ -180,11 +206,9 @@
                 send.push((addr, Msg::ProbeAck { seq: *seq, news }));
             }
             Msg::ProbeFor { seq, target, .. } => {
-                self.seq += 1;
-                self.relay.push((self.seq, addr, *seq, now));
-                let news = self.news();
-                send.push((*target, Msg::Probe { seq: self.seq, news }));
+                self.probe_for(now, addr, *seq, *target, 0, send);
             }
+            Msg::ProbeOf { seq, target, id, .. } => self.probe_for(now, addr, *seq, *target, *id, send),
             Msg::ProbeAck { seq, .. } => {
                 let o = self.open.iter().position(|o| o.seq == *seq).map(|i| self.open.swap_remove(i));
                 if let Some(o) = o {
@@ -194,8 +218,8 @@
                         self.turn(id, "heard", "it answered a probe", now);
                     }
                 }
-                let r = self.relay.iter().position(|r| r.0 == *seq).map(|i| self.relay.swap_remove(i));
-                if let Some((_, to, seq, _)) = r {
+                let r = self.relay.iter().position(|r| r.0 == *seq && (r.3 == 0 || r.3 == from)).map(|i| self.relay.swap_remove(i));
+                if let Some((_, to, seq, ..)) = r {
                     let news = self.news();
                     send.push((to, Msg::ProbeAck { seq, news }));
                 }
--- a/tenet/src/control.rs
+++ b/tenet/src/control.rs
@@ -68,7 +68,7 @@
             domain: s.domain,
             http: s.http,
             wall: s.wall.saturating_sub(now),
-            c: Colleagues::new(sum, s.seeds),
+            c: Colleagues::new(sum, s.seeds, s.wire),
             chain: s.disk.then(|| Chain::new(me, d, now)),
             f: Follow::new(view),
             watch: Watch::default(),
@@ -92,18 +92,6 @@
         (me, e)
     }
 
-    pub fn state(&self) -> &State {
-        &self.f.state
-    }
-
-    pub fn view(&self) -> &View {
-        &self.f.view
-    }
-
-    pub fn wall(&self, now: Time) -> u64 {
-        self.wall + now
-    }
-
     pub fn poll(&mut self, now: Time, i: In) -> Effect {
         let mut e = Effect::default();
         let mut out = Out::default();
@@ -154,6 +142,9 @@
 
     fn packet(&mut self, now: Time, p: Packet, out: &mut Out, e: &mut Effect) {
         let Packet { from, addr, msg, .. } = p;
+        if form(&msg) > self.c.wire {
+            return;
+        }
         self.c.take(now, from, addr, &msg, &mut out.send);
         match msg {
             Msg::Outcome { id, verdict } => {
@@ -214,6 +205,9 @@
         let (from, addr, cluster) = (self.me.id, self.me.addr, self.f.view.cluster);
         let mut own = Vec::new();
         for (to, msg) in out.send {
+            if form(&msg) > self.c.wire {
+                continue;
+            }
             let p = Packet { from, addr, cluster, msg };
             if to == addr {
                 own.push(p);
--- a/tenet/src/disk.rs
+++ b/tenet/src/disk.rs
@@ -62,19 +62,21 @@
     }
 }
 
-const MAGIC: u32 = 0x6669_7272;
+const MAGIC: u32 = 0x6669_7200;
+const FORM: u8 = b'r';
 const HEAD: usize = 24;
 pub const SLOTS: [&str; 2] = ["slot.0", "slot.1"];
 pub const LOGS: [&str; 2] = ["log.0", "log.1"];
 
 pub enum FileOp {
+    Settle,
     Append { name: &'static str, bytes: Vec<u8> },
     Replace { name: &'static str, bytes: Vec<u8> },
 }
 
 fn seal(generation: u64, body: &[u8]) -> Vec<u8> {
     let mut v = Vec::with_capacity(HEAD + body.len());
-    v.extend(MAGIC.to_le_bytes());
+    v.extend((MAGIC | FORM as u32).to_le_bytes());
     v.extend((body.len() as u32).to_le_bytes());
     v.extend(generation.to_le_bytes());
     v.extend((digest(body) ^ mix(generation ^ body.len() as u64)).to_le_bytes());
@@ -88,26 +90,34 @@
     let n = u4(4)? as usize;
     let g = u8_(8)?;
     let body = b.get(HEAD..HEAD.checked_add(n)?)?;
-    let ok = u4(0)? == MAGIC && u8_(16)? == digest(body) ^ mix(g ^ n as u64);
+    let ok = u4(0)? & !0xff == MAGIC && u8_(16)? == digest(body) ^ mix(g ^ n as u64);
     ok.then_some((g, body, HEAD + n))
 }
 
+fn same_form(b: &[u8]) -> Result<(), String> {
+    let form = b.first().copied().unwrap_or(FORM);
+    let ours = form == FORM || open(b).is_none();
+    ours.then_some(()).ok_or(format!("written in form {form}, this program reads form {FORM}; start the newer one"))
+}
+
 pub struct Shelf {
     generation: u64,
     in_log: usize,
+    settled: bool,
 }
 
 const LOG_BYTES: usize = 1 << 20;
 
 impl Shelf {
     pub fn recover(slots: [&[u8]; 2], logs: [&[u8]; 2]) -> Result<(Shelf, Option<Durable>), String> {
+        slots.iter().try_for_each(|s| same_form(s))?;
         let got = slots.map(|s| open(s).and_then(|(g, b, _)| Durable::read_from_buffer(b).ok().map(|d| (g, d))));
         let best = got.iter().flatten().map(|(g, _)| *g).max();
         let Some(g) = best else {
             let empty = slots.iter().chain(logs.iter()).all(|b| b.is_empty());
-            let torn_birth = logs.iter().all(|b| b.is_empty()) && slots[1].is_empty();
+            let torn_birth = logs.iter().all(|b| b.is_empty()) && slots[0].is_empty();
             return (empty || torn_birth)
-                .then_some((Shelf { generation: 0, in_log: 0 }, None))
+                .then_some((Shelf { generation: 0, in_log: 0, settled: false }, None))
                 .ok_or("both slots are damaged".into());
         };
         let other = (g + 1) as usize % 2;
@@ -119,6 +129,7 @@
         let log = logs[g as usize % 2];
         let mut at = 0;
         while let Some((h, b, n)) = open(&log[at..]) {
+            same_form(&log[at..])?;
             if h != g {
                 return Err(format!("a record of generation {h} stands in the log of {g}"));
             }
@@ -131,7 +142,7 @@
         if (at + 1..log.len()).any(|i| open(&log[i..]).is_some()) {
             return Err(format!("the log is damaged at byte {at}, whole records follow"));
         }
-        Ok((Shelf { generation: g, in_log: 0 }, Some(d)))
+        Ok((Shelf { generation: g, in_log: 0, settled: false }, Some(d)))
     }
 
     pub fn fresh(&mut self, d: &Durable) -> Vec<FileOp> {
@@ -139,10 +150,12 @@
         self.in_log = 0;
         let i = self.generation as usize % 2;
         let b = d.write_to_vec().unwrap_or_default();
-        vec![
+        let first = (!std::mem::replace(&mut self.settled, true)).then_some(FileOp::Settle);
+        let turn = [
             FileOp::Replace { name: LOGS[i], bytes: Vec::new() },
             FileOp::Replace { name: SLOTS[i], bytes: seal(self.generation, &b) },
-        ]
+        ];
+        first.into_iter().chain(turn).collect()
     }
 
     pub fn keep(&mut self, v: &[Rec], d: &Durable) -> Vec<FileOp> {
--- a/tenet/src/effect.rs
+++ b/tenet/src/effect.rs
@@ -46,4 +46,5 @@
     pub durable: Option<Durable>,
     pub seed: u64,
     pub wall: u64,
+    pub wire: u8,
 }
--- a/tenet/src/follow.rs
+++ b/tenet/src/follow.rs
@@ -83,7 +83,7 @@
         if now < self.next {
             return;
         }
-        self.next = now + 250;
+        self.next = now + if self.holds(now + PERMIT - REFRESH_LATE) { REFRESH } else { REFRESH_AGAIN };
         self.asks.retain(|_, t| now < *t + PERMIT);
         let late = !self.holds(now + PERMIT / 2);
         if late || self.view.n == 0 {
@@ -103,6 +103,22 @@
 }
 
 impl Control {
+    pub fn state(&self) -> &State {
+        &self.f.state
+    }
+
+    pub fn left(&self) -> bool {
+        self.chain.as_ref().is_none_or(|c| c.place().is_none())
+    }
+
+    pub fn view(&self) -> &View {
+        &self.f.view
+    }
+
+    pub fn wall(&self, now: Time) -> u64 {
+        self.wall + now
+    }
+
     pub(crate) fn enrol(&mut self, now: Time, out: &mut Out) {
         if self.f.holds(now) && !self.stopping && !self.f.state.members.contains_key(&self.me.id) {
             let op = Op::Enrol {
--- a/tenet/src/found.rs
+++ b/tenet/src/found.rs
@@ -13,6 +13,7 @@
     pub until: Time,
     pub next: Time,
     pub granted: Time,
+    pub granted_seq: u64,
 }
 
 impl TailPermit {
@@ -24,6 +25,7 @@
             until: 0,
             next: 0,
             granted: now + TAIL_PERMIT + TAIL_DRIFT,
+            granted_seq: 0,
         }
     }
     pub fn holds(&self, now: Time) -> bool {
@@ -32,6 +34,16 @@
 }
 
 impl Chain {
+    pub(crate) fn give_tail(&mut self, c: &Colleagues, out: &mut Out) {
+        if self.is_tail() && self.tail.until > 0 {
+            (self.tail.until, self.tail.seq) = (0, self.tail.seq + 1);
+            self.tail.asks.clear();
+            self.tail.got.clear();
+            let m = Msg::TailGive { view: self.d.view.n, seq: self.tail.seq };
+            self.to_voters(m, c, out);
+        }
+    }
+
     pub fn found_tick(&mut self, now: Time, c: &Colleagues, out: &mut Out) {
         if now < self.tick_at {
             return;
--- a/tenet/src/front.rs
+++ b/tenet/src/front.rs
@@ -158,10 +158,7 @@
                 Some(Use::Job(j)) if self.jobs.contains(j) => self.job_back(now, j, token, res, &mut out),
                 _ => (),
             },
-            FrontIn::Stopping => {
-                self.stopping = true;
-                self.leaving = self.leaving.or(Some(now));
-            }
+            FrontIn::Stopping => self.stop(now),
         }
         self.tick(now, &mut out);
         let own: Vec<Msg> = {
--- a/tenet/src/pilot.rs
+++ b/tenet/src/pilot.rs
@@ -127,10 +127,12 @@
         since(&mut self.placed, n.into(), d.fencers.clone(), k.now);
         let lead = d.primary.as_ref().and_then(|p| k.st.servers.get(p));
         let moving = d.phase != "steady" || lead.is_some_and(|s| server_off(k.st, s).is_some());
+        let others = |id: NodeId| d.fencers.iter().any(|f| *f != id && k.c.alive(*f));
         let stay = |m: &Member| {
-            m.phase != "leaving" && k.c.alive(m.id) && (moving || !k.st.evacuated.contains_key(&m.domain))
+            m.phase != "leaving" && (k.c.alive(m.id) || k.c.suspect(m.id) && others(m.id)) && (moving || !k.st.evacuated.contains_key(&m.domain))
         };
-        if let Some(s) = place(k.cfg, k.st, n, &fit, &stay) {
+        let gate = |m: &Member| m.phase != "leaving" && k.c.serves(m.id) && moving;
+        if let Some(s) = place(k.cfg, k.st, n, &fit, &stay, &gate) {
             if s.fencers != d.fencers || s.gateways != d.gateways {
                 ops.push(Op::Place { db: n.into(), fencers: s.fencers, gateways: s.gateways });
             }
--- a/tenet/src/place.rs
+++ b/tenet/src/place.rs
@@ -18,7 +18,7 @@
 
 pub type Fit<'a> = &'a dyn Fn(&Member) -> bool;
 
-pub fn place(c: &Config, st: &State, name: &str, fit: Fit, stay: Fit) -> Option<Seats> {
+pub fn place(c: &Config, st: &State, name: &str, fit: Fit, stay: Fit, gate: Fit) -> Option<Seats> {
     let cfg = c.databases.get(name)?;
     let blank = Db::default();
     let db = st.dbs.get(name).unwrap_or(&blank);
@@ -27,6 +27,7 @@
     let home = at.and_then(region).unwrap_or(&cfg.homes[0]);
     let members: Vec<&Member> = st.members.values().filter(|m| !m.disk && fit(m)).collect();
     let staying: Vec<&Member> = st.members.values().filter(|m| !m.disk && stay(m)).collect();
+    let gating: Vec<&Member> = st.members.values().filter(|m| !m.disk && gate(m)).collect();
     let of = |v: &[&Member], r: &str| -> Vec<NodeId> {
         v.iter().filter(|m| c.region(&m.domain) == Some(r)).map(|m| m.id).collect()
     };
@@ -40,7 +41,7 @@
     }
     let gateways = match cfg.homes.len() {
         1 => f.clone(),
-        _ => cfg.homes.iter().flat_map(|h| pick(2, &db.gateways, &of(&members, h), &[], salt ^ 1)).collect(),
+        _ => cfg.homes.iter().flat_map(|h| pick(2, &db.gateways, &of(&members, h), &of(&gating, h), salt ^ 1)).collect(),
     };
     Some(Seats { fencers: f, gateways })
 }
--- a/tenet/src/plan.rs
+++ b/tenet/src/plan.rs
@@ -64,7 +64,7 @@
             writes: l.writes,
             pinned: false,
             commit: false,
-            deadline: now + budget.unwrap_or(c.request_ms).min(c.request_ms),
+            deadline: (now + budget.unwrap_or(c.request_ms).min(c.request_ms)).min(self.stop_by().max(now)),
             patience: now + c.patience_ms,
             none: if d.gateways.is_empty() { Kind::NoPrimary } else { Kind::NoHome },
         }
--- a/tenet/src/probe.rs
+++ b/tenet/src/probe.rs
@@ -35,6 +35,9 @@
                 let n = self.all.range(c + 1..).chain(self.all.range(..=c)).next();
                 if let Some((id, addr)) = n.map(|(i, c)| (*i, c.s.addr)) {
                     self.cursor = id;
+                    if self.seq % 8 == 0 || self.all.get(&id).is_some_and(|c| c.wire < self.wire) {
+                        send.push((addr, Msg::Speaks { wire: self.wire }));
+                    }
                     if !self.open.iter().any(|o| o.id == id) {
                         self.probe(now, id, addr, send);
                     }
@@ -45,20 +48,26 @@
     }
 
     fn expire(&mut self, now: Time, send: &mut Vec<(Addr, Msg)>) {
-        self.relay.retain(|r| now < r.3 + 1000);
+        self.relay.retain(|r| now < r.4 + 1000);
         let mut i = 0;
         while i < self.open.len() {
             let (id, addr, at, helped, seq) = {
                 let o = &self.open[i];
                 (o.id, o.addr, o.at, o.helped, o.seq)
             };
-            if !helped && now >= at + DIRECT && id != 0 {
+            let gone = self.all.get(&id).is_none_or(|c| c.s.status == GONE);
+            if !helped && now >= at + DIRECT && !gone {
                 self.open[i].helped = true;
                 let n = self.seq as usize;
-                let v: Vec<Addr> = self.live().filter(|s| s.id != id).map(|s| s.addr).collect();
+                let v: Vec<(Addr, NodeId)> = self.live().filter(|s| s.id != id).map(|s| (s.addr, s.id)).collect();
                 for k in 0..v.len().min(3) {
                     let news = self.news();
-                    send.push((v[(n + k) % v.len()], Msg::ProbeFor { seq, target: addr, news }));
+                    let (to, via) = v[(n + k) % v.len()];
+                    let m = match self.all.get(&via).is_some_and(|c| c.wire >= 2) {
+                        true => Msg::ProbeOf { seq, target: addr, id, news },
+                        false => Msg::ProbeFor { seq, target: addr, news },
+                    };
+                    send.push((to, m));
                 }
             }
             if now >= at + DIRECT + INDIRECT {
--- a/tenet/src/serve.rs
+++ b/tenet/src/serve.rs
@@ -5,9 +5,9 @@
 use crate::wire::{Changes, Msg};
 
 impl Chain {
-    pub fn propose(&mut self, now: Time, ask: Ask, out: &mut Out) {
+    pub fn propose(&mut self, ask: Ask, out: &mut Out) {
         if !self.is_head() {
-            let to = self.d.view.chain.first().filter(|s| s.id != self.me.id).map(|s| s.addr);
+            let to = self.d.view.chain.first().map(|s| s.addr).filter(|a| *a != self.me.addr);
             out.send.extend(to.map(|a| (a, Msg::Propose { ask })));
             return;
         }
@@ -31,7 +31,6 @@
         }
         let mark = self.d.state.mark + 1;
         self.append(Entry { mark, ask }, out);
-        self.succ_at = now.max(self.succ_at);
     }
 
     pub(crate) fn advance(&mut self, now: Time, from: Mark, out: &mut Out) {
--- a/tenet/src/view.rs
+++ b/tenet/src/view.rs
@@ -32,8 +32,15 @@
         self.d.view.voters.iter().any(|s| s.id == self.me.id)
     }
 
-    fn to_voters(&self, m: Msg, out: &mut Out) {
-        out.late.extend(self.d.view.voters.iter().map(|s| (s.addr, m.clone())));
+    pub(crate) fn now_at(&self, s: &Seat, c: &Colleagues) -> Addr {
+        match s.id == self.me.id {
+            true => self.me.addr,
+            false => c.all.get(&s.id).filter(|_| c.alive(s.id)).map_or(s.addr, |k| k.s.addr),
+        }
+    }
+
+    pub(crate) fn to_voters(&self, m: Msg, c: &Colleagues, out: &mut Out) {
+        out.late.extend(self.d.view.voters.iter().map(|s| (self.now_at(s, c), m.clone())));
     }
 
     pub fn agree_tick(&mut self, now: Time, c: &Colleagues, out: &mut Out) {
@@ -51,7 +58,7 @@
             let seq = self.tail.seq;
             self.tail.asks.insert(seq, now);
             self.tail.asks.retain(|_, t| now < *t + TAIL_PERMIT);
-            self.to_voters(Msg::TailAsk { view: n, seq }, out);
+            self.to_voters(Msg::TailAsk { view: n, seq }, c, out);
         }
         if self.voter() {
             self.drive(now, c, out);
@@ -64,6 +71,12 @@
         if let Some(s) = v.chain.iter().find(quiet) {
             return Some(format!("{:x} in the chain is silent", s.id));
         }
+        if let Some(s) = v.chain.iter().filter(|_| v.chain.len() > 2).find(|s| c.stops(s.id)) {
+            return Some(format!("{:x} in the chain is stopping", s.id));
+        }
+        if let Some(s) = v.voters.iter().chain(&v.chain).find(|s| self.now_at(s, c) != s.addr) {
+            return Some(format!("{:x} is at {} now", s.id, self.now_at(s, c)));
+        }
         if self.stuck(now) {
             return Some("the next in the chain does not sync".into());
         }
@@ -73,12 +86,12 @@
         let seat = |id: NodeId| v.chain.iter().any(|s| s.id == id);
         let votes = |id: NodeId| v.voters.iter().any(|s| s.id == id);
         let room = v.voters.iter().any(|s| self.missing(s.id, now, c));
-        let join = c.live().filter(|s| s.disk && s.view > 0).find(|s| !seat(s.id) && (votes(s.id) || room));
-        let me_out = !seat(self.me.id);
+        let join = c.live().filter(|s| s.disk && s.view > 0 && !s.stopping).find(|s| !seat(s.id) && (votes(s.id) || room));
+        let me_out = !seat(self.me.id) && !c.me.stopping;
         join.map(|s| format!("{:x} can join the chain", s.id)).or(me_out.then(|| "this disk can join the chain".into()))
     }
 
-    fn missing(&self, id: NodeId, now: Time, c: &Colleagues) -> bool {
+    pub(crate) fn missing(&self, id: NodeId, now: Time, c: &Colleagues) -> bool {
         let unseen = now > self.born + REPLACE && !c.all.contains_key(&id);
         id != self.me.id && (unseen || c.quiet(id, now).is_some_and(|q| q > REPLACE))
     }
@@ -119,42 +132,8 @@
                 Some(value) => Msg::Accept { inst: n + 1, ballot: b, value },
                 None => Msg::Prepare { inst: n + 1, ballot: b },
             };
-            self.to_voters(m, out);
-        }
-    }
-
-    fn build(&self, now: Time, c: &Colleagues) -> Option<View> {
-        let v = &self.d.view;
-        let best = self.agree.promises.values().filter(|p| p.1 > 0).max_by_key(|p| p.1);
-        if let Some(x) = best.and_then(|p| p.2.clone()) {
-            return Some(x);
+            self.to_voters(m, c, out);
         }
-        let whole = |s: &&Seat| self.agree.promises.get(&s.id).is_some_and(|p| p.0 == v.n);
-        let mut chain: Vec<Seat> = v.chain.iter().filter(whole).copied().collect();
-        if chain.is_empty() {
-            return None;
-        }
-        let mut voters = v.voters.clone();
-        let new: Vec<Seat> = c
-            .live()
-            .filter(|s| s.disk && s.view > 0 && !voters.iter().any(|t| t.id == s.id))
-            .map(|s| Seat { id: s.id, addr: s.addr })
-            .collect();
-        let lost = |s: &Seat| s.id != self.me.id
-            && !self.agree.promises.contains_key(&s.id)
-            && self.missing(s.id, now, c);
-        for s in new {
-            if let Some(i) = voters.iter().position(lost) {
-                voters[i] = s;
-            }
-        }
-        let add: Vec<Seat> = voters
-            .iter()
-            .filter(|s| c.alive(s.id) && !chain.iter().any(|t| t.id == s.id))
-            .copied()
-            .collect();
-        chain.extend(add);
-        Some(View { n: v.n + 1, cluster: v.cluster, voters, chain })
     }
 
     pub fn agree_take(&mut self, now: Time, from: NodeId, addr: Addr, m: Msg, c: &Colleagues, out: &mut Out) {
@@ -178,6 +157,7 @@
                 if ballot > self.d.promised {
                     self.keep(Rec::Vote { promised: ballot, accepted, value: value.clone() }, out);
                 }
+                self.give_tail(c, out);
                 let whole = self.d.whole;
                 out.late.push((addr, Msg::Promise { inst, ballot, whole, accepted, value }));
             }
@@ -212,10 +192,16 @@
             Msg::TailAsk { view, seq } if view == n && self.voter() && self.d.promised == 0 => {
                 let tail = self.d.view.chain.last().is_some_and(|s| s.id == from);
                 if tail {
+                    self.tail.granted_seq = self.tail.granted_seq.max(seq);
                     self.tail.granted = self.tail.granted.max(now + TAIL_PERMIT + TAIL_DRIFT);
                     out.late.push((addr, Msg::TailGrant { view, seq }));
                 }
             }
+            Msg::TailGive { view, seq } if view == n && seq >= self.tail.granted_seq => {
+                if self.d.view.chain.last().is_some_and(|s| s.id == from) {
+                    self.tail.granted = now;
+                }
+            }
             Msg::TailGrant { view, seq } if view == n && voted => {
                 if let Some(t) = self.tail.asks.get(&seq) {
                     let e = self.tail.got.entry(from).or_insert(*t);
--- a/tenet/src/wire.rs
+++ b/tenet/src/wire.rs
@@ -4,7 +4,7 @@
 use crate::state::*;
 use speedy::{Readable, Writable};
 
-pub const WIRE: u8 = 1;
+pub const WIRE: u8 = 2;
 
 #[derive(Clone, PartialEq, Debug, Readable, Writable)]
 pub struct Summary {
@@ -114,6 +114,9 @@
     Clean { db: String, epoch: Mark },
     Carry { go: u64, to: NodeId, by: Time, load: Load },
     Carried { go: u64, clock: Time, done: Result<Done, Reject> },
+    Speaks { wire: u8 },
+    TailGive { view: Mark, seq: u64 },
+    ProbeOf { seq: u32, target: Addr, id: NodeId, news: Vec<Summary> },
 }
 
 #[derive(Clone, Readable, Writable)]
@@ -130,15 +133,22 @@
     n > SMALL || matches!(p.msg, Msg::Carry { .. } | Msg::Carried { .. })
 }
 
+pub fn form(m: &Msg) -> u8 {
+    match m {
+        Msg::Speaks { .. } | Msg::TailGive { .. } | Msg::ProbeOf { .. } => 2,
+        _ => 1,
+    }
+}
+
 pub fn encode(p: &Packet) -> Vec<u8> {
-    let mut v = vec![WIRE];
+    let mut v = vec![form(&p.msg)];
     v.extend(p.write_to_vec().unwrap_or_default());
     v
 }
 
 pub fn decode(b: &[u8]) -> Result<Packet, String> {
     match b.split_first() {
-        Some((&WIRE, r)) => Packet::read_from_buffer(r).map_err(|e| e.to_string()),
+        Some((&v, r)) if (1..=WIRE).contains(&v) => Packet::read_from_buffer(r).map_err(|e| e.to_string()),
         Some((v, _)) => Err(format!("wire version {v}, this process speaks {WIRE}")),
         None => Err("empty packet".into()),
     }
--- a/tenet/tests/disk.rs
+++ b/tenet/tests/disk.rs
@@ -22,6 +22,7 @@
     }
     fn act(&mut self, op: &FileOp, upto: usize) {
         match op {
+            FileOp::Settle => (),
             FileOp::Append { name, bytes } => self.at(name).extend(&bytes[..upto.min(bytes.len())]),
             FileOp::Replace { name, bytes } => *self.at(name) = bytes[..upto.min(bytes.len())].to_vec(),
         }
@@ -119,3 +120,21 @@
     }
     last
 }
+
+#[test]
+fn records_of_a_newer_form_are_refused_by_their_number() {
+    let (f, ..) = start();
+    for i in 0..2 {
+        let mut g = f.clone();
+        let log = &mut g.logs[1];
+        let (whole, at) = (log.clone(), log.len());
+        log.extend(whole);
+        log[at] = b's';
+        if i == 1 {
+            g = f.clone();
+            g.slots[1][0] = b's';
+        }
+        let e = g.open().err().unwrap_or_default();
+        assert!(e.contains("form 115") && e.contains("newer"), "{e}");
+    }
+}
--- a/tenet/tests/place.rs
+++ b/tenet/tests/place.rs
@@ -52,7 +52,7 @@
 }
 
 fn seat(c: &Config, s: &mut State, fit: &dyn Fn(&Member) -> bool) {
-    let v = place(c, s, "members", fit, fit).expect("a placement");
+    let v = place(c, s, "members", fit, fit, fit).expect("a placement");
     put(s, Op::Place { db: "members".into(), fencers: v.fencers, gateways: v.gateways });
 }
 
@@ -78,7 +78,7 @@
     assert_eq!(d.gateways.len(), 4);
     assert!(d.gateways.iter().all(|g| region(&s, g) != "lugano"), "lugano is no home of members");
     let out = d.fencers[0];
-    let v = place(&c, &s, "members", &|m| m.id != out, &|_| true).unwrap();
+    let v = place(&c, &s, "members", &|m| m.id != out, &|_| true, &|m| m.id != out).unwrap();
     assert!(v.fencers == d.fencers, "a stopping node keeps fencing what is open");
     assert!(!v.gateways.contains(&out) && v.gateways.len() == 4);
     let dead = d.fencers[0];
@@ -134,7 +134,7 @@
     put(&mut s, Op::HeirLeave { db: "members".into(), epoch, server: "c".into(), why });
     put(&mut s, announce("b", DOMAINS[1], 99));
     let me = Summary { id: 1, addr: Addr::NONE, http: Addr::NONE, domain: DOMAINS[1].into(), disk: true, life: 1, status: 0, view: 1, mark: 1, allows: true, stopping: false };
-    let peers = Colleagues::new(me, vec![]);
+    let peers = Colleagues::new(me, vec![], 2);
     let sight = |n: &str, life, leads: bool| Sight {
         server: n.into(), life, age: 0, reach: true, pos: 5, follows: if leads { "" } else { "a" }.into(), leads, link: true,
     };
