--- a/chance/src/cause.rs
+++ b/chance/src/cause.rs
@@ -4,7 +4,24 @@
 use tenet::state::Op;
 
 impl Sim {
+    fn takes(&self, f: &Fault) -> bool {
+        let up = |i: &usize| self.nodes[*i].up;
+        let server = |n: &str| self.server(n).is_some_and(|s| self.world.servers[s].up);
+        match f {
+            Fault::Kill(i) | Fault::Stop(i) | Fault::Wipe(i) | Fault::Freeze(i) | Fault::Move(i, _) => up(i) && !self.nodes[*i].frozen,
+            Fault::Crash(n) | Fault::Retire(n) | Fault::Stall(n, true) | Fault::CutServer(n, _) => server(n),
+            Fault::FreezeFencer(d, k) => self.fencer(d, *k).is_some_and(|i| up(&i)),
+            Fault::KillHead => self.seat(true).is_some(),
+            Fault::KillTail => self.seat(false).is_some(),
+            Fault::KillDomain(d) => self.in_domain(d).iter().any(up),
+            _ => true,
+        }
+    }
+
     pub fn fault(&mut self, f: Fault) {
+        let name = format!("{f:?}").split('(').next().unwrap_or("").to_string();
+        let to = if self.takes(&f) { &mut self.watch.took } else { &mut self.watch.vain };
+        *to.entry(name).or_default() += 1;
         match &f {
             Fault::Stop(_) | Fault::Retire(_) | Fault::Evacuate(_, true) | Fault::Drain(_, true) => self.watch.planned.push(self.now),
             Fault::Start(_) | Fault::Configure | Fault::StaleConfigure | Fault::BadConfigure | Fault::Evacuate(..) | Fault::Drain(..) => (),
@@ -44,7 +61,10 @@
             Fault::StartDomain(d) => {
                 self.in_domain(&d).into_iter().for_each(|i| self.boot(i));
                 let v: Vec<usize> = (0..self.world.servers.len()).filter(|s| self.world.servers[*s].domain == d).collect();
-                v.into_iter().for_each(|s| self.world.restart(self.now, s));
+                v.into_iter().for_each(|s| {
+                    self.world.restart(self.now, s);
+                    self.stays(s);
+                });
             }
             Fault::Cut(a, b) => self.cuts.push((a, b)),
             Fault::CutNode(i) => self.lost_node = Some(i),
@@ -61,8 +81,14 @@
                 let t = c.and_then(|c| c.state().dbs.get(&db)).and_then(|d| d.target.clone());
                 t.and_then(|t| self.world.ix(&t)).into_iter().for_each(|s| self.world.crash(s));
             }
-            Fault::Restart(n) => self.server(&n).into_iter().for_each(|s| self.world.restart(self.now, s)),
-            Fault::Replace(n) => self.server(&n).into_iter().for_each(|s| self.world.replace(self.now, s)),
+            Fault::Restart(n) => self.server(&n).into_iter().for_each(|s| {
+                self.world.restart(self.now, s);
+                self.stays(s);
+            }),
+            Fault::Replace(n) => self.server(&n).into_iter().for_each(|s| {
+                self.world.replace(self.now, s);
+                self.stays(s);
+            }),
             Fault::Retire(n) => {
                 if let Some(s) = self.server(&n) {
                     self.world.servers[s].leaving = true;
@@ -74,13 +100,7 @@
             Fault::LoseAnswers(p) => self.lose = p,
             Fault::Platform(m) => self.mood = m,
             Fault::Evacuate(d, on) => {
-                let since = self.now;
-                let v: Vec<String> = self.world.servers.iter().filter(|s| s.domain == d).map(|s| s.name.clone()).collect();
-                match on {
-                    true => self.history.off.extend(v.into_iter().map(|server| Off { server, since, until: u64::MAX, bound: 5000 })),
-                    false => self.history.off.iter_mut().filter(|o| v.contains(&o.server)).for_each(|o| o.until = since),
-                }
-                self.operator(Op::Evacuate { domain: d, on });
+                self.evacuate(d, on);
             }
             Fault::Drain(s, on) => {
                 self.operator(Op::Drain { server: s, on });
@@ -100,6 +120,14 @@
             Fault::FreezeFencer(db, k) => self.fencer(&db, k).into_iter().for_each(|i| self.nodes[i].frozen = true),
             Fault::KillHead => self.seat(true).into_iter().for_each(|i| self.kill(i)),
             Fault::KillTail => self.seat(false).into_iter().for_each(|i| self.kill(i)),
+            Fault::Rebuild => {
+                let old = |i: &usize| self.world.servers[*i].leads && self.world.leader(&self.world.servers[*i].db) != Some(*i);
+                let v: Vec<usize> = (0..self.world.servers.len()).filter(old).collect();
+                v.into_iter().for_each(|s| {
+                    self.world.restart(self.now, s);
+                    self.stays(s);
+                });
+            }
             Fault::CallersStop => self.stop_clients = true,
         }
     }
--- a/chance/src/fault.rs
+++ b/chance/src/fault.rs
@@ -34,6 +34,7 @@
     ThawAll,
     KillHead,
     KillTail,
+    Rebuild,
     CallersStop,
 }
 
--- a/chance/src/lib.rs
+++ b/chance/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod fault;
 pub mod node;
 pub mod outside;
+pub mod pairs;
 pub mod planned;
 pub mod platter;
 pub mod record;
--- a/chance/src/main.rs
+++ b/chance/src/main.rs
@@ -14,6 +14,8 @@
     old_sockets: bool,
 }
 
+type Met = (std::collections::BTreeMap<(usize, usize), u64>, std::collections::BTreeMap<String, (u64, u64)>);
+
 fn main() {
     let script = long("script").help("One script by name; all when left out").argument("NAME").optional();
     let place = long("place").help("alumni or thessaly; both when left out").argument("NAME").optional();
@@ -40,6 +42,7 @@
             (a.from..a.from + a.seeds).for_each(|seed| work.push((*s, *p, seed)));
         }
     }
+    let met: std::sync::Mutex<Met> = Default::default();
     let next = std::sync::atomic::AtomicUsize::new(0);
     let bad = std::sync::atomic::AtomicUsize::new(0);
     let cores = std::thread::available_parallelism().map_or(1, |n| n.get());
@@ -51,6 +54,13 @@
                 let sim = run_with(s, p, *seed, if a.old_sockets { Plant::OldSockets } else { Plant::None }, a.nodes);
                 let f = sim.faults();
                 let mut text = String::new();
+                if s.name == "pairs" {
+                    let [x, y] = chance::pairs::drawn(*seed);
+                    let mut g = met.lock().unwrap_or_else(|e| e.into_inner());
+                    *g.0.entry((x, y)).or_default() += 1;
+                    sim.watch.took.iter().for_each(|(k, n)| g.1.entry(k.clone()).or_default().0 += n);
+                    sim.watch.vain.iter().for_each(|(k, n)| g.1.entry(k.clone()).or_default().1 += n);
+                }
                 if !f.is_empty() {
                     bad.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
                     text += &format!("FAIL {} {p} seed {seed}: {} faults\n", s.name, f.len());
@@ -82,6 +92,12 @@
         }
     });
     let bad = bad.into_inner();
+    let (met, took) = met.into_inner().unwrap_or_else(|e| e.into_inner());
+    if !met.is_empty() {
+        let n = chance::pairs::KINDS.len();
+        println!("pairs met {} of {}, each {} to {} times", met.len(), n * (n - 1) / 2, met.values().min().unwrap_or(&0), met.values().max().unwrap_or(&0));
+        took.iter().for_each(|(k, (t, v))| println!("  {k:<16} took effect {t:>6}  in vain {v:>5}"));
+    }
     println!("{} runs, {bad} with faults", work.len());
     std::process::exit((bad > 0) as i32);
 }
--- a/chance/src/runs.rs
+++ b/chance/src/runs.rs
@@ -41,9 +41,12 @@
             let served = self.history.events.iter().any(|e| {
                 e.end > before && e.out == guise::check::Out::Kept && e.class == guise::mix::Class::Write && e.key.starts_with(d.as_str())
             });
-            let alive = self.world.servers.iter().filter(|s| s.db == *d && s.up).count();
+            let off = |n: &String| self.history.off.iter().any(|o| o.server == *n && o.until > end);
+            let alive = self.world.servers.iter().filter(|s| s.db == *d && s.up && !off(&s.name)).count();
             if !served && alive > 1 {
-                self.watch.faults.push(format!("away: {d} took no write in the last 4 s"));
+                let tell = |s: &guise::world::Srv| format!("{} up {} leads {} leaving {} stalled {} follows {:?}", s.name, s.up, s.leads, s.leaving, s.stalled, s.follows);
+                let v: Vec<String> = self.world.servers.iter().filter(|s| s.db == *d).map(tell).collect();
+                self.watch.faults.push(format!("away: {d} took no write in the last 4 s: {}", v.join("; ")));
             }
         }
         let loss = self.watch.loss_at;
--- a/chance/src/scripts.rs
+++ b/chance/src/scripts.rs
@@ -9,26 +9,26 @@
     pub faults: fn(&mut Sim) -> Vec<(Time, Fault)>,
 }
 
-fn db(s: &mut Sim) -> String {
+pub(crate) fn db(s: &mut Sim) -> String {
     let v: Vec<String> = s.cfg.databases.keys().cloned().collect();
     v[s.roll(v.len() as u64) as usize].clone()
 }
 
-fn domain(s: &mut Sim) -> String {
+pub(crate) fn domain(s: &mut Sim) -> String {
     let v: Vec<String> = s.cfg.domains.keys().cloned().collect();
     v[s.roll(v.len() as u64) as usize].clone()
 }
 
-fn others(s: &Sim, d: &str) -> Vec<String> {
+pub(crate) fn others(s: &Sim, d: &str) -> Vec<String> {
     s.cfg.domains.keys().filter(|x| *x != d).cloned().collect()
 }
 
-fn apart(s: &Sim, d: &str, both: bool) -> Vec<(Time, Fault)> {
+pub(crate) fn apart(s: &Sim, d: &str, both: bool, t: Time) -> Vec<(Time, Fault)> {
     let mut v = Vec::new();
     for o in others(s, d) {
-        v.push((12_000, Cut(d.into(), o.clone())));
+        v.push((t, Cut(d.into(), o.clone())));
         if both {
-            v.push((12_000, Cut(o, d.into())));
+            v.push((t, Cut(o, d.into())));
         }
     }
     v
@@ -98,13 +98,13 @@
     } },
     Script { name: "domain-cut", end: 40_000, faults: |s| {
         let d = domain(s);
-        let mut v = apart(s, &d, true);
+        let mut v = apart(s, &d, true, 12_000);
         v.push((24_000, Heal));
         v
     } },
     Script { name: "one-way", end: 40_000, faults: |s| {
         let d = domain(s);
-        let mut v = apart(s, &d, false);
+        let mut v = apart(s, &d, false, 12_000);
         v.push((24_000, Heal));
         v
     } },
@@ -199,6 +199,7 @@
         }
         v
     } },
+    Script { name: "pairs", end: 50_000, faults: crate::pairs::composed },
     Script { name: "storm", end: 70_000, faults: |s| {
         let mut v = Vec::new();
         for k in 0..6 {
@@ -220,7 +221,7 @@
 pub const FROZEN_SEND: Script = Script { name: "frozen-send", end: 40_000, faults: |s| {
     let d = db(s);
     let at = s.world.leader(&d).map(|l| s.world.servers[l].domain.clone()).unwrap_or_default();
-    let mut v = apart(s, &at, true);
+    let mut v = apart(s, &at, true, 12_000);
     v.extend([(11_500, FreezeSending(d, 0)), (24_000, Heal), (24_500, ThawAll)]);
     v
 } };
--- a/chance/src/watch.rs
+++ b/chance/src/watch.rs
@@ -21,6 +21,10 @@
     pub tiers: BTreeMap<(usize, usize), Vec<Time>>,
     pub loss_at: Time,
     pub back_after: Time,
+    pub third: String,
+    pub evac_calls: BTreeMap<u64, (String, bool)>,
+    pub vain: BTreeMap<String, u64>,
+    pub took: BTreeMap<String, u64>,
     pub disk_ends: u64,
     pub planned: Vec<Time>,
     pub unplanned: bool,
@@ -70,6 +74,8 @@
         if call == 0 {
             return;
         }
+        let ok = matches!(&r, Reply::Verdict(v) if v.reject.is_none());
+        self.evacuation_told(call, ok);
         let (bad, stale) = (self.watch.bad_sent.contains(&call), self.watch.stale_sent.contains(&call));
         match r {
             Reply::Verdict(Verdict { reject: None, .. }) if bad || stale => {
--- a/tenet/src/answer.rs
+++ b/tenet/src/answer.rs
@@ -189,6 +189,9 @@
                 self.job_end(now, j, Err(r), out);
             }
             BackRes::Ok(v) if v["found"] == true => self.found(now, j, &v, out),
+            BackRes::Ok(_) if !commit && self.off_long(now, job.server) => {
+                self.job_end(now, j, Err(Reject::new(Kind::NoPrimary, crate::fence::OFF_LONG)), out);
+            }
             BackRes::Ok(_) if !commit => self.job_take(now, j, out),
             BackRes::Ok(_) if job.load.epoch < job.epoch => {
                 let r = Reject::new(Kind::Aborted, "the new primary does not hold it");
--- a/tenet/src/base.rs
+++ b/tenet/src/base.rs
@@ -15,6 +15,7 @@
 pub const BYTES_LIFE: Time = 500;
 pub const LINE_ACK: Time = 600;
 pub const LINE_OLD: Time = 600;
+pub const LEAVING_SERVES: Time = 3000;
 pub const TAIL_PERMIT: Time = 600;
 pub const TAIL_DRIFT: Time = 60;
 
--- a/tenet/src/fence.rs
+++ b/tenet/src/fence.rs
@@ -5,6 +5,8 @@
 use crate::table::DbRow;
 use crate::wire::*;
 
+pub(crate) const OFF_LONG: &str = "the primary is leaving and has no successor yet";
+
 fn reject(k: Kind, why: impl Into<String>) -> Reject {
     Reject::new(k, why)
 }
@@ -21,6 +23,9 @@
             ("closing", _) => return Err(reject(Kind::NoPrimary, "the primary is leaving, its successor is being made ready")),
             (ph, _) => return Err(reject(Kind::NoPrimary, format!("no primary takes writes, failover is at '{ph}'"))),
         };
+        if !inside && !load.look_up && load.act != Act::Pos && self.off_long(now, p) {
+            return Err(reject(Kind::NoPrimary, OFF_LONG));
+        }
         if self.stopping && !inside {
             return Err(reject(Kind::Leaving, "this fencing node is stopping"));
         }
@@ -44,6 +49,10 @@
         Ok(())
     }
 
+    pub(crate) fn off_long(&self, now: Time, server: usize) -> bool {
+        now > self.off_at[server].saturating_add(LEAVING_SERVES)
+    }
+
     fn tell_pos(&mut self, now: Time, owner: Owner, load: &Load, db: usize, p: usize, out: &mut FrontOut) -> Result<(), Reject> {
         let t = self.table()?;
         let (d, k, s) = (&t.dbs[db], &self.known[p], &t.servers[p]);
--- a/tenet/src/front.rs
+++ b/tenet/src/front.rs
@@ -73,6 +73,7 @@
     pub(crate) txns: BTreeMap<u64, TxnHeld>,
     pub(crate) uses: BTreeMap<u64, Use>,
     pub(crate) polled: Vec<Time>,
+    pub(crate) off_at: Vec<Time>,
     pub(crate) asked: Vec<Time>,
     pub(crate) traces: Traces,
     pub(crate) turn: u64,
@@ -109,6 +110,7 @@
             txns: BTreeMap::new(),
             uses: BTreeMap::new(),
             polled: Vec::new(),
+            off_at: Vec::new(),
             asked: Vec::new(),
             traces: Traces::default(),
             turn: mix(seed),
@@ -195,6 +197,7 @@
             self.pools.push(Pool::new(s.life, now));
             self.known.push(Known { heard: now, ..Known::default() });
             self.polled.push(0);
+            self.off_at.push(Time::MAX);
         }
         while self.marks.len() < t.dbs.len() {
             self.marks.push(Marks::default());
@@ -205,6 +208,7 @@
             if self.pools[i].life != s.life {
                 self.pools[i] = Pool::new(s.life, now);
             }
+            self.off_at[i] = if s.off.is_some() { self.off_at[i].min(now) } else { Time::MAX };
         }
         self.set_shares(now, &t);
         for (i, d) in t.dbs.iter().enumerate() {
