Plant bugs in the product's own logic, and fill a real disk

An accord whose disk has no room ends with 74 and starts when there is some. Plant kinds no test used are gone.

--- a/chance/src/fault.rs
+++ b/chance/src/fault.rs
@@ -57,6 +57,5 @@
     LyingReplica,
     LyingDisk,
     NoReset,
-    StaleMark,
     BlindRetry,
 }
--- a/chance/src/outside.rs
+++ b/chance/src/outside.rs
@@ -24,7 +24,7 @@
         if path == "/log" {
             let lead = self.world.servers[s].follows;
             if let (Ok(v), Some(l)) = (&mut r, lead) {
-                if matches!(self.plant, Plant::LyingReplica | Plant::StaleMark) {
+                if self.plant == Plant::LyingReplica {
                     v["pos"] = self.world.servers[l].data.pos().into();
                 }
             }
--- a/chance/src/scripts.rs
+++ b/chance/src/scripts.rs
@@ -168,6 +168,13 @@
         let m = [Mood::Good, Mood::Quick][s.roll(2) as usize];
         vec![(11_000, Platform(m)), (12_000, CutServer(d.clone(), way)), (heal, Heal), (26_000, Restart(format!("{d}-0")))]
     } },
+    Script { name: "thaw-in-permit", end: 40_000, faults: |s| {
+        let (d, k) = (db(s), s.roll(2) as usize);
+        let (t, b) = (12_000 + s.roll(80), 13_000 + s.roll(500));
+        s.cfg.timeouts.detect_ms = 300;
+        vec![(11_000, Platform(Mood::Quick)), (12_000, CutServer(d.clone(), 0)), (t, FreezeFencer(d.clone(), k)), (b, Heal), (b + 5, ThawAll),
+            (26_000, Restart(format!("{d}-0")))]
+    } },
     Script { name: "deaf-replica", end: 40_000, faults: |s| {
         let d = db(s);
         let k = 1 + s.roll(2);
--- /dev/null
+++ b/chance/tests/plants.rs
@@ -0,0 +1,52 @@
+#![cfg(plant)]
+use chance::fault::Plant;
+use chance::runs::run;
+use chance::scripts::find;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use tenet::plant::{plant, Bug};
+
+fn found(lost: &mut Vec<String>, bug: Bug, scripts: &[&str], rules: &[&str]) {
+    let (next, hit) = (AtomicU64::new(0), AtomicU64::new(0));
+    let n = scripts.len() as u64;
+    std::thread::scope(|t| {
+        for _ in 0..std::thread::available_parallelism().map_or(2, |n| n.get()) {
+            t.spawn(|| {
+                plant(bug);
+                loop {
+                    let i = next.fetch_add(1, Relaxed);
+                    if i >= 40 * n || hit.load(Relaxed) > 0 {
+                        return;
+                    }
+                    let place = ["alumni", "thessaly"][(i / n % 2) as usize];
+                    let s = run(find(scripts[(i % n) as usize]).unwrap(), place, 1 + i / n / 2, Plant::None);
+                    if s.faults().iter().any(|f| rules.iter().any(|r| f.starts_with(r))) {
+                        hit.fetch_add(1, Relaxed);
+                    }
+                }
+            });
+        }
+    });
+    if hit.load(Relaxed) == 0 {
+        lost.push(format!("{bug:?} was never found as {rules:?}"));
+    }
+}
+
+#[test]
+fn each_bug_planted_in_the_product_is_found_by_a_run() {
+    let mut lost = Vec::new();
+    found(&mut lost, Bug::SendUnchecked, &["domain-cut", "freeze-fencer"], &["two servers"]);
+    found(&mut lost, Bug::OfflineSkipped, &["thaw-in-permit"], &["two servers"]);
+    found(&mut lost, Bug::AgeIgnored, &["replica-stall"], &["behind"]);
+    found(&mut lost, Bug::OwnIgnored, &["replica-stall", "deaf-replica"], &["own"]);
+    found(&mut lost, Bug::EvacuatedServes, &["evacuate"], &["leaving"]);
+    found(&mut lost, Bug::LeavingServes, &["retire"], &["leaving"]);
+    found(&mut lost, Bug::BadTaken, &["operators"], &["configuration"]);
+    found(&mut lost, Bug::HomesIgnored, &["calm", "evacuate"], &["homes"]);
+    found(&mut lost, Bug::StopAtOnce, &["stops"], &["cut"]);
+    found(&mut lost, Bug::TxnCut, &["retire"], &["cut"]);
+    found(&mut lost, Bug::NoAcks, &["crash"], &["lost"]);
+    found(&mut lost, Bug::NothingTold, &["answers-vanish"], &["kept"]);
+    found(&mut lost, Bug::NoReset, &["calm"], &["settings", "caller", "begin"]);
+    found(&mut lost, Bug::RuleIgnored, &["relabel"], &["labels"]);
+    assert_eq!(lost, Vec::<String>::new());
+}
--- a/chance/tests/platter.rs
+++ b/chance/tests/platter.rs
@@ -98,3 +98,10 @@
 fn a_disk_that_skips_its_syncs_is_found() {
     assert!((1..60).any(|s| lives(s, false, true).is_err()));
 }
+
+#[cfg(plant)]
+#[test]
+fn a_folder_opened_at_its_older_slot_is_found() {
+    tenet::plant::plant(tenet::plant::Bug::OlderSlot);
+    assert!((1..60).any(|s| lives(s, false, false).is_err()));
+}
--- a/guise/tests/doors.rs
+++ b/guise/tests/doors.rs
@@ -143,14 +143,38 @@
 }
 
 fn accord(data: &Path) -> (Option<i32>, String) {
+    let o = lone(bin("accord"), data, free_port().unwrap()).output().unwrap();
+    (o.status.code(), String::from_utf8_lossy(&o.stderr).into())
+}
+
+fn lone(mut c: Command, data: &Path, http: SocketAddr) -> Command {
     let a = || free_port().unwrap().to_string();
-    let mut c = bin("accord");
-    c.arg(format!("--listen={}", a())).arg(format!("--http={}", a())).arg("--domain=d");
+    c.arg(format!("--listen={}", a())).arg(format!("--http={http}")).arg("--domain=d");
     (0..3).for_each(|_| {
         c.arg(format!("--seed={}", a()));
     });
-    let o = c.arg(format!("--data={}", data.display())).output().unwrap();
-    (o.status.code(), String::from_utf8_lossy(&o.stderr).into())
+    c.arg(format!("--data={}", data.display()));
+    c
+}
+
+#[test]
+fn a_disk_without_room_ends_the_process_with_74_and_it_starts_when_there_is_some() {
+    let d = std::env::temp_dir().join(format!("firramp-full-{}", std::process::id()));
+    std::fs::create_dir_all(&d).unwrap();
+    let mut c = Command::new("bash");
+    c.arg("-c").arg("trap '' XFSZ; ulimit -f 0; exec \"$0\" \"$@\"").arg(bin("accord").get_program());
+    let o = lone(c, &d, free_port().unwrap()).output().unwrap();
+    let says = String::from_utf8_lossy(&o.stderr);
+    assert!(o.status.code() == Some(74) && says.contains("disk:"), "{:?} {says}", o.status.code());
+    let http = free_port().unwrap();
+    let mut c = lone(bin("accord"), &d, http).stderr(std::process::Stdio::null()).spawn().unwrap();
+    let rt = tokio::runtime::Runtime::new().unwrap();
+    let b = medium::back::Back::new(medium::clock::Clock::new()).unwrap();
+    let up = rt.block_on(until("the process to answer", 15_000, || async { b.get(http, "/view").await.is_some() }));
+    let _ = c.kill();
+    let _ = c.wait();
+    up.unwrap();
+    let _ = std::fs::remove_dir_all(&d);
 }
 
 #[test]
--- a/tenet/src/apply.rs
+++ b/tenet/src/apply.rs
@@ -1,3 +1,4 @@
+use crate::plant::{planted, Bug};
 use crate::base::*;
 use crate::chart;
 use crate::config::Config;
@@ -223,6 +224,7 @@
 
     pub fn check(&self, op: &Op) -> Result<(), Reject> {
         match op {
+            Op::Config { .. } if planted(Bug::BadTaken) => Ok(()),
             Op::Config { text, .. } => Config::parse(text)
                 .and_then(|c| {
                     let v = c.claimed_twice(self);
--- a/tenet/src/collect.rs
+++ b/tenet/src/collect.rs
@@ -1,3 +1,4 @@
+use crate::plant::{planted, Bug};
 use crate::base::*;
 use crate::front::*;
 use crate::kind::{Kind, Reject};
@@ -146,7 +147,7 @@
         load.writes = row.cfg.writes;
         let loose = !row.cfg.writes && row.cfg.fresh.within_ms.is_some();
         let bound = row.cfg.fresh.within_ms.filter(|_| loose);
-        let own = if row.cfg.fresh.own_changes { mark } else { 0 };
+        let own = if row.cfg.fresh.own_changes && !planted(Bug::OwnIgnored) { mark } else { 0 };
         let mut plan = self.plan(now, &t, sid, &load, budget);
         if let Some(b) = bound {
             plan.replicas = self.replicas(now, &t, sid, row, &load, b, own);
--- a/tenet/src/disk.rs
+++ b/tenet/src/disk.rs
@@ -1,3 +1,4 @@
+use crate::plant::{planted, Bug};
 use crate::base::*;
 use crate::state::*;
 use speedy::{Readable, Writable};
@@ -112,7 +113,8 @@
     pub fn recover(slots: [&[u8]; 2], logs: [&[u8]; 2]) -> Result<(Shelf, Option<Durable>), String> {
         slots.iter().try_for_each(|s| same_form(s))?;
         let got = slots.map(|s| open(s).and_then(|(g, b, _)| Durable::read_from_buffer(b).ok().map(|d| (g, d))));
-        let best = got.iter().flatten().map(|(g, _)| *g).max();
+        let whole = got.iter().flatten().map(|(g, _)| *g);
+        let best = if planted(Bug::OlderSlot) { whole.min() } else { whole.max() };
         let Some(g) = best else {
             let empty = slots.iter().chain(logs.iter()).all(|b| b.is_empty());
             let torn_birth = logs.iter().all(|b| b.is_empty()) && slots[0].is_empty();
--- a/tenet/src/drain.rs
+++ b/tenet/src/drain.rs
@@ -1,3 +1,4 @@
+use crate::plant::{planted, Bug};
 use crate::base::*;
 use crate::front::Front;
 use crate::trip::For;
@@ -17,6 +18,9 @@
     }
 
     pub fn done(&self, now: Time, empty: bool, drained: bool, busy: usize) -> bool {
+        if planted(Bug::StopAtOnce) {
+            return true;
+        }
         let t = now.saturating_sub(self.began);
         let seen_off = t > STOP_SEEN_OFF || (empty && t > STOP_LEAST);
         (seen_off && drained && busy == 0) || t > STOP_MOST
--- a/tenet/src/failover.rs
+++ b/tenet/src/failover.rs
@@ -1,3 +1,4 @@
+use crate::plant::{planted, Bug};
 use crate::base::*;
 use crate::pilot::*;
 use crate::state::*;
@@ -24,7 +25,7 @@
     }
 
     pub(crate) fn fenced(&mut self, k: &Sky, n: &str, d: &Db, at: Time, ops: &mut Vec<Op>) {
-        let sure = k.now > at + FULL || self.all_clean(k, n, d);
+        let sure = k.now > at + FULL || self.all_clean(k, n, d) || planted(Bug::OfflineSkipped);
         if !sure {
             return;
         }
--- a/tenet/src/fence.rs
+++ b/tenet/src/fence.rs
@@ -1,3 +1,4 @@
+use crate::plant::{planted, Bug};
 use crate::base::*;
 use crate::front::*;
 use crate::job::{Job, Owner, Step};
@@ -114,7 +115,7 @@
             let (k, s) = (&self.known[*i], &t.servers[*i]);
             k.life == s.life && k.pos >= pos && Some(k.follows.as_str()) == lead
         };
-        !d.heirs.is_empty() && d.heirs.iter().chain(d.joining.iter()).all(holds)
+        planted(Bug::NoAcks) || !d.heirs.is_empty() && d.heirs.iter().chain(d.joining.iter()).all(holds)
     }
 
     pub(crate) fn still(&self, now: Time, db: usize, epoch: Mark) -> bool {
@@ -131,7 +132,8 @@
             .iter()
             .filter(|(_, x)| {
                 let d = &t.dbs[x.db];
-                let shut = d.phase == "closing" && now > self.closing_at[x.db].1 + c.transaction_drain_ms;
+                let grace = if planted(Bug::TxnCut) { 0 } else { c.transaction_drain_ms };
+                let shut = d.phase == "closing" && now > self.closing_at[x.db].1 + grace;
                 let idle = now > x.last + c.transaction_idle_ms;
                 let lost = !self.still(now, x.db, x.epoch) || t.servers[x.server].life != x.life;
                 !x.busy && (shut || idle || lost)
--- a/tenet/src/front.rs
+++ b/tenet/src/front.rs
@@ -1,4 +1,5 @@
 use crate::base::*;
+use crate::plant::{planted, Bug};
 use crate::fresh::{Known, Marks};
 pub use crate::held::*;
 use crate::job::Job;
@@ -126,7 +127,7 @@
     }
 
     pub fn allows(&self, now: Time) -> bool {
-        self.t.is_some() && now < self.until
+        self.t.is_some() && (now < self.until || planted(Bug::SendUnchecked))
     }
 
     pub fn idle(&self) -> bool {
--- a/tenet/src/job.rs
+++ b/tenet/src/job.rs
@@ -1,3 +1,4 @@
+use crate::plant::{planted, Bug};
 use crate::base::*;
 use crate::front::*;
 use crate::kind::{Kind, Reject};
@@ -6,6 +7,10 @@
 use crate::wire::*;
 use serde_json::{json, Value};
 
+fn margin() -> Time {
+    if planted(Bug::OfflineSkipped) { 0 } else { BYTES_LIFE }
+}
+
 #[derive(Clone, Copy, PartialEq)]
 pub enum Owner {
     Trip(usize, u64),
@@ -93,7 +98,7 @@
         let (s, user) = (job.server, job.load.session);
         match self.pools[s].take(now, user, setup, &rules) {
             Take::Conn(c) => {
-                let same = c.user == user && c.setup == setup;
+                let same = c.user == user && c.setup == setup || planted(Bug::NoReset);
                 job.conn = Some(Conn { id: c.id, user, setup, idle: now });
                 match same {
                     true => self.job_run(now, j, out),
@@ -117,7 +122,11 @@
         let limit = self.t.as_ref().map_or(1500, |t| t.cfg.timeouts.statement_ms);
         let to = self.t.as_ref().map_or(Addr::NONE, |t| t.servers[self.jobs[j].server].addr);
         let fenced = matches!(self.jobs[j].owner, Owner::Carry(..));
-        let end = if fenced { self.until.saturating_sub(BYTES_LIFE) } else { self.until };
+        let end = match fenced {
+            _ if planted(Bug::SendUnchecked) => Time::MAX,
+            true => self.until.saturating_sub(margin()),
+            false => self.until,
+        };
         let until = end.min(self.jobs[j].deadline);
         let job = &mut self.jobs[j];
         (job.step, job.token) = (step, token);
@@ -140,7 +149,7 @@
             let k = if matches!(job.load.act, Act::Single | Act::Begin) { Kind::TooLate } else { Kind::Aborted };
             return self.job_end(now, j, Err(Reject::new(k, "its deadline passed before it was sent")), out);
         }
-        if fenced && !self.still(now + BYTES_LIFE, job.db, job.epoch) {
+        if fenced && !self.still(now + margin(), job.db, job.epoch) {
             let k = if job.load.act == Act::Single || job.load.act == Act::Begin { Kind::NotCurrent } else { Kind::Aborted };
             return self.job_end(now, j, Err(Reject::new(k, "the permit ended before it was sent")), out);
         }
@@ -168,23 +177,6 @@
         self.job_call(now, j, step, "/outcome", body, out);
     }
 
-    pub(crate) fn discard(&mut self, now: Time, server: usize, conn: u64, out: &mut FrontOut) {
-        self.pools[server].lost();
-        self.send_close(now, server, conn, out);
-    }
-
-    pub(crate) fn job_discard(&mut self, now: Time, j: usize, out: &mut FrontOut) {
-        let s = self.jobs[j].server;
-        if let Some(c) = self.jobs[j].conn.take() {
-            self.discard(now, s, c.id, out);
-        }
-        let txn = self.jobs[j].load.txn;
-        if matches!(self.jobs[j].load.act, Act::Step | Act::Commit | Act::Rollback) {
-            self.txns.remove(&txn);
-        }
-        self.pump(now, s, out);
-    }
-
     pub(crate) fn job_put(&mut self, now: Time, j: usize, out: &mut FrontOut) {
         let s = self.jobs[j].server;
         if let Some(c) = self.jobs[j].conn.take() {
--- a/tenet/src/ledger.rs
+++ b/tenet/src/ledger.rs
@@ -1,3 +1,4 @@
+use crate::plant::{planted, Bug};
 use crate::base::*;
 use crate::kind::Kind;
 
@@ -51,6 +52,9 @@
 }
 
 fn unsure(p: &Plan, gos: &[Go]) -> bool {
+    if planted(Bug::NothingTold) {
+        return false;
+    }
     let open = |g: &Go| matches!(g.end, End::Lost | End::Open | End::Rejected(Kind::Unknown));
     (p.writes || p.commit) && gos.iter().any(open)
 }
--- a/tenet/src/lib.rs
+++ b/tenet/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod pilot;
 pub mod place;
 pub mod plan;
+pub mod plant;
 pub mod polls;
 pub mod pool;
 pub mod probe;
--- a/tenet/src/plan.rs
+++ b/tenet/src/plan.rs
@@ -1,3 +1,4 @@
+use crate::plant::{planted, Bug};
 use crate::base::*;
 use crate::front::Front;
 use crate::kind::Kind;
@@ -10,6 +11,9 @@
     pub(crate) fn proof(&self, now: Time, t: &Table, db: usize, s: usize, pos: u64) -> Option<Time> {
         let d = &t.dbs[db];
         let lead = d.primary.map(|p| t.servers[p].name.as_str());
+        if planted(Bug::AgeIgnored) {
+            return Some(0);
+        }
         let heir = d.heirs.contains(&s).then(|| now.saturating_sub(self.until.saturating_sub(PERMIT)));
         let follows = Some(self.known[s].follows.as_str()) == lead;
         let seen = self.marks[db].age(now, d.epoch, pos).filter(|_| follows);
--- /dev/null
+++ b/tenet/src/plant.rs
@@ -0,0 +1,43 @@
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub enum Bug {
+    None,
+    SendUnchecked,
+    OfflineSkipped,
+    AgeIgnored,
+    OwnIgnored,
+    EvacuatedServes,
+    LeavingServes,
+    OlderSlot,
+    BadTaken,
+    HomesIgnored,
+    StopAtOnce,
+    TxnCut,
+    NoAcks,
+    NothingTold,
+    NoReset,
+    RuleIgnored,
+}
+
+#[cfg(plant)]
+mod on {
+    use super::Bug;
+    use std::cell::Cell;
+    thread_local! {
+        static ON: Cell<Bug> = const { Cell::new(Bug::None) };
+    }
+    pub fn plant(b: Bug) {
+        ON.with(|c| c.set(b));
+    }
+    pub fn planted(b: Bug) -> bool {
+        ON.with(|c| c.get() == b)
+    }
+}
+
+#[cfg(plant)]
+pub use on::{plant, planted};
+
+#[cfg(not(plant))]
+#[inline(always)]
+pub(crate) fn planted(_: Bug) -> bool {
+    false
+}
--- a/tenet/src/route.rs
+++ b/tenet/src/route.rs
@@ -1,3 +1,4 @@
+use crate::plant::{planted, Bug};
 use crate::base::*;
 use crate::kind::Kind;
 use crate::table::*;
@@ -12,7 +13,7 @@
 }
 
 fn allowed(t: &Table, n: NodeId, l: &Load) -> bool {
-    t.nodes.get(&n).is_some_and(|r| l.regions.contains(&r.region))
+    t.nodes.get(&n).is_some_and(|r| l.regions.contains(&r.region) || planted(Bug::HomesIgnored))
 }
 
 fn alive_first(t: &Table, v: &[NodeId], l: &Load, turn: u64) -> Vec<NodeId> {
--- a/tenet/src/rules.rs
+++ b/tenet/src/rules.rs
@@ -1,3 +1,4 @@
+use crate::plant::{planted, Bug};
 use crate::config::{Config, Freshness, RequestKind};
 use crate::labels::{Labels, Selector};
 use crate::state::{Server, State};
@@ -62,7 +63,7 @@
 
     pub fn effective(&self, kind: &str) -> RequestKind {
         let mut k = self.kinds.get(kind).cloned().unwrap_or_default();
-        let v = self.matching(kind);
+        let v = if planted(Bug::RuleIgnored) { Vec::new() } else { self.matching(kind) };
         if k.servers.is_empty() {
             k.servers = v.iter().find_map(|r| r.1.servers.clone()).unwrap_or_default();
         }
--- a/tenet/src/table.rs
+++ b/tenet/src/table.rs
@@ -1,3 +1,4 @@
+use crate::plant::{planted, Bug};
 use crate::base::*;
 use crate::config::{Config, Database, RequestKind};
 use crate::labels::{Labels, Selector};
@@ -91,9 +92,9 @@
 
 pub fn server_off(st: &State, s: &Server) -> Option<&'static str> {
     let all = [
-        (s.leaving, "leaving"),
+        (s.leaving && !planted(Bug::LeavingServes), "leaving"),
         (st.drained.contains_key(&s.name), "drained by an operator"),
-        (st.evacuated.contains_key(&s.domain), "its domain is evacuated"),
+        (st.evacuated.contains_key(&s.domain) && !planted(Bug::EvacuatedServes), "its domain is evacuated"),
     ];
     all.into_iter().find(|(b, _)| *b).map(|(_, w)| w)
 }
@@ -147,7 +148,7 @@
         };
         let closed = [
             (c.region(self.domain).is_none(), "its domain is not in the configuration"),
-            (st.evacuated.contains_key(self.domain), "its domain is evacuated"),
+            (st.evacuated.contains_key(self.domain) && !planted(Bug::EvacuatedServes), "its domain is evacuated"),
         ];
         Table {
             mark: st.mark,
--- a/tenet/src/waits.rs
+++ b/tenet/src/waits.rs
@@ -5,6 +5,23 @@
 use crate::wire::Act;
 
 impl Front {
+    pub(crate) fn discard(&mut self, now: Time, server: usize, conn: u64, out: &mut FrontOut) {
+        self.pools[server].lost();
+        self.send_close(now, server, conn, out);
+    }
+
+    pub(crate) fn job_discard(&mut self, now: Time, j: usize, out: &mut FrontOut) {
+        let s = self.jobs[j].server;
+        if let Some(c) = self.jobs[j].conn.take() {
+            self.discard(now, s, c.id, out);
+        }
+        let txn = self.jobs[j].load.txn;
+        if matches!(self.jobs[j].load.act, Act::Step | Act::Commit | Act::Rollback) {
+            self.txns.remove(&txn);
+        }
+        self.pump(now, s, out);
+    }
+
     pub(crate) fn close_first(&mut self, now: Time, j: usize, out: &mut FrontOut) {
         let conn = self.jobs[j].lost;
         let body = serde_json::json!({ "conn": conn });
