Take a frame when a view moves a member behind another one

Cause: a member that was whole in view n stayed whole in n+1 wherever it stood. A head that was only cut from its successor holds entries nobody else has; carried to the end of the next chain it kept them, skipped its new predecessor's entries of the same marks, and answered as tail: two histories of the control state, marks 83 to 91. Ruled out: slow clocks (the bound was narrowed first, no change), the joining wait, the age of sightings. Now whole only if all before it in the new chain were before it in the old one, else a frame replaces what it held.

--- a/tenet/src/found.rs
+++ b/tenet/src/found.rs
@@ -2,7 +2,7 @@
 use crate::chain::{Chain, Out};
 use crate::colleagues::Colleagues;
 use crate::disk::*;
-use crate::view::{seats, Agreement, HOLD};
+use crate::view::{seats, Agreement};
 use crate::wire::Msg;
 use std::collections::BTreeMap;
 
@@ -91,9 +91,13 @@
             return;
         }
         let was = self.whole();
-        let inside = view.chain.iter().any(|s| s.id == self.me.id);
+        let seat = |v: &[Seat], id: NodeId| v.iter().position(|s| s.id == id);
+        let mine = seat(&old.chain, self.me.id);
+        let place = seat(&view.chain, self.me.id);
+        let inside = place.is_some();
+        let kept = place.is_some_and(|i| view.chain[..i].iter().all(|s| seat(&old.chain, s.id).is_some_and(|p| Some(p) < mine)));
         let founding = view.n == 1 && self.d.pledge == view.chain;
-        let whole = match inside && (founding || (was && view.n == old.n + 1)) {
+        let whole = match inside && (founding || (was && kept && view.n == old.n + 1)) {
             true => view.n,
             false => 0,
         };
@@ -105,7 +109,7 @@
         );
         out.stories.push(("view".into(), t));
         self.keep(Rec::View { view, whole }, out);
-        self.agree = Agreement { next: now + HOLD, ..Agreement::default() };
+        self.agree = Agreement { next: now + VIEW_HOLD, ..Agreement::default() };
         self.tail = TailPermit { granted: self.tail.granted, ..TailPermit::new(now) };
         self.adopted(now);
     }
--- a/tenet/tests/chain.rs
+++ b/tenet/tests/chain.rs
@@ -37,3 +37,17 @@
     c.synced(3_600_000, s, &mut out);
     assert!(!c.stuck(3_600_500) && c.stuck(3_601_100));
 }
+
+#[test]
+fn who_is_moved_behind_another_takes_a_frame_and_drops_what_only_it_held() {
+    let old = vec![seat(1, 1), seat(2, 2), seat(3, 3)];
+    let moved = |me: Seat, order: [u64; 3]| {
+        let mut c = chain(me, old.clone(), 3);
+        let to = order.map(|i| seat(i, i as u16)).to_vec();
+        c.adopt(10, View { n: 4, cluster: 1, voters: old.clone(), chain: to }, &mut Out::default());
+        c.whole()
+    };
+    assert!(!moved(seat(1, 1), [2, 3, 1]), "the old head may hold entries nobody else has");
+    assert!(!moved(seat(2, 2), [1, 3, 2]));
+    assert!(moved(seat(3, 3), [1, 2, 3]) && moved(seat(2, 2), [2, 3, 1]) && moved(seat(3, 3), [2, 3, 1]));
+}
