--- a/tenet/src/answer.rs
+++ b/tenet/src/answer.rs
@@ -5,7 +5,6 @@
 use crate::wire::*;
 use serde_json::Value;
 
-const AGAIN: Time = 100;
 
 fn num(v: &Value, k: &str) -> u64 {
     v.get(k).and_then(|x| x.as_u64()).unwrap_or(0)
@@ -29,7 +28,7 @@
             Step::LookUp => self.back_look(now, j, res, out),
             Step::CloseFirst => match res {
                 BackRes::Ok(_) => self.look_up(now, j, Step::LookAfter, out),
-                _ => self.jobs[j].step = Step::Again(now + AGAIN),
+                _ => self.jobs[j].step = Step::Again(now + LOOK_AGAIN),
             },
             Step::LookAfter => match res {
                 BackRes::Ok(v) if !self.same_primary(now, j, &v) => {
@@ -41,7 +40,7 @@
                     let r = Reject::new(Kind::Aborted, "the server does not know it and its connection is closed");
                     self.job_end(now, j, Err(r), out);
                 }
-                _ => self.jobs[j].step = Step::Again(now + AGAIN),
+                _ => self.jobs[j].step = Step::Again(now + LOOK_AGAIN),
             },
             _ => (),
         }
@@ -197,7 +196,7 @@
                 let r = Reject::new(Kind::Aborted, "the new primary does not hold it");
                 self.job_end(now, j, Err(r), out);
             }
-            BackRes::Ok(_) => self.jobs[j].step = Step::Again(now + AGAIN),
+            BackRes::Ok(_) => self.jobs[j].step = Step::Again(now + LOOK_AGAIN),
             r => self.job_end(now, j, Err(Reject::new(Kind::NoPrimary, format!("no look-up: {}", word(&r)))), out),
         }
     }
--- a/tenet/src/asks.rs
+++ b/tenet/src/asks.rs
@@ -6,7 +6,6 @@
 use crate::state::*;
 use crate::wire::Msg;
 
-const GIVE_UP: Time = 5000;
 
 impl Control {
     pub(crate) fn ask(&mut self, now: Time, call: u64, id: Option<u64>, op: Op, out: &mut Out) {
@@ -37,7 +36,7 @@
         let head = self.head();
         let mut late = Vec::new();
         for (id, p) in self.pending.iter_mut() {
-            if now > p.born + GIVE_UP {
+            if now > p.born + ASK_GIVE_UP {
                 late.push(*id);
             } else if now > p.sent + 300 {
                 p.sent = now;
--- a/tenet/src/base.rs
+++ b/tenet/src/base.rs
@@ -1,3 +1,4 @@
+pub use crate::bounds::*;
 use speedy::{Readable, Writable};
 use std::fmt;
 use std::net::{IpAddr, Ipv6Addr, SocketAddr};
@@ -6,18 +7,6 @@
 pub type Mark = u64;
 pub type NodeId = u64;
 
-pub const PERMIT: Time = 1500;
-pub const PERMIT_DRIFT: Time = 150;
-pub const REFRESH: Time = 250;
-pub const REFRESH_LATE: Time = 400;
-pub const REFRESH_AGAIN: Time = 80;
-pub const BYTES_ACK: Time = 200;
-pub const BYTES_LIFE: Time = 500;
-pub const LINE_ACK: Time = 600;
-pub const LINE_OLD: Time = 600;
-pub const LEAVING_SERVES: Time = 3000;
-pub const TAIL_PERMIT: Time = 600;
-pub const TAIL_DRIFT: Time = 60;
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Readable, Writable)]
 pub struct Addr {
--- /dev/null
+++ b/tenet/src/bounds.rs
@@ -0,0 +1,60 @@
+use crate::base::Time;
+
+pub const PERMIT: Time = 1500;
+pub const PERMIT_DRIFT: Time = 150;
+pub const REFRESH: Time = 250;
+pub const REFRESH_LATE: Time = 400;
+pub const REFRESH_AGAIN: Time = 80;
+pub const BYTES_ACK: Time = 200;
+pub const BYTES_LIFE: Time = 500;
+pub const LINE_ACK: Time = 600;
+pub const LINE_OLD: Time = 600;
+pub const LEAVING_SERVES: Time = 3000;
+pub const TAIL_PERMIT: Time = 600;
+pub const TAIL_DRIFT: Time = 60;
+pub const STOP_ANSWERS: Time = 3200;
+pub const STOP_LEAST: Time = 1000;
+pub const STOP_SEEN_OFF: Time = 2700;
+pub const STOP_MOST: Time = 4000;
+pub const CHAIN_AGAIN: Time = 100;
+pub const VIEW_ROUND: Time = 50;
+pub const VIEW_HOLD: Time = 300;
+pub const VIEW_OPEN: Time = 1500;
+pub const VOTER_REPLACE: Time = 4000;
+pub const ANSWER_WAIT: Time = 1000;
+pub const ASK_GIVE_UP: Time = 5000;
+pub const PROOF_MARGIN: Time = 60;
+pub const LOOK_AGAIN: Time = 100;
+pub const FENCE_POLL: Time = 100;
+pub const READ_POLL: Time = 250;
+pub const ACK_POLL: Time = 15;
+pub const POS_ASK: Time = 250;
+pub const POLL_LIMIT: Time = 400;
+pub const CLOCK_KEPT: Time = 10_000;
+pub const PAUSE: Time = 1000;
+pub const PAUSE_OVER: Time = 400;
+pub const FULL: Time = PERMIT + PERMIT_DRIFT;
+pub const SIGHT_STALE: Time = 1500;
+pub const SEE_OFF: Time = 2500;
+pub const PROBE_ROUND: Time = 200;
+pub const PROBE_DIRECT: Time = 250;
+pub const PROBE_INDIRECT: Time = 350;
+pub const SUSPICION: Time = 1200;
+pub const FORGET: Time = 60_000;
+pub const SEEDS_AGAIN: Time = 1000;
+pub const CATCH_UP: Time = 5000;
+pub const HEIR_WAIT: Time = 3000;
+pub const CLOSE_EXTRA: Time = 500;
+pub const NEAR_AGE: Time = 400;
+pub const NEAR_TOLD: Time = 500;
+pub const HEIR_LAG: Time = 1000;
+pub const MEMBER_LOST: Time = 3000;
+pub const MEMBER_UNSEEN: Time = 4000;
+pub const PILOT_FIRST: Time = 1000;
+pub const PROMOTE_AGAIN: Time = 500;
+pub const SIGHT_KEPT: Time = 5000;
+pub const VIEW_MOST: Time = 2500;
+
+pub fn by_slow_clock(t: Time) -> Time {
+    t - t / 20
+}
--- a/tenet/src/chain.rs
+++ b/tenet/src/chain.rs
@@ -8,7 +8,6 @@
 use std::collections::{BTreeMap, VecDeque};
 
 pub const KEPT: usize = 4096;
-pub const AGAIN: Time = 100;
 
 #[derive(Default)]
 pub struct Out {
@@ -207,11 +206,11 @@
                 self.forward(now, out);
             }
             if self.pred().is_some() && !self.whole() && now >= self.frame_at {
-                self.frame_at = now + 2 * AGAIN;
+                self.frame_at = now + 2 * CHAIN_AGAIN;
                 let view = self.d.view.n;
                 out.send.extend(self.pred().map(|p| (p.addr, Msg::FrameAsk { view })));
             }
         }
-        self.tick_at.min(now + AGAIN)
+        self.tick_at.min(now + CHAIN_AGAIN)
     }
 }
--- a/tenet/src/drain.rs
+++ b/tenet/src/drain.rs
@@ -3,10 +3,6 @@
 use crate::front::Front;
 use crate::trip::For;
 
-pub const STOP_ANSWERS: Time = 3200;
-const STOP_LEAST: Time = 1000;
-const STOP_SEEN_OFF: Time = 2700;
-const STOP_MOST: Time = 4000;
 
 pub struct Drain {
     began: Time,
--- a/tenet/src/failover.rs
+++ b/tenet/src/failover.rs
@@ -13,13 +13,13 @@
 
     pub(crate) fn closing(&self, k: &Sky, n: &str, d: &Db, at: Time, ops: &mut Vec<Op>) {
         let (db, epoch) = (n.to_string(), d.epoch);
-        let grace = k.cfg.timeouts.transaction_drain_ms + 500;
+        let grace = k.cfg.timeouts.transaction_drain_ms + CLOSE_EXTRA;
         let p = d.primary.as_ref().and_then(|p| k.st.servers.get(p));
         let back = p.is_none_or(|p| server_off(k.st, p).is_none());
         let dead = p.is_some_and(|p| self.sight(k, &p.name, p.life, 0).is_none());
         if back {
             ops.push(Op::Reopen { db, epoch, why: "the primary stays after all".into() });
-        } else if self.all_clean(k, n, d) || k.now > at + grace || (dead && k.now > at + STALE) {
+        } else if self.all_clean(k, n, d) || k.now > at + grace || (dead && k.now > at + SIGHT_STALE) {
             ops.push(Op::Offline { db, epoch, why: "planned: work under way has ended".into() });
         }
     }
@@ -42,9 +42,9 @@
             .collect();
         best.sort();
         let caught = |pos: u64| !d.planned || old_seen.is_none_or(|o| pos >= o);
-        let patience = k.now > at + 5000;
+        let patience = k.now > at + CATCH_UP;
         let on = |h: &String| k.st.heir(d, h) && k.st.servers.get(h).is_some_and(|s| server_off(k.st, s).is_none());
-        let better = d.planned && k.now < at + 3000 && d.heirs.keys().any(on);
+        let better = d.planned && k.now < at + HEIR_WAIT && d.heirs.keys().any(on);
         if let Some((good, pos, h)) = best.last() {
             if !good && better {
                 return;
@@ -53,7 +53,7 @@
                 self.chosen.insert(db.clone(), epoch);
                 ops.push(Op::Target { db, epoch, server: (*h).clone(), asker: k.me });
             }
-        } else if old_seen.is_some() && k.now > at + 3000 {
+        } else if old_seen.is_some() && k.now > at + HEIR_WAIT {
             ops.push(Op::Reopen { db, epoch, why: "no replica can take over and the old primary is back".into() });
         }
     }
--- a/tenet/src/front.rs
+++ b/tenet/src/front.rs
@@ -87,8 +87,6 @@
     pub(crate) paused_until: Time,
 }
 
-const PAUSE: Time = 1000;
-const PAUSE_OVER: Time = 400;
 
 impl Front {
     pub fn new(me: NodeId, addr: Addr, seed: u64) -> Self {
--- a/tenet/src/gate.rs
+++ b/tenet/src/gate.rs
@@ -7,7 +7,6 @@
 use crate::table::Table;
 use crate::wire::*;
 
-const CLOCK_KEPT: Time = 10_000;
 
 impl Front {
     pub(crate) fn by(&self, now: Time, to: NodeId, deadline: Time) -> Time {
--- a/tenet/src/heirs.rs
+++ b/tenet/src/heirs.rs
@@ -10,7 +10,7 @@
 
     fn near(&self, k: &Sky, f: NodeId, p: &str) -> bool {
         let x = self.seen.get(&(f, p.to_string()));
-        x.is_some_and(|x| x.s.reach && x.s.age < 400 && k.now < x.at + 500)
+        x.is_some_and(|x| x.s.reach && x.s.age < NEAR_AGE && k.now < x.at + NEAR_TOLD)
     }
 
     pub(crate) fn heirs(&mut self, k: &Sky, n: &str, d: &Db, at: Time, ops: &mut Vec<Op>) {
@@ -36,7 +36,7 @@
                     self.gone_at.insert(key.clone(), k.now);
                 }
                 let spare = d.heirs.len() > 1 || !d.heirs.contains_key(&server);
-                if bad && k.now > since + 1000 && spare && seen {
+                if bad && k.now > since + HEIR_LAG && spare && seen {
                     ops.push(Op::HeirLeave { db, epoch, server, why: "cut off, leaving or far behind".into() });
                     continue;
                 }
--- a/tenet/src/pilot.rs
+++ b/tenet/src/pilot.rs
@@ -42,8 +42,6 @@
     pub(crate) began: Option<Time>,
 }
 
-pub const FULL: Time = PERMIT + PERMIT_DRIFT;
-pub const STALE: Time = 1500;
 
 pub struct Sky<'a> {
     pub now: Time,
@@ -73,7 +71,7 @@
         for s in v {
             self.seen.insert((from, s.server.clone()), Seen { at: now, s });
         }
-        self.seen.retain(|_, s| now < s.at + 5000);
+        self.seen.retain(|_, s| now < s.at + SIGHT_KEPT);
     }
 
     pub fn tick(&mut self, k: &Sky) -> (Vec<Op>, Vec<Promote>) {
@@ -102,8 +100,8 @@
         self.member_at.retain(|id, _| k.st.members.contains_key(id));
         for m in k.st.members.values() {
             let due = k.now > since(&mut self.member_at, m.id, m.at, k.now) + FULL;
-            let lost = k.c.quiet(m.id, k.now).is_some_and(|q| q > 3000)
-                || (!k.c.alive(m.id) && !k.c.all.contains_key(&m.id) && k.now > began + 4000);
+            let lost = k.c.quiet(m.id, k.now).is_some_and(|q| q > MEMBER_LOST)
+                || (!k.c.alive(m.id) && !k.c.all.contains_key(&m.id) && k.now > began + MEMBER_UNSEEN);
             let twin = k.c.live().any(|s| s.addr == m.addr && s.id != m.id);
             let ev = match m.phase.as_str() {
                 "joining" if due => Some("settle"),
@@ -116,7 +114,7 @@
     }
 
     fn placing(&mut self, k: &Sky, n: &str, began: Time, ops: &mut Vec<Op>) {
-        if k.now < began + 1000 {
+        if k.now < began + PILOT_FIRST {
             return;
         }
         let fit = |m: &Member| {
@@ -143,7 +141,7 @@
         self.seen
             .iter()
             .filter(|((_, s), x)| s == server && x.s.life == life && x.s.reach)
-            .filter(|(_, x)| x.at.saturating_sub(x.s.age) >= since && k.now < x.at + STALE)
+            .filter(|(_, x)| x.at.saturating_sub(x.s.age) >= since && k.now < x.at + SIGHT_STALE)
             .map(|(_, x)| &x.s)
             .max_by_key(|s| s.pos)
     }
@@ -183,7 +181,7 @@
         }
         let live: Vec<NodeId> = d.fencers.iter().filter(|f| k.c.alive(**f)).copied().collect();
         let down = |f: &NodeId| self.seen.get(&(*f, p.name.clone())).is_some_and(|x| {
-            k.now < x.at + STALE && (!x.s.reach || x.s.life != p.life) && x.s.age >= detect
+            k.now < x.at + SIGHT_STALE && (!x.s.reach || x.s.life != p.life) && x.s.age >= detect
         });
         let fenced = !live.is_empty() && live.iter().all(down);
         let links: Vec<bool> = d
@@ -201,7 +199,7 @@
     }
 
     fn gave_up(&self, k: &Sky, f: NodeId, p: &Server) -> bool {
-        self.seen.get(&(f, p.name.clone())).is_some_and(|x| k.now < x.at + STALE && x.s.reach && !x.s.leads)
+        self.seen.get(&(f, p.name.clone())).is_some_and(|x| k.now < x.at + SIGHT_STALE && x.s.reach && !x.s.leads)
     }
 
     pub fn promoted(&mut self, now: Time, db: &str, epoch: Mark, server: &str, done: Result<(), bool>) -> Option<Op> {
@@ -209,7 +207,7 @@
             if unknown {
                 self.unknown.insert(db.into(), epoch);
             }
-            self.asks.insert(db.into(), (epoch, Ask3::Wait(now + 500)));
+            self.asks.insert(db.into(), (epoch, Ask3::Wait(now + PROMOTE_AGAIN)));
             let sure = self.chosen.get(db) == Some(&epoch) && self.unknown.get(db) != Some(&epoch);
             let gone = sure && !unknown && self.seen.iter().all(|((_, s), x)| s != server || !x.s.reach);
             return gone.then(|| Op::Rejected { db: db.into(), epoch, server: server.into() });
--- a/tenet/src/polls.rs
+++ b/tenet/src/polls.rs
@@ -10,11 +10,6 @@
 use crate::wire::*;
 use serde_json::json;
 
-const FENCE_POLL: Time = 100;
-const READ_POLL: Time = 250;
-const ACK_POLL: Time = 15;
-const POS_ASK: Time = 250;
-const POLL_LIMIT: Time = 400;
 
 impl Front {
     pub(crate) fn tick(&mut self, now: Time, out: &mut FrontOut) {
--- a/tenet/src/probe.rs
+++ b/tenet/src/probe.rs
@@ -2,12 +2,6 @@
 use crate::colleagues::*;
 use crate::wire::Msg;
 
-const ROUND: Time = 200;
-const DIRECT: Time = 250;
-const INDIRECT: Time = 350;
-const SUSPICION: Time = 1200;
-const FORGET: Time = 60_000;
-const SEEDS_AGAIN: Time = 1000;
 
 impl Colleagues {
     fn probe(&mut self, now: Time, id: NodeId, addr: Addr, send: &mut Vec<(Addr, Msg)>) {
@@ -29,7 +23,7 @@
             }
         }
         if now >= self.next {
-            self.next = now + ROUND;
+            self.next = now + PROBE_ROUND;
             for _ in 0..2.min(self.all.len()) {
                 let c = self.cursor;
                 let n = self.all.range(c + 1..).chain(self.all.range(..=c)).next();
@@ -56,7 +50,7 @@
                 (o.id, o.addr, o.at, o.helped, o.seq)
             };
             let gone = self.all.get(&id).is_none_or(|c| c.s.status == GONE);
-            if !helped && now >= at + DIRECT && !gone {
+            if !helped && now >= at + PROBE_DIRECT && !gone {
                 self.open[i].helped = true;
                 let n = self.seq as usize;
                 let v: Vec<(Addr, NodeId)> = self.live().filter(|s| s.id != id).map(|s| (s.addr, s.id)).collect();
@@ -70,7 +64,7 @@
                     send.push((to, m));
                 }
             }
-            if now >= at + DIRECT + INDIRECT {
+            if now >= at + PROBE_DIRECT + PROBE_INDIRECT {
                 self.open.swap_remove(i);
                 if self.all.get(&id).is_some_and(|c| c.s.status == ALIVE) {
                     self.turn(id, "silent", "no answer, nor through third parties", now);
--- a/tenet/src/serve.rs
+++ b/tenet/src/serve.rs
@@ -1,5 +1,5 @@
 use crate::base::*;
-use crate::chain::{Chain, Out, AGAIN};
+use crate::chain::{Chain, Out};
 use crate::kind::{Kind, Reject};
 use crate::state::*;
 use crate::wire::{Changes, Msg};
@@ -68,7 +68,7 @@
                 }
                 None => self.send_frame(s.addr, out),
             }
-            self.resend_at = now + AGAIN;
+            self.resend_at = now + CHAIN_AGAIN;
         }
     }
 
--- a/tenet/src/trip.rs
+++ b/tenet/src/trip.rs
@@ -31,7 +31,6 @@
     }
 }
 
-const ANSWER_WAIT: Time = 1000;
 
 impl Front {
     pub(crate) fn trip_start(&mut self, now: Time, t: Trip, out: &mut FrontOut) {
@@ -132,7 +131,7 @@
         let (Some(db), Some(table)) = (self.sessions.get(session).map(|s| s.db), self.t.as_ref()) else {
             return true;
         };
-        self.proof(now, table, db, s, d.pos).is_none_or(|a| a >= b)
+        self.proof(now, table, db, s, d.pos).is_none_or(|a| a >= by_slow_clock(b))
     }
 
     fn trip_end(&mut self, now: Time, i: usize, give: Option<Kind>, out: &mut FrontOut) {
--- a/tenet/src/verdict.rs
+++ b/tenet/src/verdict.rs
@@ -4,7 +4,6 @@
 use crate::table::*;
 use serde_json::{json, Map, Value};
 
-const PROOF_MARGIN: Time = 60;
 
 #[derive(Clone, PartialEq, Default)]
 pub struct Standing {
@@ -28,7 +27,7 @@
         }
         match self.proof(now, t, db, i, k.pos) {
             None => Err("no proof of what its log holds".into()),
-            Some(a) if a + PROOF_MARGIN < bound => Ok(a),
+            Some(a) if a + PROOF_MARGIN < by_slow_clock(bound) => Ok(a),
             Some(a) => Err(format!("its log is proved only as of {a} ms ago")),
         }
     }
--- a/tenet/src/view.rs
+++ b/tenet/src/view.rs
@@ -5,10 +5,6 @@
 use crate::wire::Msg;
 use std::collections::{BTreeMap, BTreeSet};
 
-const ROUND: Time = 50;
-pub const HOLD: Time = 300;
-const OPEN: Time = 1500;
-const REPLACE: Time = 4000;
 
 #[derive(Default)]
 pub struct Agreement {
@@ -47,7 +43,7 @@
         if now < self.tick_at {
             return;
         }
-        self.tick_at = now + ROUND;
+        self.tick_at = now + VIEW_ROUND;
         let n = self.d.view.n;
         if let Some(a) = c.live().filter(|s| s.view > n).map(|s| s.addr).next() {
             out.send.push((a, Msg::ViewAsk));
@@ -80,7 +76,7 @@
         if self.stuck(now) {
             return Some("the next in the chain does not sync".into());
         }
-        if self.d.promised > 0 && now > self.agree.touched + OPEN {
+        if self.d.promised > 0 && now > self.agree.touched + VIEW_OPEN {
             return Some("an agreement was left open".into());
         }
         let seat = |id: NodeId| v.chain.iter().any(|s| s.id == id);
@@ -92,8 +88,8 @@
     }
 
     pub(crate) fn missing(&self, id: NodeId, now: Time, c: &Colleagues) -> bool {
-        let unseen = now > self.born + REPLACE && !c.all.contains_key(&id);
-        id != self.me.id && (unseen || c.quiet(id, now).is_some_and(|q| q > REPLACE))
+        let unseen = now > self.born + VOTER_REPLACE && !c.all.contains_key(&id);
+        id != self.me.id && (unseen || c.quiet(id, now).is_some_and(|q| q > VOTER_REPLACE))
     }
 
     fn drive(&mut self, now: Time, c: &Colleagues, out: &mut Out) {
@@ -101,7 +97,7 @@
         let rank = self.d.view.voters.iter().filter(|s| s.id < self.me.id && c.alive(s.id)).count() as Time;
         if self.agree.ballot == 0 {
             let Some(why) = self.wanted(now, c) else { return };
-            if now < self.agree.next + rank * HOLD {
+            if now < self.agree.next + rank * VIEW_HOLD {
                 return;
             }
             let at = self.d.voters_ix(self.me.id) as u64;
@@ -111,9 +107,9 @@
             self.agree = Agreement { ballot: (round << 8) | at, began: now, heard, touched: now, ..Agreement::default() };
         }
         let b = self.agree.ballot;
-        if now > self.agree.began + 2500 {
+        if now > self.agree.began + VIEW_MOST {
             let heard = self.agree.heard.max(b);
-            self.agree = Agreement { next: now + HOLD * (1 + rank), heard, touched: now, ..Agreement::default() };
+            self.agree = Agreement { next: now + VIEW_HOLD * (1 + rank), heard, touched: now, ..Agreement::default() };
             return;
         }
         let enough = self.agree.promises.len() >= majority(&self.d.view);
@@ -122,7 +118,7 @@
             self.agree.value = self.build(now, c);
             self.agree.sent = 0;
             if self.agree.value.is_none() {
-                self.agree = Agreement { next: now + HOLD * (2 + rank), heard: b, touched: now, ..Agreement::default() };
+                self.agree = Agreement { next: now + VIEW_HOLD * (2 + rank), heard: b, touched: now, ..Agreement::default() };
                 return;
             }
         }
@@ -186,7 +182,7 @@
                 }
             }
             Msg::Nack { inst, ballot } if inst == n + 1 && self.agree.ballot > 0 && ballot > self.agree.ballot => {
-                let next = now + HOLD + mix(self.me.id ^ now) % HOLD;
+                let next = now + VIEW_HOLD + mix(self.me.id ^ now) % VIEW_HOLD;
                 self.agree = Agreement { next, heard: ballot, touched: now, ..Agreement::default() };
             }
             Msg::TailAsk { view, seq } if view == n && self.voter() && self.d.promised == 0 => {
