--- a/guise/tests/doors.rs
+++ b/guise/tests/doors.rs
@@ -112,6 +112,13 @@
         assert!(m.status.success() && String::from_utf8_lossy(&m.stdout).contains("answered from"));
         let m = bin("motive").arg("--node").arg(at.to_string()).arg("no-such").output().unwrap();
         assert_eq!(m.status.code(), Some(1));
+        let m = bin("motive").arg("--node").arg(at.to_string()).args(["--about", "ledger", "--last", "60"]).output().unwrap();
+        let says = String::from_utf8_lossy(&m.stdout).to_string();
+        assert!(m.status.success() && says.contains("adopted as first primary") && !says.contains("configuration"), "{says}");
+        let v = s.site.back.get(s.procs[0].http, "/verdicts").await.unwrap();
+        let seen = v["seen_by"]["servers"].as_object().cloned().unwrap_or_default();
+        assert!(seen.values().filter(|x| x["writes"]["may"] == true).count() == 1 && seen.len() == 3, "{v}");
+        assert!(seen.values().all(|x| x["reads"]["search"]["may"] == true && x["emptied"] == false), "{v}");
         let _ = std::fs::remove_dir_all(&p.data);
     });
 }
