Give an emptied node no new time to serve when it is stopped

The moment of the stop is kept by itself (it replaces the flag, which it implies); leaving stays as it was.

--- a/tenet/src/drain.rs
+++ b/tenet/src/drain.rs
@@ -25,12 +25,12 @@
 
 impl Front {
     pub(crate) fn stop_by(&self) -> Time {
-        self.leaving.filter(|_| self.stopping).map_or(Time::MAX, |at| at + STOP_ANSWERS)
+        self.stop_at.map_or(Time::MAX, |at| at + STOP_ANSWERS)
     }
 
     pub(crate) fn stop(&mut self, now: Time) {
-        self.stopping = true;
-        self.leaving = Some(now);
+        self.stop_at = self.stop_at.or(Some(now));
+        self.leaving = self.leaving.or(Some(now));
         let by = self.stop_by();
         let calls = self.trips.iter_mut().filter(|(_, t)| matches!(t.owner, For::Caller { .. }));
         calls.for_each(|(_, t)| {
@@ -43,6 +43,16 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    #[test]
+    fn a_stop_gives_an_emptied_node_no_new_time_to_serve() {
+        let mut f = Front::new(1, Addr::NONE, 1);
+        f.leaving = Some(10);
+        f.stop(9000);
+        assert_eq!((f.leaving, f.stop_by()), (Some(10), 9000 + STOP_ANSWERS));
+        f.stop(9500);
+        assert_eq!(f.stop_by(), 9000 + STOP_ANSWERS);
+    }
+
     #[test]
     fn a_stop_waits_for_answers_and_open_transactions_but_not_for_ever() {
         let d = Drain::new(100);
--- a/tenet/src/fence.rs
+++ b/tenet/src/fence.rs
@@ -27,7 +27,7 @@
         if !inside && !load.look_up && load.act != Act::Pos && self.off_long(now, p) {
             return Err(reject(Kind::NoPrimary, OFF_LONG));
         }
-        if self.stopping && !inside {
+        if self.stop_at.is_some() && !inside {
             return Err(reject(Kind::Leaving, "this fencing node is stopping"));
         }
         if load.act == Act::Pos {
--- a/tenet/src/front.rs
+++ b/tenet/src/front.rs
@@ -60,7 +60,7 @@
     pub t: Option<Arc<Table>>,
     pub until: Time,
     pub(crate) leaving: Option<Time>,
-    pub(crate) stopping: bool,
+    pub(crate) stop_at: Option<Time>,
     pub(crate) ids: Ids,
     pub(crate) sessions: BTreeMap<u64, Session>,
     pub(crate) trips: Slab<Trip>,
@@ -96,7 +96,7 @@
             t: None,
             until: 0,
             leaving: None,
-            stopping: false,
+            stop_at: None,
             ids: Ids::new(mix(seed ^ 77)),
             sessions: BTreeMap::new(),
             trips: Slab::new(),
@@ -222,7 +222,7 @@
                 }
             }
         }
-        self.leaving = match t.closed.is_some() || self.stopping {
+        self.leaving = match t.closed.is_some() || self.stop_at.is_some() {
             true => self.leaving.or(Some(now)),
             false => None,
         };
