--- a/chance/src/cause.rs
+++ b/chance/src/cause.rs
@@ -61,10 +61,7 @@
             Fault::StartDomain(d) => {
                 self.in_domain(&d).into_iter().for_each(|i| self.boot(i));
                 let v: Vec<usize> = (0..self.world.servers.len()).filter(|s| self.world.servers[*s].domain == d).collect();
-                v.into_iter().for_each(|s| {
-                    self.world.restart(self.now, s);
-                    self.stays(s);
-                });
+                v.into_iter().for_each(|s| self.restart(s));
             }
             Fault::Cut(a, b) => self.cuts.push((a, b)),
             Fault::CutNode(i) => self.lost_node = Some(i),
@@ -81,10 +78,7 @@
                 let t = c.and_then(|c| c.state().dbs.get(&db)).and_then(|d| d.target.clone());
                 t.and_then(|t| self.world.ix(&t)).into_iter().for_each(|s| self.world.crash(s));
             }
-            Fault::Restart(n) => self.server(&n).into_iter().for_each(|s| {
-                self.world.restart(self.now, s);
-                self.stays(s);
-            }),
+            Fault::Restart(n) => self.server(&n).into_iter().for_each(|s| self.restart(s)),
             Fault::Replace(n) => self.server(&n).into_iter().for_each(|s| {
                 self.world.replace(self.now, s);
                 self.stays(s);
@@ -125,10 +119,7 @@
             Fault::Rebuild => {
                 let old = |i: &usize| self.world.servers[*i].leads && self.world.leader(&self.world.servers[*i].db) != Some(*i);
                 let v: Vec<usize> = (0..self.world.servers.len()).filter(old).collect();
-                v.into_iter().for_each(|s| {
-                    self.world.restart(self.now, s);
-                    self.stays(s);
-                });
+                v.into_iter().for_each(|s| self.restart(s));
             }
             Fault::CallersStop => self.stop_clients = true,
         }
--- a/chance/src/pairs.rs
+++ b/chance/src/pairs.rs
@@ -111,9 +111,8 @@
     v.extend((KINDS[b].1)(s, t));
     let third = s.roll(2 * KINDS.len() as u64) as usize;
     let alone = ["new-disk", "full-disk", "replace", "crash", "power"];
-    if let Some((n, f)) = KINDS.get(third).filter(|k| !alone.contains(&k.0)) {
+    if let Some((_, f)) = KINDS.get(third).filter(|k| !alone.contains(&k.0)) {
         t += s.roll(3500);
-        s.watch.third = n.to_string();
         v.extend(f(s, t));
     }
     v.push((28_000, Rebuild));
--- a/chance/src/planned.rs
+++ b/chance/src/planned.rs
@@ -52,15 +52,17 @@
 
     pub(crate) fn evacuation_told(&mut self, call: u64, accepted: bool) {
         let Some((d, on)) = self.watch.evac_calls.remove(&call) else { return };
-        if !accepted {
-            let at = self.now + 200;
-            return self.at(at, Ev::Fault(Fault::Evacuate(d, on)));
-        }
         let since = self.now;
-        let v: Vec<String> = self.world.servers.iter().filter(|s| s.domain == d).map(|s| s.name.clone()).collect();
-        if on {
-            self.history.off.extend(v.into_iter().map(|server| Off { server, since, until: u64::MAX, bound: 5000 }));
+        if !accepted {
+            return self.at(since + 200, Ev::Fault(Fault::Evacuate(d, on)));
         }
+        let gone = self.world.servers.iter().filter(|s| on && s.domain == d);
+        self.history.off.extend(gone.map(|s| Off { server: s.name.clone(), since, until: u64::MAX, bound: 5000 }));
+    }
+
+    pub(crate) fn restart(&mut self, s: usize) {
+        self.world.restart(self.now, s);
+        self.stays(s);
     }
 
     pub(crate) fn stays(&mut self, s: usize) {
--- a/chance/src/platter.rs
+++ b/chance/src/platter.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use tenet::disk::FileOp;
 
 #[derive(Clone, Debug)]
@@ -14,7 +14,7 @@
 pub struct Platter {
     pub files: BTreeMap<&'static str, Vec<u8>>,
     kept: BTreeMap<&'static str, Vec<u8>>,
-    named: BTreeMap<&'static str, bool>,
+    named: BTreeSet<&'static str>,
     loose: Vec<Micro>,
     pub full: bool,
 }
@@ -70,7 +70,7 @@
             Micro::SyncDir => {
                 for l in &self.loose {
                     if let Micro::Create(n) = l {
-                        self.named.insert(n, true);
+                        self.named.insert(n);
                     }
                 }
                 self.loose.retain(|l| !matches!(l, Micro::Create(_)));
@@ -90,7 +90,7 @@
         }
         let mut files = BTreeMap::new();
         for n in self.files.keys() {
-            let fresh = !self.named.contains_key(n);
+            let fresh = !self.named.contains(n);
             let lost = fresh && !keep();
             if !lost {
                 let mut data = self.kept.get(n).cloned().unwrap_or_default();
@@ -110,7 +110,7 @@
                 files.insert(*n, data);
             }
         }
-        self.named = files.keys().map(|n| (*n, true)).collect();
+        self.named = files.keys().copied().collect();
         self.kept = files.clone();
         self.files = files;
         self.loose.clear();
--- a/chance/src/sim.rs
+++ b/chance/src/sim.rs
@@ -49,12 +49,10 @@
     pub lost_servers: Vec<(usize, u8)>,
     pub kernel: Vec<Held>,
     pub wires: BTreeMap<(usize, usize), Wire>,
-    pub late: u64,
     pub lose: u64,
     pub mood: Mood,
     pub plant: Plant,
     pub watch: Watcher,
-    pub announced: Vec<Value>,
     pub messages: BTreeMap<&'static str, (u64, u64)>,
     pub region_ms: u64,
     pub stop_clients: bool,
@@ -135,7 +133,6 @@
         let nodes: Vec<Node> = (0..s.nodes).map(node).collect();
         let mut world = World::new(&Shape::of(&cfg, 60));
         world.cold_limit = 2 * s.nodes + cfg.pool.warm_start as usize;
-        let n = world.servers.len();
         let clients = Client::crowd(&cfg, s);
         let mut sim = Sim {
             now: 0,
@@ -155,12 +152,10 @@
             lost_servers: Vec::new(),
             kernel: Vec::new(),
             wires: BTreeMap::new(),
-            late: 0,
             lose: 0,
             mood: Mood::Good,
             plant: Plant::None,
             watch: Watcher::default(),
-            announced: vec![Value::Null; n],
             messages: BTreeMap::new(),
             region_ms: s.region_ms,
             stop_clients: false,
--- a/chance/src/step.rs
+++ b/chance/src/step.rs
@@ -26,10 +26,7 @@
                     false => match n.synced(seq) {
                         Ok(true) => self.control(i, life, In::Synced(seq)),
                         Ok(false) => (),
-                        Err(()) => {
-                            self.watch.disk_ends += 1;
-                            self.kill_with(i, false);
-                        }
+                        Err(()) => self.kill_with(i, false),
                     },
                 }
             }
--- a/chance/src/watch.rs
+++ b/chance/src/watch.rs
@@ -9,26 +9,21 @@
 pub struct Watcher {
     pub faults: Vec<String>,
     pub accepted: Vec<(Time, Mark)>,
-    pub evacuated: BTreeMap<String, Time>,
     pub config_base: Mark,
     pub config_calls: Vec<u64>,
     pub config_marks: Vec<Mark>,
     pub bad_sent: Vec<u64>,
     pub stale_sent: Vec<u64>,
-    pub first_call: u64,
-    pub no_primary: BTreeMap<String, (Time, Time)>,
     pub slowest_adopt: Time,
     pub tiers: BTreeMap<(usize, usize), Vec<Time>>,
     pub loss_at: Time,
     pub back_after: Time,
-    pub third: String,
     pub spared: Option<(u64, String, Time)>,
     pub agreed: u64,
     pub read_at: Vec<(Time, String)>,
     pub evac_calls: BTreeMap<u64, (String, bool)>,
     pub vain: BTreeMap<String, u64>,
     pub took: BTreeMap<String, u64>,
-    pub disk_ends: u64,
     pub planned: Vec<Time>,
     pub unplanned: bool,
     pub heal_at: Time,
@@ -122,11 +117,6 @@
         self.watch.faults.truncate(50);
     }
 
-    pub fn epoch_of(&self, db: &str) -> Option<(Mark, String, Option<String>)> {
-        let c = self.nodes.iter().filter(|n| n.up).filter_map(|n| n.control.as_ref());
-        c.filter_map(|c| c.state().dbs.get(db)).map(|d| (d.epoch, d.phase.clone(), d.primary.clone())).max()
-    }
-
     pub fn faults(&self) -> Vec<String> {
         let mut v = guise::check::check(&self.history, &self.world);
         v.extend(self.watch.faults.clone());
--- a/chance/src/wires.rs
+++ b/chance/src/wires.rs
@@ -100,7 +100,6 @@
             }
             match !self.apart(h.from, h.to) && resent(h.sent, now) {
                 true => {
-                    self.late += 1;
                     let t = now + self.travel(h.from, h.to);
                     self.at(t, h.ev)
                 }
--- a/medium/src/run.rs
+++ b/medium/src/run.rs
@@ -113,8 +113,7 @@
         back: back.clone(),
         platform: p.platform,
         rt: rt.clone(),
-        left: drained.clone(),
-        disk_machine: disk,
+        left: disk.then(|| drained.clone()),
     };
     thread("control", move || side.run(control, first))?;
     if !disk {
--- a/medium/src/threads.rs
+++ b/medium/src/threads.rs
@@ -30,8 +30,7 @@
     pub back: Back,
     pub platform: Option<SocketAddr>,
     pub rt: Handle,
-    pub left: Arc<std::sync::atomic::AtomicBool>,
-    pub disk_machine: bool,
+    pub left: Option<Arc<std::sync::atomic::AtomicBool>>,
 }
 
 impl ControlSide {
@@ -46,9 +45,7 @@
                 Err(RecvTimeoutError::Disconnected) => return,
             };
             e = c.poll(self.clock.now(), i);
-            if self.disk_machine {
-                self.left.store(c.left(), std::sync::atomic::Ordering::Relaxed);
-            }
+            self.left.iter().for_each(|l| l.store(c.left(), std::sync::atomic::Ordering::Relaxed));
         }
     }
 
--- a/tenet/src/answer.rs
+++ b/tenet/src/answer.rs
@@ -5,7 +5,6 @@
 use crate::wire::*;
 use serde_json::Value;
 
-
 fn num(v: &Value, k: &str) -> u64 {
     v.get(k).and_then(|x| x.as_u64()).unwrap_or(0)
 }
--- a/tenet/src/asks.rs
+++ b/tenet/src/asks.rs
@@ -6,7 +6,6 @@
 use crate::state::*;
 use crate::wire::Msg;
 
-
 impl Control {
     pub(crate) fn ask(&mut self, now: Time, call: u64, id: Option<u64>, op: Op, out: &mut Out) {
         let id = id.unwrap_or_else(|| self.ids.take());
--- a/tenet/src/base.rs
+++ b/tenet/src/base.rs
@@ -7,7 +7,6 @@
 pub type Mark = u64;
 pub type NodeId = u64;
 
-
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Readable, Writable)]
 pub struct Addr {
     pub ip: [u8; 16],
--- a/tenet/src/collect.rs
+++ b/tenet/src/collect.rs
@@ -14,7 +14,6 @@
     Reject::new(k, why)
 }
 
-
 impl Front {
     pub(crate) fn call(&mut self, now: Time, call: u64, req: Req, out: &mut FrontOut) {
         let r = match req {
--- a/tenet/src/drain.rs
+++ b/tenet/src/drain.rs
@@ -3,7 +3,6 @@
 use crate::front::Front;
 use crate::trip::For;
 
-
 pub struct Drain {
     began: Time,
 }
--- a/tenet/src/front.rs
+++ b/tenet/src/front.rs
@@ -87,7 +87,6 @@
     pub(crate) paused_until: Time,
 }
 
-
 impl Front {
     pub fn new(me: NodeId, addr: Addr, seed: u64) -> Self {
         Front {
--- a/tenet/src/gate.rs
+++ b/tenet/src/gate.rs
@@ -7,7 +7,6 @@
 use crate::table::Table;
 use crate::wire::*;
 
-
 impl Front {
     pub(crate) fn by(&self, now: Time, to: NodeId, deadline: Time) -> Time {
         let known = self.clocks.get(&to).filter(|(_, at)| now < at + CLOCK_KEPT);
--- a/tenet/src/heirs.rs
+++ b/tenet/src/heirs.rs
@@ -24,14 +24,14 @@
             let follows = x.is_some_and(|x| x.follows == p && x.link);
             let near = x.zip(ppos).is_some_and(|(x, q)| x.pos + 200 >= q);
             let fit = self.heir_fit(k, d, s) && follows;
-            let rebuilt = !k.st.heir(d, &server) && !d.joining.contains_key(&server);
-            if rebuilt && fit && near {
+            let counted = k.st.heir(d, &server) || d.joining.contains_key(&server);
+            if !counted && fit && near {
                 ops.push(Op::HeirJoin { db, epoch, server });
                 continue;
             }
             if d.heirs.contains_key(&server) || d.joining.contains_key(&server) {
                 let since = *self.gone_at.entry(key.clone()).or_insert(k.now);
-                let bad = !fit || !near || rebuilt;
+                let bad = !fit || !near;
                 if !bad {
                     self.gone_at.insert(key.clone(), k.now);
                 }
--- a/tenet/src/pilot.rs
+++ b/tenet/src/pilot.rs
@@ -42,7 +42,6 @@
     pub(crate) began: Option<Time>,
 }
 
-
 pub struct Sky<'a> {
     pub now: Time,
     pub me: NodeId,
--- a/tenet/src/polls.rs
+++ b/tenet/src/polls.rs
@@ -10,7 +10,6 @@
 use crate::wire::*;
 use serde_json::json;
 
-
 impl Front {
     pub(crate) fn tick(&mut self, now: Time, out: &mut FrontOut) {
         if now >= self.swept_at + 5 {
--- a/tenet/src/probe.rs
+++ b/tenet/src/probe.rs
@@ -2,7 +2,6 @@
 use crate::colleagues::*;
 use crate::wire::Msg;
 
-
 impl Colleagues {
     fn probe(&mut self, now: Time, id: NodeId, addr: Addr, send: &mut Vec<(Addr, Msg)>) {
         self.seq += 1;
--- a/tenet/src/trip.rs
+++ b/tenet/src/trip.rs
@@ -31,7 +31,6 @@
     }
 }
 
-
 impl Front {
     pub(crate) fn trip_start(&mut self, now: Time, t: Trip, out: &mut FrontOut) {
         let i = self.trips.insert(t);
--- a/tenet/src/verdict.rs
+++ b/tenet/src/verdict.rs
@@ -4,7 +4,6 @@
 use crate::table::*;
 use serde_json::{json, Map, Value};
 
-
 #[derive(Clone, PartialEq, Default)]
 pub struct Standing {
     text: String,
@@ -66,11 +65,12 @@
 
     pub(crate) fn note_standings(&mut self, now: Time) {
         let Some(t) = self.t.clone() else { return };
+        let rules = self.rules();
         self.standings.resize_with(t.servers.len(), Standing::default);
         for (db, d) in t.dbs.iter().enumerate() {
             for i in &d.servers {
                 let (may, why) = self.writes(now, &t, db, *i);
-                let warming = self.pools[*i].limit(now, &self.rules()) < self.pools[*i].share;
+                let warming = self.pools[*i].limit(now, &rules) < self.pools[*i].share;
                 let text = format!("{may} {why} {:?} {warming} {}", t.servers[*i].off, self.known[*i].reach);
                 if self.standings[*i].text != text {
                     self.standings[*i] = Standing { text, at: now };
@@ -81,12 +81,13 @@
 
     pub fn verdicts(&self, now: Time) -> Value {
         let Some(t) = self.t.as_ref() else { return json!({}) };
+        let rules = self.rules();
         let mut m = Map::new();
         for (db, d) in t.dbs.iter().enumerate() {
             for i in &d.servers {
                 let (s, p) = (&t.servers[*i], &self.pools[*i]);
                 let (may, why) = self.writes(now, t, db, *i);
-                let limit = p.limit(now, &self.rules());
+                let limit = p.limit(now, &rules);
                 let off = |w: &str| s.off.is_some_and(|o| o.contains(w));
                 let since = self.standings.get(*i).map_or(0, |x| x.at);
                 let v = json!({"database": d.name, "writes": {"may": may, "why": why}, "reads": self.reads(now, t, db, *i),
--- a/tenet/src/view.rs
+++ b/tenet/src/view.rs
@@ -5,7 +5,6 @@
 use crate::wire::Msg;
 use std::collections::{BTreeMap, BTreeSet};
 
-
 #[derive(Default)]
 pub struct Agreement {
     pub ballot: u64,
