--- a/chance/src/client.rs
+++ b/chance/src/client.rs
@@ -3,8 +3,9 @@
 use serde_json::Value;
 use tenet::base::*;
 use tenet::config::Config;
-use tenet::front::{BackRes, FrontIn};
-use tenet::session::Req;
+use medium::back::HttpRes;
+use tenet::front::FrontIn;
+use tenet::session::{Req, Want};
 
 pub enum Doing {
     Idle,
@@ -77,7 +78,7 @@
         }
         if !matches!(self.clients[c].doing, Doing::Idle) {
             let call = self.clients[c].call;
-            return self.reply(call, BackRes::Lost);
+            return self.reply(call, HttpRes::Lost);
         }
         if self.stop_clients {
             return;
@@ -94,7 +95,7 @@
             Do::Run { kind, id, body, class, key, value } => {
                 let name = id.clone().unwrap_or_default();
                 self.clients[c].doing = Doing::Run { class, id: name, key, value };
-                self.send(c, Req::Run { session, kind, id, body: body.to_string(), prepared: None, budget: None });
+                self.send(c, Req::Run { session, kind: Want::Kind(kind), id, body: body.to_string(), prepared: None, budget: None });
             }
             Do::Txn { id, steps, key, value } => {
                 let req = Req::Begin { session, kind: None, id: Some(id.clone()), budget: None };
@@ -121,34 +122,34 @@
         self.at(self.now + CLIENT_WAIT, Ev::Client(c, turn));
         match up {
             true => self.at(self.now + 1, Ev::Front(n, life, FrontIn::Call { call, req })),
-            false => self.at(self.now + 1, Ev::Reply { call, res: BackRes::NotSent }),
+            false => self.at(self.now + 1, Ev::Reply { call, res: HttpRes::NotSent }),
         }
     }
 
     pub fn node_died(&mut self, n: usize) {
         let v: Vec<u64> = self.calls.iter().filter(|(_, x)| x.1 == n).map(|(k, _)| *k).collect();
         for call in v {
-            self.at(self.now + 1, Ev::Reply { call, res: BackRes::Lost });
+            self.at(self.now + 1, Ev::Reply { call, res: HttpRes::Lost });
         }
     }
 
-    pub fn reply(&mut self, call: u64, res: BackRes) {
+    pub fn reply(&mut self, call: u64, res: HttpRes) {
         let Some((c, n, _)) = self.calls.remove(&call) else { return };
         let wait = self.now - self.clients[c].sent;
-        if wait > 6500 && self.nodes[n].thawed < self.clients[c].sent && matches!(res, BackRes::Rejected(..)) {
+        if wait > 6500 && self.nodes[n].thawed < self.clients[c].sent && matches!(res, HttpRes::Rejected(..)) {
             self.watch.faults.push(format!("held back: caller {c} was rejected by node {n} only after {wait} ms: {res:?}"));
         }
         let gone = match &res {
-            BackRes::Rejected(_, w) => w.contains("unknown-session") || w.contains("leaving"),
-            BackRes::Ok(v) => v["leaving"] == true && !matches!(self.clients[c].doing, Doing::Txn { .. }),
+            HttpRes::Rejected(_, w) => w.contains("unknown-session") || w.contains("leaving"),
+            HttpRes::Ok(v) => v["leaving"] == true && !matches!(self.clients[c].doing, Doing::Txn { .. }),
             _ => true,
         };
         let doing = std::mem::replace(&mut self.clients[c].doing, Doing::Idle);
-        let ok = matches!(res, BackRes::Ok(_));
+        let ok = matches!(res, HttpRes::Ok(_));
         let session = self.clients[c].session.unwrap_or(0);
         match doing {
             Doing::Opening => match &res {
-                BackRes::Ok(v) => self.clients[c].session = v["session"].as_u64(),
+                HttpRes::Ok(v) => self.clients[c].session = v["session"].as_u64(),
                 _ => self.move_on(c),
             },
             Doing::Run { class, id, key, value } => self.record(c, &res, class, id, key, value),
@@ -156,7 +157,7 @@
                 if !ok {
                     let committing = at > steps.len();
                     self.cut_short(c, begun, &res);
-                    let res = if committing { res } else { BackRes::NotSent };
+                    let res = if committing { res } else { HttpRes::NotSent };
                     self.record(c, &res, Class::Write, id, key, value);
                     if begun && !gone && !committing {
                         self.clients[c].doing = Doing::Rolling;
@@ -168,9 +169,9 @@
                     let req = match steps.get(at) {
                         Some(b) => {
                             let (kind, body) = (self.kinds.write[0].clone(), b.to_string());
-                            Req::Run { session, kind, id: None, body, prepared: None, budget: None }
+                            Req::Run { session, kind: Want::Kind(kind), id: None, body, prepared: None, budget: None }
                         }
-                        None => Req::Commit { session, budget: None },
+                        None => Req::Commit { session, body: String::new(), budget: None },
                     };
                     if !begun {
                         self.clients[c].begun = self.now;
@@ -183,10 +184,10 @@
                 self.clients[c].doing = Doing::Showing { value };
                 let kind = self.kinds.current[0].clone();
                 let body = serde_json::json!({"op": "show", "name": name}).to_string();
-                return self.send(c, Req::Run { session, kind, id: None, body, prepared: None, budget: None });
+                return self.send(c, Req::Run { session, kind: Want::Kind(kind), id: None, body, prepared: None, budget: None });
             }
             Doing::Showing { value } => {
-                if let BackRes::Ok(v) = &res {
+                if let HttpRes::Ok(v) = &res {
                     let got = v["result"]["value"].as_str().unwrap_or("").to_string();
                     self.history.settings.push((value, got));
                 }
@@ -214,7 +215,7 @@
         self.at(self.now + p, Ev::Client(c, turn));
     }
 
-    fn cut_short(&mut self, c: usize, begun: bool, res: &BackRes) {
+    fn cut_short(&mut self, c: usize, begun: bool, res: &HttpRes) {
         let (at, now) = (self.clients[c].begun, self.now);
         let first = self.watch.planned.iter().find(|p| at <= **p);
         let soon = first.filter(|p| now < **p + 2900).copied();
--- a/chance/src/outside.rs
+++ b/chance/src/outside.rs
@@ -1,6 +1,7 @@
 use crate::fault::*;
 use crate::sim::*;
 use crate::wires::End;
+use medium::back::HttpRes;
 use serde_json::Value;
 use tenet::base::*;
 use tenet::control::In;
@@ -14,7 +15,7 @@
             return;
         }
         if self.plant == Plant::NoReset && path == "/reset" {
-            return self.answer(node, life, token, s, BackRes::Ok(Value::Null));
+            return self.answer(node, life, token, s, HttpRes::Ok(Value::Null), path);
         }
         let mut body = body;
         if self.plant == Plant::BlindRetry && path == "/statement" {
@@ -34,13 +35,14 @@
             return;
         }
         let res = match r {
-            Ok(v) => BackRes::Ok(v),
-            Err((c, w)) => BackRes::Rejected(c, w),
+            Ok(v) => HttpRes::Ok(v),
+            Err((c, w)) => HttpRes::Rejected(c, w),
         };
-        self.answer(node, life, token, s, res);
+        self.answer(node, life, token, s, res, path);
     }
 
-    fn answer(&mut self, node: usize, life: u32, token: u64, s: usize, res: BackRes) {
+    fn answer(&mut self, node: usize, life: u32, token: u64, s: usize, res: HttpRes, path: &str) {
+        let res = medium::dialect::got(path, res);
         self.pipe(End::Server(s), End::Node(node), None, 0, Ev::Front(node, life, FrontIn::Back { token, res }));
     }
 
@@ -74,6 +76,8 @@
                 life: w.life,
                 leads: w.leads,
                 leaving: w.leaving,
+                terms: false,
+                seq: 0,
             };
             let life = self.nodes[j].life;
             if !self.apart(End::Server(s), End::Node(j)) {
--- a/chance/src/record.rs
+++ b/chance/src/record.rs
@@ -2,18 +2,18 @@
 use guise::check::Event;
 use guise::mix::Class;
 use serde_json::Value;
-use tenet::front::BackRes;
+use medium::back::HttpRes;
 
 impl Sim {
-    pub(crate) fn record(&mut self, c: usize, res: &BackRes, class: Class, id: String, key: String, value: i64) {
+    pub(crate) fn record(&mut self, c: usize, res: &HttpRes, class: Class, id: String, key: String, value: i64) {
         let out = Sim::out(res);
         let (start, end) = (self.clients[c].start, self.now);
         let value = match (class, res) {
             (Class::Write, _) => value,
-            (_, BackRes::Ok(v)) => v["result"].as_i64().unwrap_or(0),
+            (_, HttpRes::Ok(v)) => v["result"].as_i64().unwrap_or(0),
             _ => 0,
         };
-        if let BackRes::Ok(v) = res {
+        if let HttpRes::Ok(v) = res {
             self.hops(c, &id, v);
             self.spared(c, class, start, v);
             if class == Class::Current {
@@ -30,7 +30,7 @@
             k.kept_at = end;
         }
         let word = match res {
-            BackRes::Rejected(_, w) => w.split(':').next().unwrap_or("").to_string(),
+            HttpRes::Rejected(_, w) => w.split(':').next().unwrap_or("").to_string(),
             r => format!("{:?}", Sim::out(r)).to_lowercase(),
         };
         *self.history.kinds.entry(format!("{class:?} {word}")).or_default() += 1;
--- a/chance/src/sim.rs
+++ b/chance/src/sim.rs
@@ -12,7 +12,8 @@
 use tenet::base::*;
 use tenet::config::Config;
 use tenet::effect::In;
-use tenet::front::{BackRes, FrontIn};
+use medium::back::HttpRes;
+use tenet::front::FrontIn;
 
 pub enum Ev {
     Control(usize, u32, In),
@@ -23,7 +24,7 @@
     Lost(usize, u32, u64),
     Drain(usize, u32),
     Client(usize, u64),
-    Reply { call: u64, res: BackRes },
+    Reply { call: u64, res: HttpRes },
     Synced(usize, u32, u64),
     Promote { node: usize, life: u32, db: String, server: String, epoch: Mark },
     World,
--- a/chance/src/step.rs
+++ b/chance/src/step.rs
@@ -1,6 +1,7 @@
 use crate::fault::*;
 use crate::sim::*;
 use guise::check::Out;
+use medium::back::HttpRes;
 use tenet::base::*;
 use tenet::control::*;
 use tenet::front::*;
@@ -116,8 +117,8 @@
         }
         for (call, r) in o.response {
             let res = match r {
-                Ok(v) => BackRes::Ok(v),
-                Err(e) => BackRes::Rejected(e.kind.row().code, format!("{}/{}", e.kind.row().kept, e)),
+                Ok(v) => HttpRes::Ok(medium::dialect::told(v)),
+                Err(e) => HttpRes::Rejected(e.kind.row().code, format!("{}/{}", e.kind.row().kept, e)),
             };
             self.at(self.now + 1, Ev::Reply { call, res });
         }
@@ -148,20 +149,21 @@
         if self.apart(a, d) && self.roll(4) == 0 {
             return self.at(self.now + 400, Ev::Front(i, life, FrontIn::Back { token, res: BackRes::NotSent }));
         }
-        let cost = match b.path {
+        let (path, body) = medium::dialect::ask(&b.query);
+        let cost = match path {
             "/connect" => 20,
             "/statement" | "/commit" => 2,
             _ => 0,
         };
-        let ev = Ev::Back { node: i, life, token, server: s, path: b.path, body: b.body };
+        let ev = Ev::Back { node: i, life, token, server: s, path, body };
         self.pipe(a, d, Some((i, token)), cost, ev);
     }
 
-    pub fn out(res: &BackRes) -> Out {
+    pub fn out(res: &HttpRes) -> Out {
         match res {
-            BackRes::Ok(_) => Out::Kept,
-            BackRes::Rejected(_, w) if w.starts_with("nothing") => Out::Nothing,
-            BackRes::NotSent => Out::Nothing,
+            HttpRes::Ok(_) => Out::Kept,
+            HttpRes::Rejected(_, w) if w.starts_with("nothing") => Out::Nothing,
+            HttpRes::NotSent => Out::Nothing,
             _ => Out::Unknown,
         }
     }
--- a/guise/src/callers.rs
+++ b/guise/src/callers.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tenet::front::BackRes;
+use medium::back::HttpRes;
 use volo_http::http::Method;
 
 pub struct Site {
@@ -20,16 +20,16 @@
     pub lag: Mutex<Vec<(String, u64, u64, bool)>>,
 }
 
-fn kept(r: &BackRes) -> (Out, Value) {
+fn kept(r: &HttpRes) -> (Out, Value) {
     match r {
-        BackRes::Ok(v) => (Out::Kept, v.clone()),
-        BackRes::Rejected(_, s) => {
+        HttpRes::Ok(v) => (Out::Kept, v.clone()),
+        HttpRes::Rejected(_, s) => {
             let v: Value = serde_json::from_str(s).unwrap_or(Value::Null);
             let out = if v["kept"] == "nothing" { Out::Nothing } else { Out::Unknown };
             (out, v)
         }
-        BackRes::NotSent => (Out::Nothing, Value::Null),
-        BackRes::Lost => (Out::Unknown, Value::Null),
+        HttpRes::NotSent => (Out::Nothing, Value::Null),
+        HttpRes::Lost => (Out::Unknown, Value::Null),
     }
 }
 
@@ -47,7 +47,7 @@
         Line { site, nodes, at, caller, homes, session: None }
     }
 
-    async fn post(&self, path: &str, b: &Value) -> BackRes {
+    async fn post(&self, path: &str, b: &Value) -> HttpRes {
         let to = self.nodes[self.at % self.nodes.len()];
         self.site.back.post(to.into(), path, b, u64::MAX, 9000).await
     }
@@ -55,7 +55,7 @@
     async fn open(&mut self) -> bool {
         let b = json!({"database": self.caller.db, "user": format!("caller-{}", self.caller.n)});
         match self.post("/sessions", &b).await {
-            BackRes::Ok(v) => {
+            HttpRes::Ok(v) => {
                 let region = v["region"].as_str().unwrap_or("").to_string();
                 self.session = v["session"].as_u64().map(|s| (s, region));
                 true
@@ -105,7 +105,7 @@
         if error == "aborted" {
             log::warn!("aborted: {}", v["why"]);
         }
-        if moving || error == "unknown-session" || error == "leaving" || matches!(r, BackRes::NotSent | BackRes::Lost) {
+        if moving || error == "unknown-session" || error == "leaving" || matches!(r, HttpRes::NotSent | HttpRes::Lost) {
             self.session = None;
             self.at += 1;
         }
@@ -131,22 +131,22 @@
         v["hops"].as_array().map_or(Vec::new(), |a| a.iter().filter_map(hop).collect())
     }
 
-    async fn txn(&self, s: u64, id: &str, steps: Vec<Value>) -> BackRes {
+    async fn txn(&self, s: u64, id: &str, steps: Vec<Value>) -> HttpRes {
         let r = self.post(&format!("/sessions/{s}/begin"), &json!({ "id": id })).await;
-        if !matches!(r, BackRes::Ok(_)) {
+        if !matches!(r, HttpRes::Ok(_)) {
             return match r {
-                BackRes::Lost => BackRes::NotSent,
+                HttpRes::Lost => HttpRes::NotSent,
                 r => r,
             };
         }
         let kind = &self.site.kinds.write[0];
         for b in steps {
             let r = self.post(&format!("/sessions/{s}/run"), &json!({"kind": kind, "body": b})).await;
-            if !matches!(r, BackRes::Ok(_)) {
+            if !matches!(r, HttpRes::Ok(_)) {
                 let _ = self.post(&format!("/sessions/{s}/rollback"), &json!({})).await;
                 return match r {
-                    BackRes::Lost => BackRes::NotSent,
-                    BackRes::Rejected(_, _) => r,
+                    HttpRes::Lost => HttpRes::NotSent,
+                    HttpRes::Rejected(_, _) => r,
                     r => r,
                 };
             }
@@ -157,12 +157,12 @@
 
     async fn show(&mut self, s: u64, name: String, value: String) {
         let set = self.post(&format!("/sessions/{s}/set"), &json!({"name": name, "value": value})).await;
-        if !matches!(set, BackRes::Ok(_)) {
+        if !matches!(set, HttpRes::Ok(_)) {
             return;
         }
         let kind = self.site.kinds.current[0].clone();
         let b = json!({"kind": kind, "body": {"op": "show", "name": name}});
-        if let BackRes::Ok(v) = self.post(&format!("/sessions/{s}/run"), &b).await {
+        if let HttpRes::Ok(v) = self.post(&format!("/sessions/{s}/run"), &b).await {
             let got = v["result"]["value"].as_str().unwrap_or("").to_string();
             let mut h = self.site.history.lock().unwrap_or_else(|e| e.into_inner());
             h.settings.push((value, got));
--- a/guise/src/fleet.rs
+++ b/guise/src/fleet.rs
@@ -13,7 +13,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tenet::config::Config;
-use tenet::front::BackRes;
+use medium::back::HttpRes;
 use volo_http::http::Method;
 
 pub struct Plan {
@@ -108,7 +108,7 @@
         let mut last = String::new();
         while t.now() < 15_000 {
             match self.site.back.send(Method::PUT, to.into(), "/configuration", &b, 6000).await {
-                BackRes::Ok(v) => return Ok(v["mark"].as_u64().unwrap_or(0)),
+                HttpRes::Ok(v) => return Ok(v["mark"].as_u64().unwrap_or(0)),
                 r => last = format!("{r:?}"),
             }
             tokio::time::sleep(Duration::from_millis(100)).await;
--- a/guise/src/hosts.rs
+++ b/guise/src/hosts.rs
@@ -91,7 +91,7 @@
                 turn += 1;
                 let to = nodes[turn % nodes.len()];
                 let r = back.post(to.into(), "/announce", &a, u64::MAX, 1500).await;
-                if matches!(r, tenet::front::BackRes::Ok(_)) {
+                if matches!(r, medium::back::HttpRes::Ok(_)) {
                     told[i] = a;
                 }
             }
--- a/guise/tests/doors.rs
+++ b/guise/tests/doors.rs
@@ -5,13 +5,13 @@
 use std::net::{SocketAddr, TcpStream, UdpSocket};
 use std::path::Path;
 use std::process::Command;
-use tenet::front::BackRes;
+use medium::back::HttpRes;
 use volo_http::http::Method;
 
 async fn call(s: &Stage, m: Method, to: SocketAddr, path: &str, b: &Value) -> (u16, Value) {
     match s.site.back.send(m, to.into(), path, b, 9000).await {
-        BackRes::Ok(v) => (200, v),
-        BackRes::Rejected(c, t) => (c, serde_json::from_str(&t).unwrap_or(Value::Null)),
+        HttpRes::Ok(v) => (200, v),
+        HttpRes::Rejected(c, t) => (c, serde_json::from_str(&t).unwrap_or(Value::Null)),
         r => panic!("{path}: {r:?}"),
     }
 }
--- a/guise/tests/operators.rs
+++ b/guise/tests/operators.rs
@@ -1,12 +1,12 @@
 use guise::fleet::{until, Plan, Stage};
 use serde_json::{json, Value};
 use std::net::SocketAddr;
-use tenet::front::BackRes;
+use medium::back::HttpRes;
 
 async fn post(s: &Stage, to: SocketAddr, path: &str, b: Value) -> Result<Value, Value> {
     match s.site.back.post(to.into(), path, &b, u64::MAX, 9000).await {
-        BackRes::Ok(v) => Ok(v),
-        BackRes::Rejected(_, t) => Err(serde_json::from_str(&t).unwrap_or(Value::Null)),
+        HttpRes::Ok(v) => Ok(v),
+        HttpRes::Rejected(_, t) => Err(serde_json::from_str(&t).unwrap_or(Value::Null)),
         r => Err(json!(format!("{r:?}"))),
     }
 }
--- a/guise/tests/sockets.rs
+++ b/guise/tests/sockets.rs
@@ -8,7 +8,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex};
 use tenet::base::{Addr, Time};
-use tenet::front::BackRes;
+use medium::back::HttpRes;
 use tenet::state::{Ask, Op};
 use tenet::wire::{decode, Msg, Packet};
 
@@ -37,7 +37,7 @@
     let b = Back::new(Clock::new()).unwrap();
     let body = json!({"id": "w", "body": "x".repeat(LONG)});
     let r = rt.block_on(b.post(at.into(), "/statement", &body, Time::MAX, timeout));
-    assert!(matches!(r, BackRes::Lost), "{r:?}");
+    assert!(matches!(r, HttpRes::Lost), "{r:?}");
     arrived(&l)
 }
 
--- a/medium/src/back.rs
+++ b/medium/src/back.rs
@@ -2,55 +2,79 @@
 use crate::link::{Link, Links, Went};
 use http_body_util::Full;
 use hyper::body::Bytes;
+use hyper::http::request::Builder;
 use hyper::{Method, Request};
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tenet::base::{Addr, Time};
-use tenet::front::BackRes;
+use crate::dialect;
+use crate::traffic::{Later, Servers};
+use std::rc::Rc;
+use tenet::front::{BackCall, BackRes};
+
+/// How a call over HTTP ended. `NotSent` promises that the other side never saw it.
+#[derive(Debug, Clone)]
+pub enum HttpRes {
+    Ok(Value),
+    Rejected(u16, String),
+    NotSent,
+    Lost,
+}
 
 #[derive(Clone)]
 pub struct Back {
     links: Arc<Links>,
     clock: Clock,
+    head: Vec<(String, String)>,
 }
 
 const ASK: Time = 1500;
 
 impl Back {
     pub fn new(clock: Clock) -> eyre::Result<Back> {
-        Ok(Back { links: Arc::new(Links::default()), clock })
+        Ok(Back { links: Arc::new(Links::default()), clock, head: Vec::new() })
+    }
+
+    /// The same connections, with further headers.
+    pub fn with(&self, head: &[(&str, &str)]) -> Back {
+        let head = head.iter().map(|(k, v)| (k.to_string(), v.to_string())).collect();
+        Back { head, ..self.clone() }
     }
 
-    pub async fn post(&self, to: Addr, path: &str, body: &Value, not_after: Time, timeout: Time) -> BackRes {
+    pub async fn post(&self, to: Addr, path: &str, body: &Value, not_after: Time, timeout: Time) -> HttpRes {
         match to == Addr::NONE {
-            true => BackRes::NotSent,
+            true => HttpRes::NotSent,
             false => self.bounded(Method::POST, to.into(), path, body, not_after, timeout).await,
         }
     }
 
-    pub async fn send(&self, m: Method, to: Addr, path: &str, body: &Value, timeout: Time) -> BackRes {
+    pub async fn send(&self, m: Method, to: Addr, path: &str, body: &Value, timeout: Time) -> HttpRes {
         self.bounded(m, to.into(), path, body, Time::MAX, timeout).await
     }
 
-    async fn bounded(&self, m: Method, to: SocketAddr, path: &str, body: &Value, not_after: Time, timeout: Time) -> BackRes {
-        let r = Request::builder()
+    pub async fn bounded(&self, m: Method, to: SocketAddr, path: &str, body: &Value, not_after: Time, timeout: Time) -> HttpRes {
+        let with = |r: Builder, (k, v): &(String, String)| r.header(k, v);
+        let r = self
+            .head
+            .iter()
+            .fold(Request::builder(), with)
             .method(m)
             .uri(path)
             .header("host", to.to_string())
             .header("content-type", "application/json")
             .body(Full::new(Bytes::from(if body.is_null() { String::new() } else { body.to_string() })));
-        let Ok(r) = r else { return BackRes::NotSent };
+        let Ok(r) = r else { return HttpRes::NotSent };
         let t = Duration::from_millis(timeout);
-        tokio::time::timeout(t, self.go(to, r, not_after)).await.unwrap_or(BackRes::Lost)
+        tokio::time::timeout(t, self.go(to, r, not_after)).await.unwrap_or(HttpRes::Lost)
     }
 
-    async fn go(&self, to: SocketAddr, r: Request<Full<Bytes>>, not_after: Time) -> BackRes {
+    async fn go(&self, to: SocketAddr, r: Request<Full<Bytes>>, not_after: Time) -> HttpRes {
         let mut r = r;
         loop {
             if self.clock.now() >= not_after {
-                return BackRes::NotSent;
+                return HttpRes::NotSent;
             }
             let old = self.links.take(to);
             let fresh = old.is_none();
@@ -58,17 +82,17 @@
                 Some(l) => l,
                 None => match Link::open(to).await {
                     Ok(l) => l,
-                    Err(_) => return BackRes::NotSent,
+                    Err(_) => return HttpRes::NotSent,
                 },
             };
             if self.clock.now() >= not_after {
                 self.links.put(to, l);
-                return BackRes::NotSent;
+                return HttpRes::NotSent;
             }
             match l.go(r).await {
-                Went::NotSent(_) if fresh => return BackRes::NotSent,
+                Went::NotSent(_) if fresh => return HttpRes::NotSent,
                 Went::NotSent(back) => r = back,
-                Went::Lost => return BackRes::Lost,
+                Went::Lost => return HttpRes::Lost,
                 Went::Answer(code, b) => {
                     self.links.put(to, l);
                     return told(code, &b);
@@ -79,15 +103,24 @@
 
     pub async fn get(&self, to: SocketAddr, path: &str) -> Option<Value> {
         match self.bounded(Method::GET, to, path, &Value::Null, Time::MAX, ASK).await {
-            BackRes::Ok(v) => Some(v),
+            HttpRes::Ok(v) => Some(v),
             _ => None,
         }
     }
 }
 
-fn told(code: u16, b: &[u8]) -> BackRes {
+fn told(code: u16, b: &[u8]) -> HttpRes {
     match code {
-        200 => serde_json::from_slice(b).map_or(BackRes::Lost, BackRes::Ok),
-        _ => BackRes::Rejected(code, String::from_utf8_lossy(b).into()),
+        200 => serde_json::from_slice(b).map_or(HttpRes::Lost, HttpRes::Ok),
+        _ => HttpRes::Rejected(code, String::from_utf8_lossy(b).into()),
+    }
+}
+
+impl Servers for Back {
+    fn call(self: Rc<Self>, c: BackCall) -> Later<BackRes> {
+        Box::pin(async move {
+            let (path, body) = dialect::ask(&c.query);
+            dialect::got(path, self.post(c.to, path, &body, c.not_after, c.timeout).await)
+        })
     }
 }
--- a/medium/src/doors.rs
+++ b/medium/src/doors.rs
@@ -1,5 +1,6 @@
 use crate::back::Back;
 use crate::calls::Calls;
+use crate::dialect;
 use crate::paths::{door, Door};
 use serde_json::{json, Value};
 use std::future::Future;
@@ -11,6 +12,7 @@
 use tenet::front::FrontIn;
 use tenet::kind::{Kind, Reject};
 use tenet::state::Op;
+use tokio::sync::mpsc::UnboundedSender;
 use volo_http::http::{header, HeaderValue, Method, StatusCode, Uri};
 use volo_http::response::Response;
 use volo_http::server::route::Router;
@@ -21,8 +23,8 @@
 pub struct App {
     pub control: Sender<In>,
     pub control_calls: Arc<Calls<Reply>>,
-    pub front: Option<Sender<FrontIn>>,
-    pub front_calls: Arc<Calls<Result<Value, Reject>>>,
+    pub front: Option<UnboundedSender<FrontIn>>,
+    pub front_calls: Arc<Calls<Result<tenet::session::Answer, Reject>>>,
     pub back: Back,
     pub stopping: Arc<AtomicBool>,
     pub drained: Arc<AtomicBool>,
@@ -41,7 +43,7 @@
         rx.await.map_err(|_| gone())
     }
 
-    async fn show(&self, what: String, arg: String) -> Answer {
+    pub async fn show(&self, what: String, arg: String) -> Answer {
         match self.control(|call| In::Show { call, what, arg }).await? {
             Reply::Text(t) => Ok(serde_json::from_str(&t).unwrap_or(Value::Null)),
             Reply::Reject(r) => Err(r),
@@ -54,10 +56,10 @@
         let (call, rx) = self.front_calls.open();
         let gone = || Reject::new(Kind::Starting, "traffic thread is not running");
         f.send(FrontIn::Call { call, req }).map_err(|_| gone())?;
-        rx.await.map_err(|_| gone())?
+        rx.await.map_err(|_| gone())?.map(dialect::told)
     }
 
-    async fn verdict(&self, f: impl FnOnce(u64) -> In) -> Answer {
+    pub async fn verdict(&self, f: impl FnOnce(u64) -> In) -> Answer {
         match self.control(f).await? {
             Reply::Verdict(v) => v.reject.map_or(Ok(json!({"accepted": true, "mark": v.mark})), Err),
             Reply::Reject(r) => Err(r),
@@ -112,7 +114,7 @@
         }
     }
 
-    async fn ready(&self) -> Answer {
+    pub async fn ready(&self) -> Answer {
         if self.stopping.load(Ordering::Relaxed) {
             return Err(Reject::new(Kind::Leaving, "stopping"));
         }
--- a/medium/src/lib.rs
+++ b/medium/src/lib.rs
@@ -1,6 +1,7 @@
 pub mod back;
 pub mod calls;
 pub mod clock;
+pub mod dialect;
 pub mod doors;
 pub mod files;
 pub mod link;
@@ -9,3 +10,4 @@
 pub mod settings;
 pub mod run;
 pub mod threads;
+pub mod traffic;
--- a/medium/src/paths.rs
+++ b/medium/src/paths.rs
@@ -2,7 +2,7 @@
 use std::collections::BTreeMap;
 use tenet::base::Addr;
 use tenet::kind::{Kind, Reject};
-use tenet::session::Req;
+use tenet::session::{Req, Want};
 use tenet::state::Op;
 
 pub enum Door {
@@ -73,8 +73,11 @@
     let none = || Reject::new(Kind::NoRoute, format!("{method} {path}"));
     match (method, &seg[..]) {
         ("POST", ["sessions"]) => {
-            let m = Body::read(b, &["database", "user", "tenant", "settings"])?;
+            let m = Body::read(b, &["database", "entry", "user", "tenant", "settings"])?;
             let user = m.opt("user")?.unwrap_or_default();
+            if let Some(entry) = m.opt("entry")? {
+                return Ok(Door::Front(Req::Enter { entry, user }));
+            }
             Ok(Door::Front(Req::Open { db: m.text("database")?, user, tenant: m.opt("tenant")?, settings: m.pairs("settings")? }))
         }
         ("DELETE", ["sessions", s]) => Ok(Door::Front(Req::Close { session: session(s)? })),
@@ -112,7 +115,7 @@
             let m = Body::read(b, &["kind", "id", "body", "prepared", "args", "deadline_ms"])?;
             let prepared = m.opt("prepared")?;
             let body = m.json(if prepared.is_some() { "args" } else { "body" });
-            Req::Run { session, kind: m.text("kind")?, id: m.opt("id")?, body, prepared, budget: m.num("deadline_ms")? }
+            Req::Run { session, kind: Want::Kind(m.text("kind")?), id: m.opt("id")?, body, prepared, budget: m.num("deadline_ms")? }
         }
         "prepare" => {
             let m = Body::read(b, &["name", "text"])?;
@@ -124,9 +127,9 @@
         }
         "begin" => {
             let m = Body::read(b, &["kind", "id", "deadline_ms"])?;
-            Req::Begin { session, kind: m.opt("kind")?, id: m.opt("id")?, budget: m.num("deadline_ms")? }
+            Req::Begin { session, kind: m.opt("kind")?.map(Want::Kind), id: m.opt("id")?, budget: m.num("deadline_ms")? }
         }
-        "commit" => Req::Commit { session, budget: Body::read(b, &["deadline_ms"])?.num("deadline_ms")? },
+        "commit" => Req::Commit { session, body: String::new(), budget: Body::read(b, &["deadline_ms"])?.num("deadline_ms")? },
         "rollback" => Body::read(b, &[]).map(|_| Req::Rollback { session })?,
         _ => return Ok(None),
     };
@@ -144,5 +147,7 @@
         life: m.num("life")?.ok_or_else(|| bad("life: missing"))?,
         leads: m.flag("leads")?,
         leaving: m.flag("leaving")?,
+        terms: false,
+        seq: 0,
     }))
 }
--- a/medium/src/run.rs
+++ b/medium/src/run.rs
@@ -1,4 +1,5 @@
 use crate::back::Back;
+use crate::traffic::{Later, Servers, Traffic};
 use crate::calls::Calls;
 use crate::clock::{entropy, wall, Clock};
 use crate::doors::{response, serve, App};
@@ -8,7 +9,10 @@
 use crate::threads::*;
 use eyre::{Result, WrapErr};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
 use std::sync::mpsc::channel;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tenet::control::{Control, In, Start};
@@ -16,7 +20,10 @@
 use tenet::front::{Front, FrontIn};
 use tenet::handoff::Handoff;
 use tenet::wire::Msg;
+use tokio::sync::mpsc::unbounded_channel;
+use tokio::task::LocalSet;
 use volo_http::http::HeaderValue;
+use volo_http::response::Response;
 
 fn thread(name: &str, f: impl FnOnce() + Send + 'static) -> Result<()> {
     let n = name.to_string();
@@ -31,30 +38,48 @@
         .wrap_err("thread")
 }
 
+/// What a started process offers to its doors.
+#[derive(Clone)]
+pub struct Node {
+    pub clock: Clock,
+    pub place: Place,
+    pub app: Arc<App>,
+    pub traffic: Option<Rc<Traffic>>,
+}
+
+/// How a process meets the outside world: its doors, its servers and the promote call.
+pub trait Kit {
+    fn servers(&self, clock: Clock) -> Result<Rc<dyn Servers>>;
+    fn promoter(&self, clock: Clock) -> Result<Arc<dyn Promoter>>;
+    /// Serves until the process ends.
+    fn open(self: Box<Self>, n: Node) -> Later<Result<()>>;
+}
+
 pub fn start(f: Flags, disk: bool) -> Result<()> {
     let p = f.place(disk).unwrap_or_else(|e| {
         eprintln!("{e}");
         std::process::exit(2);
     });
-    run(p, disk).map_err(|e| {
+    let kit = HttpKit { platform: p.platform };
+    run(p, disk, Box::new(kit))
+}
+
+/// Runs a node until it is stopped. Ends the process with 1 when it cannot start.
+pub fn run(p: Place, disk: bool, kit: Box<dyn Kit>) -> Result<()> {
+    let rt = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&rt, go(p, disk, kit)).map_err(|e| {
         log::error!("node: could not start: {e:#}");
         std::process::exit(1)
     })
 }
 
-pub fn run(p: Place, disk: bool) -> Result<()> {
-    let rt = tokio::runtime::Builder::new_multi_thread().worker_threads(4).enable_all().build()?;
-    let h = rt.handle().clone();
-    rt.block_on(go(p, disk, h))
-}
-
-async fn go(p: Place, disk: bool, rt: tokio::runtime::Handle) -> Result<()> {
+async fn go(p: Place, disk: bool, kit: Box<dyn Kit>) -> Result<()> {
     let clock = Clock::new();
     let seed = entropy();
     let folder = p.data.as_deref().filter(|_| disk).map(files::open).transpose()?;
     let durable = folder.as_ref().and_then(|f| f.durable.clone()).filter(|d| d.id != 0);
     let (tx, rx) = channel::<In>();
-    let (ftx, frx) = channel::<FrontIn>();
+    let (ftx, frx) = unbounded_channel::<FrontIn>();
     let front = (!disk).then(|| ftx.clone());
     let (c2, f2) = (tx.clone(), front.clone());
     let sink = Arc::new(move |p: tenet::wire::Packet| match p.msg {
@@ -69,7 +94,6 @@
         }
     });
     let net = Net::start(p.listen, sink).await.wrap_err_with(|| format!("listen {}", p.listen))?;
-    let back = Back::new(clock)?;
     let start = Start {
         addr: p.listen.into(),
         http: p.http.into(),
@@ -110,45 +134,47 @@
         calls: control_calls.clone(),
         news: give,
         front: front.clone(),
-        back: back.clone(),
-        platform: p.platform,
-        rt: rt.clone(),
+        promoter: kit.promoter(clock)?,
+        rt: tokio::runtime::Handle::current(),
         left: disk.then(|| drained.clone()),
     };
     thread("control", move || side.run(control, first))?;
+    let mut traffic = None;
     if !disk {
-        let f = Front::new(me.id, me.addr, seed);
-        let (control, calls, drained, empty) = (tx.clone(), front_calls.clone(), drained.clone(), empty.clone());
-        let side = FrontSide { clock, rx: frx, tx: ftx, control, net, calls, news, back: back.clone(), rt, drained, empty };
-        thread("traffic", move || side.run(f))?;
+        let t = Rc::new(Traffic {
+            clock,
+            front: RefCell::new(Front::new(me.id, me.addr, seed)),
+            news: RefCell::new(news),
+            net,
+            control: tx.clone(),
+            calls: front_calls.clone(),
+            servers: kit.servers(clock)?,
+            drained: drained.clone(),
+            empty: empty.clone(),
+            wake: Cell::new(0),
+        });
+        tokio::task::spawn_local(t.clone().run(frx));
+        traffic = Some(t);
     }
     let app = Arc::new(App {
         control: tx,
         control_calls,
         front,
         front_calls,
-        back,
-        stopping: stopping.clone(),
+        back: Back::new(clock)?,
+        stopping,
         drained,
         empty,
         busy: AtomicUsize::new(0),
         disk,
     });
     log::info!("node: {:x} in {}, peers at {}, http at {}", me.id, p.domain, p.listen, p.http);
-    let a = app.clone();
-    let h = move |m: String, path: String, q: String, b: Vec<u8>| {
-        let a = a.clone();
-        async move {
-            a.busy.fetch_add(1, Ordering::Relaxed);
-            let mut r = response(a.handle(&m, &path, &q, &b).await);
-            if a.stopping.load(Ordering::Relaxed) {
-                r.headers_mut().insert("connection", HeaderValue::from_static("close"));
-            }
-            a.busy.fetch_sub(1, Ordering::Relaxed);
-            r
-        }
-    };
-    let drain = async move {
+    kit.open(Node { clock, place: p, app, traffic }).await
+}
+
+impl Node {
+    /// Lets work under way end, then ends the process.
+    pub async fn drain(app: Arc<App>, clock: Clock) {
         log::info!("node: asked to stop, letting work under way end");
         app.stopping.store(true, Ordering::Relaxed);
         let _ = app.control.send(In::Stopping);
@@ -160,6 +186,49 @@
         }
         log::info!("node: stopped");
         std::process::exit(0);
-    };
-    serve(p.http, h, drain).await
+    }
+}
+
+struct HttpKit {
+    platform: Option<SocketAddr>,
+}
+
+impl Kit for HttpKit {
+    fn servers(&self, clock: Clock) -> Result<Rc<dyn Servers>> {
+        Ok(Rc::new(Back::new(clock)?))
+    }
+
+    fn promoter(&self, clock: Clock) -> Result<Arc<dyn Promoter>> {
+        Ok(Arc::new(HttpPromoter { back: Back::new(clock)?, to: self.platform }))
+    }
+
+    fn open(self: Box<Self>, n: Node) -> Later<Result<()>> {
+        let (at, clock) = (n.place.http, n.clock);
+        let app = n.app.clone();
+        Box::pin(serve(at, handler(n.app), Node::drain(app, clock)))
+    }
+}
+
+/// Opens the product's own doors beside others that see to the process's end.
+pub async fn own_doors(n: Node) {
+    if let Err(e) = serve(n.place.http, handler(n.app), async {}).await {
+        log::error!("node: {e}");
+    }
+}
+
+type Handled = std::pin::Pin<Box<dyn std::future::Future<Output = Response> + Send>>;
+
+fn handler(a: Arc<App>) -> impl Fn(String, String, String, Vec<u8>) -> Handled + Clone + Send + Sync + 'static {
+        move |m: String, path: String, q: String, b: Vec<u8>| {
+            let a = a.clone();
+            Box::pin(async move {
+                a.busy.fetch_add(1, Ordering::Relaxed);
+                let mut r = response(a.handle(&m, &path, &q, &b).await);
+                if a.stopping.load(Ordering::Relaxed) {
+                    r.headers_mut().insert("connection", HeaderValue::from_static("close"));
+                }
+                a.busy.fetch_sub(1, Ordering::Relaxed);
+                r
+            })
+        }
 }
--- /dev/null
+++ b/medium/src/traffic.rs
@@ -0,0 +1,112 @@
+use crate::calls::Calls;
+use crate::clock::Clock;
+use crate::net::Net;
+use std::cell::{Cell, RefCell};
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::Sender;
+use std::sync::Arc;
+use tenet::base::*;
+use tenet::control::In;
+use tenet::front::*;
+use tenet::handoff::Handoff;
+use tenet::kind::{Kind, Reject};
+use tenet::session::Req;
+use tenet::table::Table;
+use tenet::wire::Packet;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::time::{sleep, Duration};
+
+pub type News = Option<(Arc<Table>, Time)>;
+pub type Later<T> = Pin<Box<dyn Future<Output = T>>>;
+
+/// The way to the database servers. Answers `NotSent` only when no byte of the query left.
+pub trait Servers {
+    fn call(self: Rc<Self>, c: BackCall) -> Later<BackRes>;
+}
+
+pub struct Traffic {
+    pub clock: Clock,
+    pub front: RefCell<Front>,
+    pub news: RefCell<Handoff<News>>,
+    pub net: Arc<Net>,
+    pub control: Sender<In>,
+    pub calls: Arc<Calls<Result<Answer, Reject>>>,
+    pub servers: Rc<dyn Servers>,
+    pub drained: Arc<AtomicBool>,
+    pub empty: Arc<AtomicBool>,
+    pub wake: Cell<Time>,
+}
+
+const BATCH: usize = 64;
+
+impl Traffic {
+    pub fn drive(self: &Rc<Self>, i: FrontIn) {
+        if let Some((t, until)) = self.news.borrow_mut().newer().flatten() {
+            self.step(FrontIn::Table(t, until));
+        }
+        self.step(i);
+    }
+
+    fn step(self: &Rc<Self>, i: FrontIn) {
+        let o = self.front.borrow_mut().poll(self.clock.now(), i);
+        self.wake.set(o.wakeup);
+        self.act(o);
+        let f = self.front.borrow();
+        self.drained.store(f.drained(), Ordering::Relaxed);
+        self.empty.store(f.empty(), Ordering::Relaxed);
+    }
+
+    fn act(self: &Rc<Self>, o: FrontOut) {
+        o.log.iter().for_each(|t| log::info!("traffic: {t}"));
+        let (from, addr) = (self.front.borrow().me, self.front.borrow().addr);
+        for (a, msg) in o.send {
+            self.net.send(a, &Packet { from, addr, cluster: 0, msg });
+        }
+        o.response.into_iter().for_each(|(k, r)| self.calls.end(k, r));
+        if !o.sights.is_empty() {
+            let _ = self.control.send(In::Sights(o.sights));
+        }
+        for (db, since) in o.clean {
+            let _ = self.control.send(In::Clean { db, since });
+        }
+        for b in o.back {
+            let (me, token) = (self.clone(), b.token);
+            let f = self.servers.clone().call(b);
+            tokio::task::spawn_local(async move {
+                let res = f.await;
+                me.drive(FrontIn::Back { token, res });
+            });
+        }
+    }
+
+    pub async fn call(self: &Rc<Self>, req: Req) -> Result<Answer, Reject> {
+        let (call, rx) = self.calls.open();
+        self.drive(FrontIn::Call { call, req });
+        rx.await.unwrap_or_else(|_| Err(Reject::new(Kind::Starting, "the process is ending")))
+    }
+
+    pub async fn run(self: Rc<Self>, mut rx: UnboundedReceiver<FrontIn>) {
+        loop {
+            let t = self.clock.until(self.wake.get()).max(Duration::from_millis(1));
+            tokio::select! {
+                biased;
+                i = rx.recv() => match i {
+                    None => return,
+                    Some(i) => {
+                        self.drive(i);
+                        for _ in 0..BATCH {
+                            match rx.try_recv() {
+                                Ok(i) => self.drive(i),
+                                Err(_) => break,
+                            }
+                        }
+                    }
+                },
+                _ = sleep(t) => self.drive(FrontIn::Wakeup),
+            }
+        }
+    }
+}
--- a/tenet/src/answer.rs
+++ b/tenet/src/answer.rs
@@ -3,11 +3,6 @@
 use crate::job::*;
 use crate::kind::{Kind, Reject};
 use crate::wire::*;
-use serde_json::Value;
-
-fn num(v: &Value, k: &str) -> u64 {
-    v.get(k).and_then(|x| x.as_u64()).unwrap_or(0)
-}
 
 impl Front {
     pub(crate) fn job_back(&mut self, now: Time, j: usize, token: u64, res: BackRes, out: &mut FrontOut) {
@@ -18,6 +13,10 @@
             Step::Open => self.back_open(now, j, res, out),
             Step::Reset => match res {
                 BackRes::Ok(_) => self.job_run(now, j, out),
+                _ if matches!(self.jobs[j].load.act, Act::Step | Act::Commit | Act::Rollback) => {
+                    self.job_discard(now, j, out);
+                    self.job_end(now, j, Err(Reject::new(Kind::Aborted, "its settings could not be changed")), out);
+                }
                 _ => {
                     self.job_discard(now, j, out);
                     self.again_or(now, j, Reject::new(Kind::Busy, "a connection could not be reset"), out);
@@ -30,11 +29,11 @@
                 _ => self.jobs[j].step = Step::Again(now + LOOK_AGAIN),
             },
             Step::LookAfter => match res {
-                BackRes::Ok(v) if !self.same_primary(now, j, &v) => {
+                BackRes::Ok(Got::Outcome { life, leads, .. }) if !self.same_primary(now, j, life, leads) => {
                     let r = Reject::new(Kind::Unknown, "the server that took it is not the primary any more");
                     self.job_end(now, j, Err(r), out);
                 }
-                BackRes::Ok(v) if v["found"] == true => self.found(now, j, &v, out),
+                BackRes::Ok(Got::Outcome { found: Some(x), .. }) => self.found(now, j, x, out),
                 BackRes::Ok(_) => {
                     let r = Reject::new(Kind::Aborted, "the server does not know it and its connection is closed");
                     self.job_end(now, j, Err(r), out);
@@ -48,16 +47,16 @@
     fn back_open(&mut self, now: Time, j: usize, res: BackRes, out: &mut FrontOut) {
         let s = self.jobs[j].server;
         match res {
-            BackRes::Ok(v) if v.get("conn").is_some() => {
+            BackRes::Ok(Got::Connected { conn }) => {
                 self.pools[s].opened();
                 let (user, setup) = (self.jobs[j].load.session, crate::session::setup_digest(&self.jobs[j].load.setup));
-                self.jobs[j].conn = Some(crate::pool::Conn { id: num(&v, "conn"), user, setup, idle: now });
-                self.reset_now(now, j, out);
+                self.jobs[j].conn = Some(crate::pool::Conn { id: conn, user, setup, idle: now });
+                self.reset_now(now, j, None, out);
             }
             r => {
                 self.pools[s].not_opened();
                 let e = match r {
-                    BackRes::Rejected(429, _) => Reject::new(Kind::Busy, "the server allows no more connections"),
+                    BackRes::Rejected(Refusal::Busy, _) => Reject::new(Kind::Busy, "the server allows no more connections"),
                     r => Reject::new(Kind::NoPrimary, format!("no connection to the server: {}", word(&r))),
                 };
                 self.job_end(now, j, Err(e), out);
@@ -78,13 +77,17 @@
         let act = self.jobs[j].load.act.clone();
         let writes = self.jobs[j].load.writes;
         let inside = matches!(act, Act::Step | Act::Commit | Act::Rollback);
+        self.heard(now, j, &res);
         match res {
-            BackRes::Ok(v) => self.ran(now, j, act, &v, out),
-            BackRes::Rejected(410, _) if !inside => {
+            BackRes::Ok(Got::Ran { pos, result, repeat }) => {
+                (self.jobs[j].pos, self.jobs[j].body, self.jobs[j].repeat) = (pos, result, repeat);
+                self.ran(now, j, act, out)
+            }
+            BackRes::Rejected(Refusal::ConnClosed, _) if !inside => {
                 self.job_discard(now, j, out);
                 self.again_or(now, j, Reject::new(Kind::Busy, "its connections were closed by the server"), out);
             }
-            BackRes::Rejected(422, w) => {
+            BackRes::Rejected(Refusal::Failed, w) => {
                 match act {
                     Act::Step => self.txn_free(now, j),
                     Act::Commit => {
@@ -96,15 +99,25 @@
                 }
                 self.job_end(now, j, Err(Reject::new(Kind::Failed, w)), out);
             }
-            BackRes::Rejected(409, w) if !inside => {
+            BackRes::Rejected(Refusal::OtherBody, w) if !inside => {
                 self.job_put(now, j, out);
                 self.job_end(now, j, Err(Reject::new(Kind::OtherBody, w)), out);
             }
-            BackRes::Rejected(403, w) => {
+            BackRes::Rejected(Refusal::NotLeading, w) => {
                 self.job_discard(now, j, out);
                 let k = if inside { Kind::Aborted } else { Kind::NoPrimary };
                 self.job_end(now, j, Err(Reject::new(k, w)), out);
             }
+            BackRes::Rejected(k @ (Refusal::Busy | Refusal::Behind), w) if !inside => {
+                self.job_put(now, j, out);
+                let k = if k == Refusal::Behind { Kind::NotCurrent } else { Kind::Busy };
+                self.job_end(now, j, Err(Reject::new(k, w)), out);
+            }
+            BackRes::Lost if (writes || act == Act::Commit) && !self.looks_up(j) => {
+                self.job_discard(now, j, out);
+                let r = Reject::new(Kind::Unknown, "its answer vanished and its servers look nothing up");
+                self.job_end(now, j, Err(r), out);
+            }
             BackRes::Lost if writes || act == Act::Commit => {
                 self.jobs[j].lost = self.jobs[j].conn.as_ref().map_or(0, |c| c.id);
                 self.job_discard(now, j, out);
@@ -120,6 +133,10 @@
         }
     }
 
+    fn looks_up(&self, j: usize) -> bool {
+        self.t.as_ref().is_none_or(|t| t.dbs[self.jobs[j].db].can.outcomes)
+    }
+
     fn txn_free(&mut self, now: Time, j: usize) {
         let job = &mut self.jobs[j];
         job.conn = None;
@@ -129,11 +146,8 @@
         }
     }
 
-    fn ran(&mut self, now: Time, j: usize, act: Act, v: &Value, out: &mut FrontOut) {
+    fn ran(&mut self, now: Time, j: usize, act: Act, out: &mut FrontOut) {
         let job = &mut self.jobs[j];
-        job.pos = num(v, "pos");
-        job.body = v.get("result").map_or("null".into(), |r| r.to_string());
-        job.repeat = v["repeat"] == true;
         let key = job.load.txn;
         match act {
             Act::Begin => {
@@ -141,7 +155,7 @@
                 if let Some(c) = job.conn.take() {
                     let x = TxnHeld {
                         conn: c.id,
-                        setup: c.setup,
+                        setup: job.load.setup.clone(),
                         server: job.server,
                         db: job.db,
                         epoch: job.epoch,
@@ -182,11 +196,11 @@
         let job = &self.jobs[j];
         let commit = job.load.act == Act::Commit;
         match res {
-            BackRes::Ok(v) if !self.same_primary(now, j, &v) => {
+            BackRes::Ok(Got::Outcome { life, leads, .. }) if !self.same_primary(now, j, life, leads) => {
                 let r = Reject::new(Kind::NoPrimary, "the server looked at is not the primary any more");
                 self.job_end(now, j, Err(r), out);
             }
-            BackRes::Ok(v) if v["found"] == true => self.found(now, j, &v, out),
+            BackRes::Ok(Got::Outcome { found: Some(x), .. }) => self.found(now, j, x, out),
             BackRes::Ok(_) if !commit && self.off_long(now, job.server) => {
                 self.job_end(now, j, Err(Reject::new(Kind::NoPrimary, crate::fence::OFF_LONG)), out);
             }
@@ -200,16 +214,14 @@
         }
     }
 
-    fn same_primary(&self, now: Time, j: usize, v: &Value) -> bool {
+    fn same_primary(&self, now: Time, j: usize, life: u64, leads: bool) -> bool {
         let job = &self.jobs[j];
-        v["leads"] == true && num(v, "life") == job.life && self.still(now, job.db, job.epoch)
+        leads && life == job.life && self.still(now, job.db, job.epoch)
     }
 
-    fn found(&mut self, now: Time, j: usize, v: &Value, out: &mut FrontOut) {
+    fn found(&mut self, now: Time, j: usize, x: (u64, String), out: &mut FrontOut) {
         let job = &mut self.jobs[j];
-        job.pos = num(v, "pos");
-        job.body = v.get("result").map_or("null".into(), |r| r.to_string());
-        job.repeat = true;
+        (job.pos, job.body, job.repeat) = (x.0, x.1, true);
         let id = job.load.id.clone();
         self.traces.tell(now, &id, "found under its id, not run again".into());
         self.wait_acks(now, j, out);
--- a/tenet/src/apply.rs
+++ b/tenet/src/apply.rs
@@ -5,9 +5,9 @@
 use crate::kind::{Kind, Reject};
 use crate::state::*;
 
-type Res = Result<Mark, Reject>;
+pub(crate) type Res = Result<Mark, Reject>;
 
-fn stale(why: impl Into<String>) -> Reject {
+pub(crate) fn stale(why: impl Into<String>) -> Reject {
     Reject::new(Kind::StaleBase, why)
 }
 
@@ -16,6 +16,7 @@
         let m = self.mark;
         match &a.op {
             Op::Config { base, text } => self.config(a.at, *base, text),
+            Op::Publish { version, text } => self.publish(a.at, *version, text),
             Op::Evacuate { domain, on } => {
                 let was = self.evacuated.contains_key(domain);
                 if *on && !was {
@@ -56,6 +57,7 @@
             }
             Op::Phase { id, event } => self.phase(*id, event),
             Op::Announce { .. } => self.announce(a),
+            Op::Depart { server, seq } => self.depart(a.at, server, *seq),
             Op::Place { db, fencers, gateways } => {
                 let d = self.dbs.entry(db.clone()).or_insert_with(|| Db {
                     phase: chart::failover().start().into(),
@@ -71,20 +73,6 @@
         }
     }
 
-    fn config(&mut self, at: u64, base: Mark, text: &str) -> Res {
-        if base == self.cfg_base && text == self.cfg && self.cfg_mark > 0 {
-            return Ok(self.cfg_mark);
-        }
-        if base != self.cfg_mark {
-            return Err(stale(format!("base {base}, current {}", self.cfg_mark)));
-        }
-        self.cfg_base = base;
-        self.cfg_mark = self.mark;
-        self.cfg = text.into();
-        self.tell(at, "configuration", format!("configuration {} accepted over {base}", self.cfg_mark));
-        Ok(self.mark)
-    }
-
     fn phase(&mut self, id: NodeId, event: &str) -> Res {
         let m = self.mark;
         let p = self.members.get_mut(&id).ok_or_else(|| Reject::new(Kind::UnknownName, "member"))?;
@@ -99,6 +87,10 @@
 
     fn announce(&mut self, a: &Ask) -> Res {
         if let Some(s) = Server::told(&a.op) {
+            if self.late(&s) {
+                return Ok(self.mark);
+            }
+            self.displace(a.at, &s);
             let (server, addr, life, leaving) = (&s.name.clone(), s.addr, s.life, s.leaving);
             let o = self.servers.insert(server.clone(), s);
             let born = o.as_ref().is_none_or(|o| o.life != life);
@@ -146,7 +138,7 @@
         let to = chart::failover().step(&d.phase, ev).ok_or_else(|| stale(format!("{ev} in {}", d.phase)))?;
         match &a.op {
             Op::Promoted { server, .. } | Op::Rejected { server, .. } if d.target.as_ref() != Some(server) => return Err(stale("another target")),
-            Op::Target { .. } if !heir => return Err(stale("no heir")),
+            Op::Target { any: false, .. } if !heir => return Err(stale("no heir")),
             Op::Reopen { .. } if d.phase == "fenced" => {
                 d.primary = d.old.take();
                 d.epoch = m;
@@ -162,7 +154,7 @@
 
     fn failover_set(&mut self, a: &Ask, n: &str) {
         let m = self.mark;
-        let lives: Vec<(String, u64)> = self.servers.values().map(|s| (s.name.clone(), s.life)).collect();
+        let lives: Vec<(String, u64)> = self.servers.values().filter(|s| !s.terms).map(|s| (s.name.clone(), s.life)).collect();
         let Ok(d) = self.db(n) else { return };
         match &a.op {
             Op::Adopt { server, .. } => {
@@ -225,7 +217,7 @@
     pub fn check(&self, op: &Op) -> Result<(), Reject> {
         match op {
             Op::Config { .. } if planted(Bug::BadTaken) => Ok(()),
-            Op::Config { text, .. } => Config::parse(text)
+            Op::Config { text, .. } | Op::Publish { text, .. } => Config::parse(text)
                 .and_then(|c| {
                     let v = c.claimed_twice(self);
                     v.is_empty().then_some(()).ok_or(v)
--- a/tenet/src/asks.rs
+++ b/tenet/src/asks.rs
@@ -22,7 +22,7 @@
 
     pub(crate) fn announce(&mut self, now: Time, call: u64, op: Op, out: &mut Out, e: &mut Effect) {
         if let Some(s) = Server::told(&op) {
-            if self.f.state.servers.get(&s.name) == Some(&s) {
+            if self.f.state.late(&s) || self.f.state.servers.get(&s.name).is_some_and(|o| s.says(o)) {
                 let verdict = Verdict { mark: self.f.state.mark, reject: None };
                 e.response.push((call, Reply::Verdict(verdict)));
                 return;
--- a/tenet/src/collect.rs
+++ b/tenet/src/collect.rs
@@ -19,12 +19,13 @@
         let r = match req {
             Req::Explain { id } => {
                 let v = self.traces.show(&id);
-                v.map(|v| json!({"node": format!("{:x}", self.me), "id": id, "steps": v, "now": now}))
+                v.map(|v| Answer::Text(json!({"node": format!("{:x}", self.me), "id": id, "steps": v, "now": now})))
                     .ok_or_else(|| reject(Kind::UnknownName, format!("no request '{id}' passed here")))
             }
-            Req::Figures => Ok(self.figures()),
-            Req::Verdicts => Ok(self.verdicts(now)),
+            Req::Figures => Ok(Answer::Text(self.figures())),
+            Req::Verdicts => Ok(Answer::Text(self.verdicts(now))),
             Req::Open { db, user, tenant, settings } => self.open(now, db, user, tenant, settings),
+            Req::Enter { entry, user } => self.enter(now, entry, user),
             req => match self.in_session(now, call, req, out) {
                 Ok(None) => return,
                 Ok(Some(v)) => Ok(v),
@@ -34,19 +35,7 @@
         out.response.push((call, r));
     }
 
-    pub fn explain(&self, id: &str) -> Vec<String> {
-        let v = self.traces.show(id).and_then(|v| v.as_array().cloned()).unwrap_or_default();
-        v.iter().map(|s| format!("{:x} +{} {}", self.me, s["at"], s["text"])).collect()
-    }
-
-    fn figures(&self) -> Value {
-        let opened: u64 = self.pools.iter().map(|p| p.opened).sum();
-        let held: u32 = self.pools.iter().map(|p| p.total()).sum();
-        json!({"served": self.served, "sessions": self.sessions.len(), "opened": opened,
-            "connections": held, "trips": self.trips.len(), "jobs": self.jobs.len(), "transactions": self.txns.len()})
-    }
-
-    fn welcome(&self, now: Time, known: bool) -> Result<std::sync::Arc<Table>, Reject> {
+    pub(crate) fn welcome(&self, now: Time, known: bool) -> Result<std::sync::Arc<Table>, Reject> {
         let t = self.table()?;
         if !self.allows(now) {
             return Err(reject(Kind::NotCurrent, "this node could not confirm its configuration in time"));
@@ -56,7 +45,7 @@
         if late { Err(reject(Kind::Leaving, why)) } else { Ok(t) }
     }
 
-    fn open(&mut self, now: Time, db: String, user: String, tenant: Option<String>, settings: Vec<(String, String)>) -> Result<Value, Reject> {
+    fn open(&mut self, now: Time, db: String, user: String, tenant: Option<String>, settings: Vec<(String, String)>) -> Result<Answer, Reject> {
         let t = self.welcome(now, false)?;
         let i = *t.db_ix.get(&db).ok_or_else(|| reject(Kind::UnknownDatabase, db))?;
         if let Some(x) = tenant.as_ref().filter(|x| !t.dbs[i].tenants.contains_key(*x)) {
@@ -64,12 +53,12 @@
         }
         let id = self.ids.take();
         let setup = SetUp { user, settings, prepared: Vec::new() };
-        let s = Session { db: i, tenant, setup, txn: None, mark: 0, last: now, busy: false };
+        let s = Session { db: i, entry: None, tenant, setup, txn: None, mark: 0, last: now, busy: false };
         self.sessions.insert(id, s);
-        Ok(json!({"session": id, "node": format!("{:x}", self.me), "region": t.region}))
+        Ok(Answer::Opened { session: id, node: self.me, region: t.region.clone() })
     }
 
-    fn in_session(&mut self, now: Time, call: u64, req: Req, out: &mut FrontOut) -> Result<Option<Value>, Reject> {
+    fn in_session(&mut self, now: Time, call: u64, req: Req, out: &mut FrontOut) -> Result<Option<Answer>, Reject> {
         if now < self.paused_until && !matches!(req, Req::Rollback { .. } | Req::Close { .. }) {
             if let Req::Commit { session, .. } = req {
                 self.forget_txn(now, session, out);
@@ -85,16 +74,20 @@
         match req {
             Req::Set { name, value, .. } => {
                 upsert(&mut s.setup.settings, name, value);
-                Ok(Some(json!({"set": true})))
+                Ok(Some(Answer::Set))
             }
             Req::Prepare { name, text, .. } => {
                 upsert(&mut s.setup.prepared, name, text);
-                Ok(Some(json!({"prepared": true})))
+                Ok(Some(Answer::Prepared))
+            }
+            Req::Release { name, .. } => {
+                s.setup.prepared.retain(|(n, _)| *n != name);
+                Ok(Some(Answer::Released))
             }
             Req::Close { .. } => {
                 self.forget_txn(now, id, out);
                 self.sessions.remove(&id);
-                Ok(Some(json!({"closed": true})))
+                Ok(Some(Answer::Closed))
             }
             Req::Run { kind, id: rid, body, prepared, budget, .. } => {
                 self.run(now, call, id, kind, rid, body, prepared, budget, out).map(|_| None)
@@ -102,9 +95,9 @@
             Req::Begin { kind, id: rid, budget, .. } => {
                 self.begin(now, call, id, kind, rid, budget, out).map(|_| None)
             }
-            Req::Commit { budget, .. } => self.commit(now, call, id, budget, out).map(|_| None),
+            Req::Commit { body, budget, .. } => self.commit(now, call, id, body, budget, out).map(|_| None),
             Req::Rollback { .. } => match self.forget_txn(now, id, out) {
-                true => Ok(Some(json!({"rolled_back": true}))),
+                true => Ok(Some(Answer::RolledBack)),
                 false => Err(reject(Kind::BadState, "no transaction is open")),
             },
             _ => Err(reject(Kind::BadRequest, "not a session request")),
@@ -117,7 +110,7 @@
         now: Time,
         call: u64,
         sid: u64,
-        kind: String,
+        want: Want,
         rid: Option<String>,
         body: String,
         prepared: Option<String>,
@@ -125,7 +118,11 @@
         out: &mut FrontOut,
     ) -> Result<(), Reject> {
         let t = self.table()?;
-        let k = *t.kind_ix.get(&kind).ok_or_else(|| reject(Kind::UnknownKind, kind))?;
+        let open = self.sessions[&sid].txn.is_some();
+        let k = match open && self.sessions[&sid].entry.is_some() {
+            true => Ok(0),
+            false => self.bind(&t, sid, &want),
+        }?;
         let row = &t.kinds[k];
         let s = &self.sessions[&sid];
         if let Some(p) = prepared.as_ref().filter(|p| !s.setup.prepared.iter().any(|(n, _)| n == *p)) {
@@ -135,7 +132,7 @@
             Some(p) => json!({"prepared": p, "args": serde_json::from_str::<Value>(&body).unwrap_or(Value::Null)}).to_string(),
             None => body,
         };
-        if s.txn.is_some() {
+        if open {
             return self.step(now, call, sid, body, budget, out);
         }
         self.welcome(now, true)?;
@@ -148,6 +145,8 @@
         let own = if row.cfg.fresh.own_changes && !planted(Bug::OwnIgnored) { mark } else { 0 };
         let mut plan = self.plan(now, &t, sid, &load, budget);
         if let Some(b) = bound {
+            let after = self.guard(now, &t, db, b);
+            load.after = after.map_or(0, |p| p.max(own));
             plan.replicas = self.replicas(now, &t, sid, row, &load, b, own);
         }
         let db = &t.dbs[db];
@@ -160,9 +159,10 @@
         Ok(())
     }
 
-    fn begin(&mut self, now: Time, call: u64, sid: u64, kind: Option<String>, rid: Option<String>, budget: Option<Time>, out: &mut FrontOut) -> Result<(), Reject> {
+    fn begin(&mut self, now: Time, call: u64, sid: u64, want: Option<Want>, rid: Option<String>, budget: Option<Time>, out: &mut FrontOut) -> Result<(), Reject> {
         let t = self.welcome(now, true)?;
-        kind.filter(|k| !t.kind_ix.contains_key(k)).map_or(Ok(()), |k| Err(reject(Kind::UnknownKind, k)))?;
+        let want = want.or(self.sessions[&sid].entry.is_some().then_some(Want::Writes));
+        want.map_or(Ok(0), |w| self.bind(&t, sid, &w))?;
         if self.sessions[&sid].txn.is_some() {
             return Err(reject(Kind::BadState, "a transaction is open already"));
         }
@@ -188,12 +188,13 @@
         true
     }
 
-    fn commit(&mut self, now: Time, call: u64, sid: u64, budget: Option<Time>, out: &mut FrontOut) -> Result<(), Reject> {
+    fn commit(&mut self, now: Time, call: u64, sid: u64, body: String, budget: Option<Time>, out: &mut FrontOut) -> Result<(), Reject> {
         let r = self.pinned(now, sid, Act::Commit, budget);
         if r.is_err() {
             self.forget_txn(now, sid, out);
         }
-        let (load, plan) = r?;
+        let (mut load, plan) = r?;
+        load.body = body;
         self.set_off(now, call, sid, load, plan, None, out);
         Ok(())
     }
--- a/tenet/src/config.rs
+++ b/tenet/src/config.rs
@@ -1,3 +1,4 @@
+use crate::entry::{Abilities, Entry};
 use crate::labels::Labels;
 use crate::rules::{Labelled, Rule};
 use garde::Validate;
@@ -21,6 +22,17 @@
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     #[garde(dive)]
     pub rules: Vec<Rule>,
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    #[garde(dive)]
+    pub entries: BTreeMap<String, Entry>,
+    /// The document this was made from, kept as it came.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    #[garde(skip)]
+    pub origin: String,
+    /// False: evacuating a domain empties its servers, its nodes go on serving.
+    #[serde(default = "yes")]
+    #[garde(skip)]
+    pub evacuates_nodes: bool,
     #[serde(default)]
     #[garde(dive)]
     pub pool: PoolCfg,
@@ -50,6 +62,9 @@
     pub cap: u32,
     #[serde(default)]
     #[garde(skip)]
+    pub can: Abilities,
+    #[serde(default)]
+    #[garde(skip)]
     pub tenants: BTreeMap<String, Vec<String>>,
 }
 
@@ -94,6 +109,10 @@
     pub keep_idle_ms: u64,
 }
 
+fn yes() -> bool {
+    true
+}
+
 impl Default for PoolCfg {
     fn default() -> Self {
         PoolCfg { queue: 200, warm_start: 2, warm_ms: 4000, keep_idle_ms: 600_000 }
--- a/tenet/src/control.rs
+++ b/tenet/src/control.rs
@@ -124,6 +124,7 @@
                 let op = self.watch.promoted(now, &db, epoch, &server, done);
                 op.into_iter().for_each(|op| self.ask(now, 0, None, op, &mut out));
             }
+            In::Seeds(v) => self.c.seeds = v,
             In::Stopping => {
                 self.stopping = true;
                 self.c.me.stopping = true;
--- a/tenet/src/effect.rs
+++ b/tenet/src/effect.rs
@@ -17,6 +17,7 @@
     Sights(Vec<Sight>),
     Clean { db: String, since: Mark },
     Promoted { db: String, epoch: Mark, server: String, done: Result<(), bool> },
+    Seeds(Vec<Addr>),
     Stopping,
 }
 
--- /dev/null
+++ b/tenet/src/entry.rs
@@ -0,0 +1,103 @@
+use crate::config::Config;
+use crate::kind::{Kind, Reject};
+use crate::front::Front;
+use crate::session::{Answer, Session, Want};
+use crate::wire::SetUp;
+use crate::base::Time;
+use crate::table::Table;
+use garde::Validate;
+use serde::{Deserialize, Serialize};
+
+/// A name that callers open sessions by. It stands for a database, the kinds of its reads and
+/// writes, and their time limits in ms.
+#[derive(Clone, Serialize, Deserialize, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct Entry {
+    #[garde(length(min = 1))]
+    pub database: String,
+    #[garde(length(min = 1))]
+    pub reads: String,
+    #[garde(length(min = 1))]
+    pub writes: String,
+    #[garde(range(min = 1, max = 600000))]
+    pub statement_ms: u64,
+    #[garde(range(min = 1, max = 600000))]
+    pub request_ms: u64,
+    #[garde(range(min = 0, max = 600000))]
+    pub patience_ms: u64,
+}
+
+/// What a database's servers can do, and what its owners ask of a commit.
+#[derive(Clone, Copy, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Abilities {
+    /// They look the outcome of a write up by its id.
+    pub outcomes: bool,
+    /// They check before a read that their log holds a position.
+    pub guards: bool,
+    /// Statements may leave state in a connection that firramp does not know of.
+    pub keeps_state: bool,
+    /// A commit is acknowledged when every heir holds it; else when the primary has it.
+    pub confirms: bool,
+}
+
+impl Default for Abilities {
+    fn default() -> Self {
+        Abilities { outcomes: true, guards: false, keeps_state: true, confirms: true }
+    }
+}
+
+pub struct EntryRow {
+    pub db: usize,
+    pub reads: usize,
+    pub writes: usize,
+    pub cfg: Entry,
+}
+
+impl Config {
+    pub(crate) fn entered(&self, out: &mut Vec<String>) {
+        for (n, e) in &self.entries {
+            let at = format!("entries.{n}");
+            if !self.databases.contains_key(&e.database) {
+                out.push(format!("{at}.database: no database '{}'", e.database));
+            }
+            let writes = |k: &String| self.kinds.get(k).map(|k| k.writes);
+            if writes(&e.reads) != Some(false) {
+                out.push(format!("{at}.reads: '{}' is no kind that reads", e.reads));
+            }
+            if writes(&e.writes) != Some(true) {
+                out.push(format!("{at}.writes: '{}' is no kind that writes", e.writes));
+            }
+        }
+    }
+}
+
+impl Front {
+    pub(crate) fn enter(&mut self, now: Time, entry: String, user: String) -> Result<Answer, Reject> {
+        let t = self.welcome(now, false)?;
+        let db = t.entries.get(&entry).ok_or_else(|| Reject::new(Kind::UnknownDatabase, entry.clone()))?.db;
+        let session = self.ids.take();
+        let setup = SetUp { user, ..SetUp::default() };
+        let s = Session { db, entry: Some(entry), tenant: None, setup, txn: None, mark: 0, last: now, busy: false };
+        self.sessions.insert(session, s);
+        Ok(Answer::Opened { session, node: self.me, region: t.region.clone() })
+    }
+
+    /// Binds a session to what its entry says now, and names the kind wanted.
+    pub(crate) fn bind(&mut self, t: &Table, sid: u64, want: &Want) -> Result<usize, Reject> {
+        let s = self.sessions.get_mut(&sid).ok_or(Kind::UnknownSession)?;
+        let row = match &s.entry {
+            Some(n) => Some(t.entries.get(n).ok_or_else(|| Reject::new(Kind::UnknownDatabase, n.clone()))?),
+            None => None,
+        };
+        if let Some(r) = row.filter(|r| r.db != s.db && s.txn.is_none()) {
+            (s.db, s.mark) = (r.db, 0);
+        }
+        match (want, row) {
+            (Want::Kind(k), _) => t.kind_ix.get(k).copied().ok_or_else(|| Reject::new(Kind::UnknownKind, k.clone())),
+            (Want::Reads, Some(r)) => Ok(r.reads),
+            (Want::Writes, Some(r)) => Ok(r.writes),
+            _ => Err(Reject::new(Kind::UnknownKind, "the session was opened by no entry")),
+        }
+    }
+}
--- a/tenet/src/failover.rs
+++ b/tenet/src/failover.rs
@@ -2,7 +2,7 @@
 use crate::base::*;
 use crate::pilot::*;
 use crate::state::*;
-use crate::table::server_off;
+use crate::table::{db_servers, server_off};
 
 impl Watch {
     pub(crate) fn all_clean(&self, k: &Sky, n: &str, d: &Db) -> bool {
@@ -33,25 +33,34 @@
         let since = at;
         let old = d.old.as_ref().and_then(|o| k.st.servers.get(o));
         let old_seen = old.and_then(|o| self.sight(k, &o.name, o.life, since)).filter(|x| x.leads).map(|x| x.pos);
-        let mut best: Vec<(bool, u64, &String)> = d
-            .heirs
-            .keys()
-            .filter(|h| k.st.heir(d, h))
+        let confirms = k.cfg.databases.get(n).is_none_or(|d| d.can.confirms);
+        let all = db_servers(k.cfg, k.st, n);
+        let heirs: Vec<&String> = match confirms {
+            true => d.heirs.keys().filter(|h| k.st.heir(d, h)).collect(),
+            false => all.iter().map(|s| &s.name).filter(|s| d.old.as_ref() != Some(*s)).collect(),
+        };
+        let unseen = heirs.iter().any(|h| k.st.servers.get(*h).is_some_and(|s| server_off(k.st, s).is_none() && self.sight(k, h, s.life, since).is_none()));
+        if !confirms && unseen && k.now < at + HEIR_LOOK {
+            return;
+        }
+        let mut best: Vec<(bool, u64, &String)> = heirs
+            .iter()
+            .copied()
             .filter_map(|h| k.st.servers.get(h).and_then(|s| self.sight(k, h, s.life, since).map(|x| (s, x, h))))
             .map(|(s, x, h)| (server_off(k.st, s).is_none(), x.pos, h))
             .collect();
         best.sort();
         let caught = |pos: u64| !d.planned || old_seen.is_none_or(|o| pos >= o);
         let patience = k.now > at + CATCH_UP;
-        let on = |h: &String| k.st.heir(d, h) && k.st.servers.get(h).is_some_and(|s| server_off(k.st, s).is_none());
-        let better = d.planned && k.now < at + HEIR_WAIT && d.heirs.keys().any(on);
+        let on = |h: &String| k.st.servers.get(h).is_some_and(|s| server_off(k.st, s).is_none());
+        let better = d.planned && k.now < at + HEIR_WAIT && heirs.iter().any(|h| on(h));
         if let Some((good, pos, h)) = best.last() {
             if !good && better {
                 return;
             }
             if caught(*pos) || patience {
                 self.chosen.insert(db.clone(), epoch);
-                ops.push(Op::Target { db, epoch, server: (*h).clone(), asker: k.me });
+                ops.push(Op::Target { db, epoch, server: (*h).clone(), asker: k.me, any: !confirms });
             }
         } else if old_seen.is_some() && k.now > at + HEIR_WAIT {
             ops.push(Op::Reopen { db, epoch, why: "no replica can take over and the old primary is back".into() });
@@ -75,7 +84,7 @@
         };
         if go {
             e.1 = Ask3::Out;
-            calls.push(Promote { db: n.into(), server: t, epoch: d.epoch, not_after: k.now + PERMIT });
+            calls.push(Promote { db: n.into(), server: t, epoch: d.epoch, not_after: k.now + PERMIT, token: d.since });
         }
     }
 }
--- a/tenet/src/fence.rs
+++ b/tenet/src/fence.rs
@@ -33,7 +33,7 @@
         if load.act == Act::Pos {
             return self.tell_pos(now, owner, &load, db, p, out);
         }
-        if (load.writes || load.act == Act::Begin) && d.heirs.is_empty() {
+        if d.can.confirms && (load.writes || load.act == Act::Begin) && d.heirs.is_empty() {
             return Err(reject(Kind::NoCopies, "no replica counts as holding the log yet"));
         }
         if inside {
@@ -76,7 +76,7 @@
         Ok(())
     }
 
-    fn txn_step(&mut self, now: Time, owner: Owner, load: Load, db: usize, p: usize, out: &mut FrontOut) -> Result<(), Reject> {
+    fn txn_step(&mut self, now: Time, owner: Owner, mut load: Load, db: usize, p: usize, out: &mut FrontOut) -> Result<(), Reject> {
         let t = self.table()?;
         let epoch = t.dbs[db].epoch;
         let held = self.txns.get_mut(&load.txn).filter(|x| x.epoch == epoch && x.session == load.session && x.server == p);
@@ -89,12 +89,21 @@
             Some(x) => {
                 x.busy = true;
                 x.last = now;
-                let conn = crate::pool::Conn { id: x.conn, user: x.session, setup: x.setup, idle: now };
+                if load.act == Act::Rollback {
+                    load.setup = x.setup.clone();
+                }
+                let from = std::mem::replace(&mut x.setup, load.setup.clone());
+                let setup = crate::session::setup_digest(&load.setup);
+                let conn = crate::pool::Conn { id: x.conn, user: x.session, setup, idle: now };
                 let mut job = Job::new(now, owner, load, p, db, epoch);
                 job.conn = Some(conn);
                 job.life = t.servers[p].life;
+                let same = from == job.load.setup;
                 let j = self.jobs.insert(job);
-                self.job_run(now, j, out);
+                match same {
+                    true => self.job_run(now, j, out),
+                    false => self.reset_now(now, j, Some(from), out),
+                }
                 Ok(())
             }
             None if load.act == Act::Commit && load.look_up => {
@@ -115,7 +124,7 @@
             let (k, s) = (&self.known[*i], &t.servers[*i]);
             k.life == s.life && k.pos >= pos && Some(k.follows.as_str()) == lead
         };
-        planted(Bug::NoAcks) || !d.heirs.is_empty() && d.heirs.iter().chain(d.joining.iter()).all(holds)
+        planted(Bug::NoAcks) || !d.can.confirms || !d.heirs.is_empty() && d.heirs.iter().chain(d.joining.iter()).all(holds)
     }
 
     pub(crate) fn still(&self, now: Time, db: usize, epoch: Mark) -> bool {
--- a/tenet/src/fresh.rs
+++ b/tenet/src/fresh.rs
@@ -12,6 +12,8 @@
     pub heard: Time,
     pub reach: bool,
     pub told_life: u64,
+    pub term: u64,
+    pub shun: Time,
 }
 
 #[derive(Default)]
@@ -42,6 +44,18 @@
             .flatten()
     }
 
+    /// The newest position that is at least `settled` ms old, else the newest of all; none when
+    /// that was observed more than `most` ms ago.
+    pub fn within(&self, now: Time, epoch: Mark, settled: Time, most: Time) -> Option<u64> {
+        let old = self.v.iter().rev().find(|(t, _)| t + settled <= now).filter(|(t, _)| now <= t + most);
+        let any = self.v.back().filter(|(t, _)| now <= t + most);
+        old.or(any).filter(|_| epoch == self.epoch).map(|(_, p)| *p)
+    }
+
+    pub fn newest_of(&self, epoch: Mark) -> Option<Time> {
+        self.v.back().filter(|_| epoch == self.epoch).map(|(t, _)| *t)
+    }
+
     pub fn newest(&self) -> Time {
         self.v.back().map_or(0, |(t, _)| *t)
     }
--- a/tenet/src/front.rs
+++ b/tenet/src/front.rs
@@ -5,13 +5,14 @@
 use crate::job::Job;
 use crate::kind::{Kind, Reject};
 use crate::pool::{Pool, Rules};
+pub use crate::query::*;
+pub use crate::session::Answer;
 use crate::session::*;
 use crate::table::Table;
 use crate::trace::Traces;
 use crate::trip::Trip;
 use crate::verdict::Standing;
 use crate::wire::*;
-use serde_json::Value;
 use slab::Slab;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -26,19 +27,10 @@
     Stopping,
 }
 
-#[derive(Debug, Clone)]
-pub enum BackRes {
-    Ok(Value),
-    Rejected(u16, String),
-    NotSent,
-    Lost,
-}
-
 pub struct BackCall {
     pub token: u64,
     pub to: Addr,
-    pub path: &'static str,
-    pub body: Value,
+    pub query: Query,
     pub not_after: Time,
     pub timeout: Time,
 }
@@ -47,7 +39,7 @@
 pub struct FrontOut {
     pub send: Vec<(Addr, Msg)>,
     pub back: Vec<BackCall>,
-    pub response: Vec<(u64, Result<Value, Reject>)>,
+    pub response: Vec<(u64, Result<Answer, Reject>)>,
     pub sights: Vec<Sight>,
     pub clean: Vec<(String, Mark)>,
     pub log: Vec<String>,
--- a/tenet/src/held.rs
+++ b/tenet/src/held.rs
@@ -1,4 +1,5 @@
 use crate::base::*;
+use crate::wire::SetUp;
 
 #[derive(Clone, Copy)]
 pub enum Use {
@@ -15,7 +16,7 @@
 
 pub struct TxnHeld {
     pub conn: u64,
-    pub setup: u64,
+    pub setup: SetUp,
     pub server: usize,
     pub db: usize,
     pub epoch: Mark,
--- a/tenet/src/job.rs
+++ b/tenet/src/job.rs
@@ -5,7 +5,6 @@
 use crate::pool::{Conn, Take};
 use crate::session::setup_digest;
 use crate::wire::*;
-use serde_json::{json, Value};
 
 fn margin() -> Time {
     if planted(Bug::OfflineSkipped) { 0 } else { BYTES_LIFE }
@@ -47,6 +46,7 @@
     pub tries: u32,
     pub lost: u64,
     pub life: u64,
+    pub sent: Time,
 }
 
 impl Job {
@@ -68,6 +68,7 @@
             tries: 0,
             lost: 0,
             life: 0,
+            sent: now,
         }
     }
 }
@@ -96,18 +97,21 @@
         let job = &mut self.jobs[j];
         let setup = setup_digest(&job.load.setup);
         let (s, user) = (job.server, job.load.session);
+        let keeps = self.t.as_ref().is_none_or(|t| t.dbs[job.db].can.keeps_state);
         match self.pools[s].take(now, user, setup, &rules) {
             Take::Conn(c) => {
-                let same = c.user == user && c.setup == setup || planted(Bug::NoReset);
+                let same = (c.user == user || !keeps) && c.setup == setup || planted(Bug::NoReset);
                 job.conn = Some(Conn { id: c.id, user, setup, idle: now });
                 match same {
                     true => self.job_run(now, j, out),
-                    false => self.reset_now(now, j, out),
+                    false => self.reset_now(now, j, None, out),
                 }
             }
             Take::Open => {
                 let user = job.load.setup.user.clone();
-                self.job_call(now, j, Step::Open, "/connect", json!({ "user": user }), out);
+                let server = self.t.as_ref().map_or(String::new(), |t| t.servers[s].name.clone());
+                let service = self.jobs[j].load.db.clone();
+                self.job_call(now, j, Step::Open, Query::Connect { service, server, user }, out);
             }
             Take::Wait => {
                 self.jobs[j].step = Step::Queue;
@@ -117,9 +121,10 @@
         }
     }
 
-    pub(crate) fn job_call(&mut self, now: Time, j: usize, step: Step, path: &'static str, body: Value, out: &mut FrontOut) {
+    pub(crate) fn job_call(&mut self, now: Time, j: usize, step: Step, query: Query, out: &mut FrontOut) {
         let token = self.use_token(Use::Job(j));
         let limit = self.t.as_ref().map_or(1500, |t| t.cfg.timeouts.statement_ms);
+        let limit = if self.jobs[j].load.limit > 0 { self.jobs[j].load.limit } else { limit };
         let to = self.t.as_ref().map_or(Addr::NONE, |t| t.servers[self.jobs[j].server].addr);
         let fenced = matches!(self.jobs[j].owner, Owner::Carry(..));
         let end = match fenced {
@@ -129,17 +134,15 @@
         };
         let until = end.min(self.jobs[j].deadline);
         let job = &mut self.jobs[j];
-        (job.step, job.token) = (step, token);
+        (job.step, job.token, job.sent) = (step, token, now);
         let timeout = limit.min(job.deadline.saturating_sub(now)).max(1);
-        out.back.push(BackCall { token, to, path, body, not_after: until, timeout });
+        out.back.push(BackCall { token, to, query, not_after: until, timeout });
     }
 
-    pub(crate) fn reset_now(&mut self, now: Time, j: usize, out: &mut FrontOut) {
-        let l = &self.jobs[j].load.setup;
-        let pairs = |v: &[(String, String)]| v.iter().map(|(k, x)| (k.clone(), json!(x))).collect::<serde_json::Map<_, _>>();
+    pub(crate) fn reset_now(&mut self, now: Time, j: usize, from: Option<SetUp>, out: &mut FrontOut) {
+        let setup = self.jobs[j].load.setup.clone();
         let conn = self.jobs[j].conn.as_ref().map_or(0, |c| c.id);
-        let body = json!({"conn": conn, "user": l.user, "settings": pairs(&l.settings), "prepared": pairs(&l.prepared)});
-        self.job_call(now, j, Step::Reset, "/reset", body, out);
+        self.job_call(now, j, Step::Reset, Query::Reset { conn, from, setup }, out);
     }
 
     pub(crate) fn job_run(&mut self, now: Time, j: usize, out: &mut FrontOut) {
@@ -161,20 +164,20 @@
         let job = &self.jobs[j];
         let conn = job.conn.as_ref().map_or(0, |c| c.id);
         let l = &job.load;
-        let inner = || serde_json::from_str::<Value>(&l.body).unwrap_or(Value::Null);
-        let (path, body) = match l.act {
-            Act::Begin => ("/begin", json!({ "conn": conn })),
-            Act::Step => ("/statement", json!({"conn": conn, "id": null, "write": true, "body": inner()})),
-            Act::Commit => ("/commit", json!({"conn": conn, "id": l.id})),
-            Act::Rollback => ("/rollback", json!({ "conn": conn })),
-            _ => ("/statement", json!({"conn": conn, "id": l.id, "write": l.writes, "body": inner()})),
+        let (id, body, after) = (l.id.clone(), l.body.clone(), l.after);
+        let query = match l.act {
+            Act::Begin => Query::Begin { conn, after, read_only: false },
+            Act::Step => Query::Run { conn, id: None, writes: true, body, after: 0 },
+            Act::Commit => Query::Commit { conn, id, body },
+            Act::Rollback => Query::Rollback { conn },
+            _ => Query::Run { conn, id: Some(id), writes: l.writes, body, after },
         };
-        self.job_call(now, j, Step::Run, path, body, out);
+        self.job_call(now, j, Step::Run, query, out);
     }
 
     pub(crate) fn look_up(&mut self, now: Time, j: usize, step: Step, out: &mut FrontOut) {
-        let body = json!({ "id": self.jobs[j].load.id });
-        self.job_call(now, j, step, "/outcome", body, out);
+        let id = self.jobs[j].load.id.clone();
+        self.job_call(now, j, step, Query::Outcome { id }, out);
     }
 
     pub(crate) fn job_put(&mut self, now: Time, j: usize, out: &mut FrontOut) {
--- a/tenet/src/ledger.rs
+++ b/tenet/src/ledger.rs
@@ -35,6 +35,7 @@
     pub deadline: Time,
     pub patience: Time,
     pub none: Kind,
+    pub looks_up: bool,
 }
 
 #[derive(Clone, Copy, PartialEq, Debug)]
@@ -79,6 +80,9 @@
         _ => p.none,
     };
     let doubt = unsure(p, gos);
+    if doubt && !p.looks_up {
+        return Move::Give(Kind::Unknown);
+    }
     if p.commit && gos.len() > 1 && last == Some(End::Rejected(Kind::Aborted)) {
         return Move::Give(Kind::Aborted);
     }
@@ -124,6 +128,7 @@
             deadline: 1000,
             patience: 500,
             none: Kind::NoPrimary,
+            looks_up: true,
         }
     }
 
--- a/tenet/src/pilot.rs
+++ b/tenet/src/pilot.rs
@@ -18,6 +18,8 @@
     pub server: String,
     pub epoch: Mark,
     pub not_after: Time,
+    /// Rises whenever another process asks, and with each failover.
+    pub token: Mark,
 }
 
 #[derive(Clone, Copy, PartialEq)]
@@ -156,8 +158,11 @@
 
     fn steady(&mut self, k: &Sky, n: &str, d: &Db, at: Time, ops: &mut Vec<Op>) {
         let Some(p) = d.primary.as_ref() else { return };
-        let Some(ps) = k.st.servers.get(p) else { return };
         let (db, epoch) = (n.to_string(), d.epoch);
+        let Some(ps) = k.st.servers.get(p) else {
+            ops.push(Op::Offline { db, epoch, why: format!("{p} has left") });
+            return;
+        };
         if let Some(why) = self.dead(k, n, d, ps, at) {
             ops.push(Op::Offline { db, epoch, why });
             return;
@@ -166,11 +171,19 @@
         let other = |h: &String| k.st.servers.get(h).is_some_and(|s| {
             server_off(k.st, s).is_none() && self.sight(k, h, s.life, 0).is_some()
         });
-        if let Some(w) = off.filter(|_| d.heirs.keys().any(other)) {
+        let can = k.cfg.databases.get(n).map(|d| d.can).unwrap_or_default();
+        let names = db_servers(k.cfg, k.st, n);
+        let ready = match can.confirms {
+            true => d.heirs.keys().any(other),
+            false => names.iter().any(|s| s.name != *p && other(&s.name)),
+        };
+        if let Some(w) = off.filter(|_| ready) {
             ops.push(Op::Close { db, epoch, why: format!("{p}: {w}") });
             return;
         }
-        self.heirs(k, n, d, at, ops);
+        if can.confirms {
+            self.heirs(k, n, d, at, ops);
+        }
     }
 
     fn dead(&self, k: &Sky, n: &str, d: &Db, p: &Server, at: Time) -> Option<String> {
@@ -189,7 +202,8 @@
             .filter_map(|h| k.st.servers.get(h).and_then(|s| self.sight(k, h, s.life, 0)))
             .map(|s| s.link)
             .collect();
-        let second = live.len() > 1 || links.iter().any(|l| !l);
+        let can = k.cfg.databases.get(n).map(|d| d.can).unwrap_or_default();
+        let second = live.len() > 1 || !can.confirms || links.iter().any(|l| !l);
         let reborn = !p.leads && k.now > at + detect;
         (fenced && second)
             .then(|| format!("{} of {} fencing nodes lost {} for {detect} ms", live.len(), d.fencers.len(), p.name))
--- a/tenet/src/plan.rs
+++ b/tenet/src/plan.rs
@@ -24,12 +24,15 @@
     pub(crate) fn replicas(&self, now: Time, t: &Table, sid: u64, row: &KindRow, l: &Load, bound: Time, own: u64) -> Vec<usize> {
         let db = self.sessions[&sid].db;
         let d = &t.dbs[db];
+        if d.can.guards && l.after == 0 {
+            return Vec::new();
+        }
         let mut v: Vec<(bool, u32, usize)> = d
             .servers
             .iter()
             .filter(|i| {
                 let near = l.regions.contains(&t.servers[**i].region);
-                near && self.known[**i].pos >= own && self.may_read(now, t, db, **i, row, bound).is_ok()
+                near && (d.can.guards || self.known[**i].pos >= own) && self.may_read(now, t, db, **i, row, bound).is_ok()
             })
             .map(|i| (t.servers[*i].region != t.region, self.pools[*i].used(), *i))
             .collect();
@@ -37,6 +40,18 @@
         v.into_iter().take(2).map(|x| x.2).collect()
     }
 
+    fn entry<'a>(&self, t: &'a Table, sid: u64) -> Option<&'a crate::entry::Entry> {
+        let n = self.sessions.get(&sid).and_then(|s| s.entry.as_ref())?;
+        t.entries.get(n).map(|r| &r.cfg)
+    }
+
+    /// The position a replica's log must hold for a read within `bound` ms, where servers check it.
+    pub(crate) fn guard(&self, now: Time, t: &Table, db: usize, bound: Time) -> Option<u64> {
+        let d = &t.dbs[db];
+        let most = by_slow_clock(bound).saturating_sub(GUARD_SPARE);
+        d.can.guards.then(|| self.marks[db].within(now, d.epoch, GUARD_SETTLED, most)).flatten()
+    }
+
     pub(crate) fn load(&mut self, t: &Table, sid: u64, rid: Option<String>, act: Act) -> Load {
         let id = rid.unwrap_or_else(|| format!("r{:x}", self.ids.take()));
         let s = &self.sessions[&sid];
@@ -44,6 +59,7 @@
         Load {
             db: d.name.clone(),
             act,
+            limit: self.entry(t, sid).map_or(0, |e| e.statement_ms),
             setup: s.setup.clone(),
             regions: route::homes(t, d, s.tenant.as_deref()),
             session: sid,
@@ -56,14 +72,17 @@
         self.turn += 1;
         let d = &t.dbs[self.sessions[&sid].db];
         let c = &t.cfg.timeouts;
+        let e = self.entry(t, sid);
+        let most = e.map_or(c.request_ms, |e| e.request_ms);
         Plan {
             gateways: route::gateways(t, d, l, self.turn),
             replicas: Vec::new(),
             writes: l.writes,
             pinned: false,
             commit: false,
-            deadline: (now + budget.unwrap_or(c.request_ms).min(c.request_ms)).min(self.stop_by().max(now)),
-            patience: now + c.patience_ms,
+            deadline: (now + budget.unwrap_or(most).min(most)).min(self.stop_by().max(now)),
+            patience: now + e.map_or(c.patience_ms, |e| e.patience_ms),
+            looks_up: d.can.outcomes,
             none: if d.gateways.is_empty() { Kind::NoPrimary } else { Kind::NoHome },
         }
     }
@@ -78,7 +97,9 @@
         writes: false,
         look_up: false,
         budget: 0,
-        setup: SetUp { user: String::new(), settings: Vec::new(), prepared: Vec::new() },
+        limit: 0,
+        after: 0,
+        setup: SetUp::default(),
         body: "null".into(),
         regions: Vec::new(),
         hops: Vec::new(),
--- a/tenet/src/polls.rs
+++ b/tenet/src/polls.rs
@@ -1,14 +1,13 @@
 use crate::base::*;
 use crate::plan::blank;
 use crate::front::*;
-use crate::job::{Owner, Step};
+use crate::job::Owner;
 use crate::kind::Kind;
 use crate::ledger::Plan;
 use crate::route;
 use crate::table::Table;
 use crate::trip::{For, Trip};
 use crate::wire::*;
-use serde_json::json;
 
 impl Front {
     pub(crate) fn tick(&mut self, now: Time, out: &mut FrontOut) {
@@ -55,8 +54,7 @@
     pub(crate) fn send_close(&mut self, now: Time, server: usize, conn: u64, out: &mut FrontOut) {
         let token = self.use_token(Use::Nobody);
         let to = self.t.as_ref().map_or(Addr::NONE, |t| t.servers[server].addr);
-        let body = json!({ "conn": conn });
-        out.back.push(BackCall { token, to, path: "/close", body, not_after: now + 1000, timeout: 1000 });
+        out.back.push(BackCall { token, to, query: Query::Close { conn }, not_after: now + 1000, timeout: 1000 });
     }
 
     fn give_back(&mut self, now: Time, t: &Table, out: &mut FrontOut) {
@@ -75,53 +73,6 @@
         }
     }
 
-    fn poll_servers(&mut self, now: Time, t: &Table, out: &mut FrontOut) {
-        for (i, d) in t.dbs.iter().enumerate() {
-            let acks = self.jobs.iter().any(|(_, j)| j.db == i && j.step == Step::Acks);
-            for s in &d.servers {
-                let row = &t.servers[*s];
-                let near = d.fences || d.homes.contains(&row.region);
-                let heir = d.heirs.contains(s) || d.joining.contains(s);
-                let every = match () {
-                    _ if acks && heir => ACK_POLL,
-                    _ if d.fences => FENCE_POLL,
-                    _ => READ_POLL,
-                };
-                if row.addr != Addr::NONE && near && now >= self.polled[*s] + every {
-                    self.polled[*s] = now;
-                    let token = self.use_token(Use::Poll(*s, now));
-                    let not_after = now + POLL_LIMIT;
-                    out.back.push(BackCall { token, to: row.addr, path: "/log", body: json!({}), not_after, timeout: POLL_LIMIT });
-                }
-            }
-        }
-    }
-
-    pub(crate) fn poll_back(&mut self, now: Time, s: usize, at: Time, res: BackRes) {
-        let Some(t) = self.t.clone() else { return };
-        let k = &mut self.known[s];
-        if at < k.at {
-            return;
-        }
-        match res {
-            BackRes::Ok(v) => {
-                let n = |f: &str| v.get(f).and_then(|x| x.as_u64()).unwrap_or(0);
-                (k.life, k.pos, k.at, k.heard, k.reach) = (n("life"), n("pos"), at, now, true);
-                k.follows = v["follows"].as_str().unwrap_or("").into();
-                k.leads = v["leads"] == true;
-                k.link = v["link"] == true;
-                let (life, pos, leads) = (k.life, k.pos, k.leads);
-                for (i, d) in t.dbs.iter().enumerate() {
-                    if d.primary == Some(s) && leads && life == t.servers[s].life && d.phase == "steady" {
-                        self.marks[i].add(d.epoch, at, pos);
-                    }
-                }
-            }
-            _ if now > k.heard + 300 => k.reach = false,
-            _ => (),
-        }
-    }
-
     fn sights(&self, now: Time, t: &Table) -> Vec<Sight> {
         let mine = |i: &usize| t.dbs.iter().any(|d| d.servers.contains(i)) && self.polled[*i] > 0;
         (0..t.servers.len())
@@ -144,7 +95,7 @@
 
     fn ask_pos(&mut self, now: Time, t: &Table, out: &mut FrontOut) {
         for (i, d) in t.dbs.iter().enumerate() {
-            let known = d.fences && now < self.marks[i].newest() + POS_ASK;
+            let known = (d.fences || d.can.guards) && now < self.marks[i].newest() + POS_ASK;
             let due = now >= self.asked[i] + POS_ASK && !known && t.db_ix.contains_key(&d.name);
             if !due || d.gateways.is_empty() || !self.allows(now) {
                 continue;
@@ -164,6 +115,7 @@
                 deadline: now + 500,
                 patience: now,
                 none: Kind::NoPrimary,
+                looks_up: true,
             };
             let owner = For::Pos { db: i };
             let trip = Trip::new(now, owner, load, plan, None);
--- a/tenet/src/reasons.rs
+++ b/tenet/src/reasons.rs
@@ -30,7 +30,7 @@
 impl Control {
     pub fn show(&self, now: Time, what: &str, arg: &str) -> Reply {
         let v = match what {
-            "configuration" => self.show_config(),
+            "configuration" => self.show_config(now),
             "fleet" => self.show_fleet(now),
             "verdicts" => self.show_verdicts(),
             "reasons" => self.show_reasons(arg),
@@ -49,10 +49,10 @@
         json!({ "warnings": v })
     }
 
-    fn show_config(&self) -> Value {
+    fn show_config(&self, now: Time) -> Value {
         let s = &self.f.state;
         let body = serde_json::from_str::<Value>(&s.cfg).unwrap_or(Value::Null);
-        json!({"mark": s.cfg_mark, "configuration": body,
+        json!({"mark": s.cfg_mark, "configuration": body, "confirmed": self.f.holds(now),
             "evacuated": s.evacuated, "drained": s.drained,
             "warnings": self.show_warnings(&s.cfg)["warnings"]})
     }
--- a/tenet/src/rules.rs
+++ b/tenet/src/rules.rs
@@ -145,6 +145,7 @@
 
     pub(crate) fn names(&self, out: &mut Vec<String>) {
         self.ruled(out);
+        self.entered(out);
         let regions: Vec<&String> = self.domains.values().map(|d| &d.region).collect();
         for (n, d) in &self.databases {
             let at = format!("databases.{n}");
--- a/tenet/src/session.rs
+++ b/tenet/src/session.rs
@@ -1,5 +1,5 @@
 use crate::base::*;
-use crate::wire::SetUp;
+use crate::wire::{Done, SetUp};
 
 #[derive(Clone, PartialEq)]
 pub enum TxnState {
@@ -18,6 +18,7 @@
 
 pub struct Session {
     pub db: usize,
+    pub entry: Option<String>,
     pub tenant: Option<String>,
     pub setup: SetUp,
     pub txn: Option<TxnAt>,
@@ -26,13 +27,44 @@
     pub busy: bool,
 }
 
+/// The kind of a request: by its name, or one of the two that the session's entry gives.
+pub enum Want {
+    Kind(String),
+    Reads,
+    Writes,
+}
+
+/// What a caller is answered when its request succeeded.
+#[derive(Clone, Debug)]
+pub enum Answer {
+    Opened { session: u64, node: NodeId, region: String },
+    Set,
+    Prepared,
+    Released,
+    Closed,
+    RolledBack,
+    Ran(Box<Ran>),
+    Text(serde_json::Value),
+}
+
+#[derive(Clone, Debug)]
+pub struct Ran {
+    pub id: String,
+    pub done: Done,
+    pub tries: usize,
+    pub step: bool,
+    pub leaving: bool,
+}
+
 pub enum Req {
     Open { db: String, user: String, tenant: Option<String>, settings: Vec<(String, String)> },
     Set { session: u64, name: String, value: String },
+    Enter { entry: String, user: String },
     Prepare { session: u64, name: String, text: String },
-    Run { session: u64, kind: String, id: Option<String>, body: String, prepared: Option<String>, budget: Option<Time> },
-    Begin { session: u64, kind: Option<String>, id: Option<String>, budget: Option<Time> },
-    Commit { session: u64, budget: Option<Time> },
+    Release { session: u64, name: String },
+    Run { session: u64, kind: Want, id: Option<String>, body: String, prepared: Option<String>, budget: Option<Time> },
+    Begin { session: u64, kind: Option<Want>, id: Option<String>, budget: Option<Time> },
+    Commit { session: u64, body: String, budget: Option<Time> },
     Rollback { session: u64 },
     Close { session: u64 },
     Explain { id: String },
@@ -45,6 +77,7 @@
         match self {
             Req::Set { session, .. }
             | Req::Prepare { session, .. }
+            | Req::Release { session, .. }
             | Req::Run { session, .. }
             | Req::Begin { session, .. }
             | Req::Commit { session, .. }
--- a/tenet/src/state.rs
+++ b/tenet/src/state.rs
@@ -24,11 +24,19 @@
     pub life: u64,
     pub leads: bool,
     pub leaving: bool,
+    /// It numbers its leads, cuts its own log back to the leader's, and is told apart at connect.
+    pub terms: bool,
+    /// Rises with each announcement of one life; 0 when not told.
+    pub seq: u64,
 }
 
 impl Server {
+    pub fn says(&self, o: &Server) -> bool {
+        Server { seq: o.seq, ..self.clone() } == *o
+    }
+
     pub fn told(op: &Op) -> Option<Server> {
-        let Op::Announce { server, addr, domain, labels, life, leads, leaving } = op else { return None };
+        let Op::Announce { server, addr, domain, labels, life, leads, leaving, terms, seq } = op else { return None };
         Some(Server {
             name: server.clone(),
             addr: *addr,
@@ -37,6 +45,8 @@
             life: *life,
             leads: *leads,
             leaving: *leaving,
+            terms: *terms,
+            seq: *seq,
         })
     }
 }
@@ -75,17 +85,20 @@
 #[derive(Clone, Readable, Writable, PartialEq, Debug)]
 pub enum Op {
     Config { base: Mark, text: String },
+    /// Holds when its version is above the one held; else it changes nothing.
+    Publish { version: u64, text: String },
     Evacuate { domain: String, on: bool },
     Drain { server: String, on: bool },
     Enrol { id: NodeId, addr: Addr, http: Addr, domain: String, disk: bool },
     Phase { id: NodeId, event: String },
-    Announce { server: String, addr: Addr, domain: String, labels: Labels, life: u64, leads: bool, leaving: bool },
+    Announce { server: String, addr: Addr, domain: String, labels: Labels, life: u64, leads: bool, leaving: bool, terms: bool, seq: u64 },
+    Depart { server: String, seq: u64 },
     Place { db: String, fencers: Vec<NodeId>, gateways: Vec<NodeId> },
     Adopt { db: String, server: String },
     Close { db: String, epoch: Mark, why: String },
     Reopen { db: String, epoch: Mark, why: String },
     Offline { db: String, epoch: Mark, why: String },
-    Target { db: String, epoch: Mark, server: String, asker: NodeId },
+    Target { db: String, epoch: Mark, server: String, asker: NodeId, any: bool },
     Asker { db: String, epoch: Mark, asker: NodeId },
     Promoted { db: String, epoch: Mark, server: String },
     HeirJoin { db: String, epoch: Mark, server: String },
@@ -114,11 +127,13 @@
     pub mark: Mark,
     pub cfg_mark: Mark,
     pub cfg_base: Mark,
+    pub cfg_version: u64,
     pub cfg: String,
     pub evacuated: BTreeMap<String, Mark>,
     pub drained: BTreeMap<String, Mark>,
     pub members: BTreeMap<NodeId, Member>,
     pub servers: BTreeMap<String, Server>,
+    pub departed: BTreeMap<String, u64>,
     pub dbs: BTreeMap<String, Db>,
     pub recent: Vec<(u64, u64, Verdict)>,
     pub stories: Vec<Story>,
--- a/tenet/src/table.rs
+++ b/tenet/src/table.rs
@@ -1,6 +1,7 @@
 use crate::plant::{planted, Bug};
 use crate::base::*;
 use crate::config::{Config, Database, RequestKind};
+use crate::entry::{Abilities, Entry, EntryRow};
 use crate::labels::{Labels, Selector};
 use crate::state::*;
 use std::collections::{BTreeMap, HashMap};
@@ -38,6 +39,7 @@
     pub fence_share: u32,
     pub fence_from: Time,
     pub gates: bool,
+    pub can: Abilities,
 }
 
 pub struct KindRow {
@@ -64,6 +66,7 @@
     pub kinds: Vec<KindRow>,
     pub nodes: BTreeMap<NodeId, NodeRow>,
     pub db_ix: HashMap<String, usize>,
+    pub entries: HashMap<String, EntryRow>,
     pub kind_ix: HashMap<String, usize>,
 }
 
@@ -141,6 +144,9 @@
             .map(|(n, _)| (n, c.effective(n)))
             .map(|(n, k)| KindRow { name: n.clone(), sel: Selector::parse(&k.servers).unwrap_or_default(), cfg: k })
             .collect();
+        let db_at = |n: &String| dbs.iter().position(|d| d.name == *n);
+        let kind_at = |n: &String| kinds.iter().position(|k| k.name == *n);
+        let entry = |e: &Entry| Some(EntryRow { db: db_at(&e.database)?, reads: kind_at(&e.reads)?, writes: kind_at(&e.writes)?, cfg: e.clone() });
         let node = |m: &Member| NodeRow {
             addr: m.addr,
             region: c.region(&m.domain).unwrap_or("").into(),
@@ -148,7 +154,7 @@
         };
         let closed = [
             (c.region(self.domain).is_none(), "its domain is not in the configuration"),
-            (st.evacuated.contains_key(self.domain) && !planted(Bug::EvacuatedServes), "its domain is evacuated"),
+            (c.evacuates_nodes && st.evacuated.contains_key(self.domain) && !planted(Bug::EvacuatedServes), "its domain is evacuated"),
         ];
         Table {
             mark: st.mark,
@@ -158,6 +164,7 @@
             closed: closed.into_iter().find(|(b, _)| *b).map(|(_, w)| w),
             cfg: c.clone(),
             db_ix: dbs.iter().enumerate().filter(|(_, d)| c.databases.contains_key(&d.name)).map(|(i, d)| (d.name.clone(), i)).collect(),
+            entries: c.entries.iter().filter_map(|(n, e)| Some((n.clone(), entry(e)?))).collect(),
             kind_ix: kinds.iter().enumerate().map(|(i, k)| (k.name.clone(), i)).collect(),
             dbs,
             servers,
@@ -236,6 +243,7 @@
             fence_share: (d.cap - d.cap / 2) / need,
             fence_from,
             gates: b.gateways.contains(&self.me),
+            can: d.can,
         }
     }
 }
--- a/tenet/src/trip.rs
+++ b/tenet/src/trip.rs
@@ -4,7 +4,6 @@
 use crate::ledger::{self, End, Go, Move, Plan, To};
 use crate::session::*;
 use crate::wire::*;
-use serde_json::{json, Value};
 
 pub enum For {
     Caller { call: u64, session: u64 },
@@ -130,7 +129,11 @@
         let (Some(db), Some(table)) = (self.sessions.get(session).map(|s| s.db), self.t.as_ref()) else {
             return true;
         };
-        self.proof(now, table, db, s, d.pos).is_none_or(|a| a >= by_slow_clock(b))
+        let age = match table.dbs[db].can.guards {
+            true => self.marks[db].age(now, table.dbs[db].epoch, t.load.after),
+            false => self.proof(now, table, db, s, d.pos),
+        };
+        age.is_none_or(|a| a >= by_slow_clock(b))
     }
 
     fn trip_end(&mut self, now: Time, i: usize, give: Option<Kind>, out: &mut FrontOut) {
@@ -154,12 +157,22 @@
                 };
                 self.traces.tell(now, &t.load.id, text);
                 self.served += 1;
+                self.observe(session, &t, &r);
                 self.settle(now, session, &t, &r);
                 out.response.push((call, r.map(|d| self.answer(&t, d))));
             }
         }
     }
 
+    fn observe(&mut self, session: u64, t: &Trip, r: &Result<Done, Reject>) {
+        let last = t.gos.last().filter(|g| matches!(g.to, To::Gateway(_)));
+        if let (Some(g), Ok(d), Some(s)) = (last, r, self.sessions.get(&session)) {
+            if d.pos > 0 {
+                self.marks[s.db].add(d.epoch, g.at, d.pos);
+            }
+        }
+    }
+
     fn settle(&mut self, now: Time, session: u64, t: &Trip, r: &Result<Done, Reject>) {
         let Some(s) = self.sessions.get_mut(&session) else { return };
         s.busy = false;
@@ -194,10 +207,8 @@
         }
     }
 
-    fn answer(&self, t: &Trip, d: Done) -> Value {
-        let body = serde_json::from_str::<Value>(&d.body).unwrap_or(Value::Null);
-        let hops: Vec<String> = d.hops.iter().map(|h| format!("{h:x}")).collect();
-        json!({"id": t.load.id, "result": body, "mark": d.pos, "epoch": d.epoch, "server": d.server,
-            "repeat": d.repeat, "transaction": t.load.act == Act::Step, "leaving": self.leaving.is_some(), "hops": hops, "goes": t.gos.len()})
+    fn answer(&self, t: &Trip, done: Done) -> Answer {
+        let (id, step, leaving) = (t.load.id.clone(), t.load.act == Act::Step, self.leaving.is_some());
+        Answer::Ran(Box::new(Ran { id, done, tries: t.gos.len(), step, leaving }))
     }
 }
--- a/tenet/src/verdict.rs
+++ b/tenet/src/verdict.rs
@@ -11,6 +11,18 @@
 }
 
 impl Front {
+    pub fn explain(&self, id: &str) -> Vec<String> {
+        let v = self.traces.show(id).and_then(|v| v.as_array().cloned()).unwrap_or_default();
+        v.iter().map(|s| format!("{:x} +{} {}", self.me, s["at"], s["text"])).collect()
+    }
+
+    pub(crate) fn figures(&self) -> Value {
+        let opened: u64 = self.pools.iter().map(|p| p.opened).sum();
+        let held: u32 = self.pools.iter().map(|p| p.total()).sum();
+        json!({"served": self.served, "sessions": self.sessions.len(), "opened": opened,
+            "connections": held, "trips": self.trips.len(), "jobs": self.jobs.len(), "transactions": self.txns.len()})
+    }
+
     pub(crate) fn may_read(&self, now: Time, t: &Table, db: usize, i: usize, row: &KindRow, bound: Time) -> Result<Time, String> {
         let (d, s, k) = (&t.dbs[db], &t.servers[i], &self.known[i]);
         let no = [
@@ -18,12 +30,16 @@
             (Some(i) == d.primary, "takes writes; bounded reads spare it"),
             (s.addr == Addr::NONE, "being failed over"),
             (!row.sel.matches(&s.labels), "the kind's selector leaves it out"),
-            (!k.reach, "this node does not reach it"),
-            (k.life != s.life, "its data is not the data it announced"),
+            (!d.can.guards && !k.reach || now < k.shun, "this node does not reach it"),
+            (!d.can.guards && k.life != s.life, "its data is not the data it announced"),
         ];
         if let Some((_, w)) = no.iter().find(|n| n.0) {
             return Err(w.to_string());
         }
+        if d.can.guards {
+            let age = self.marks[db].newest_of(d.epoch).map(|t| now.saturating_sub(t));
+            return age.filter(|a| a + GUARD_SPARE < bound).ok_or("the primary's position was not seen lately".into());
+        }
         match self.proof(now, t, db, i, k.pos) {
             None => Err("no proof of what its log holds".into()),
             Some(a) if a + PROOF_MARGIN < by_slow_clock(bound) => Ok(a),
@@ -58,7 +74,7 @@
             _ if d.primary != Some(i) => (false, "not the primary".into()),
             _ if d.phase != "steady" => (false, format!("failover is at '{}'", d.phase)),
             _ if self.off_long(now, i) => (false, crate::fence::OFF_LONG.into()),
-            _ if d.heirs.is_empty() => (false, "no replica counts as holding the log yet".into()),
+            _ if d.can.confirms && d.heirs.is_empty() => (false, "no replica counts as holding the log yet".into()),
             _ => (true, "the primary".into()),
         }
     }
--- a/tenet/src/waits.rs
+++ b/tenet/src/waits.rs
@@ -24,8 +24,7 @@
 
     pub(crate) fn close_first(&mut self, now: Time, j: usize, out: &mut FrontOut) {
         let conn = self.jobs[j].lost;
-        let body = serde_json::json!({ "conn": conn });
-        self.job_call(now, j, Step::CloseFirst, "/close", body, out);
+        self.job_call(now, j, Step::CloseFirst, Query::Close { conn }, out);
     }
 
     pub(crate) fn job_wait(&mut self, now: Time, j: usize, out: &mut FrontOut) {
--- a/tenet/src/wire.rs
+++ b/tenet/src/wire.rs
@@ -5,6 +5,7 @@
 use speedy::{Readable, Writable};
 
 pub const WIRE: u8 = 2;
+const GENERATION: u8 = 0x10;
 
 #[derive(Clone, PartialEq, Debug, Readable, Writable)]
 pub struct Summary {
@@ -39,7 +40,7 @@
     Frame(State),
 }
 
-#[derive(Clone, PartialEq, Debug, Readable, Writable)]
+#[derive(Clone, PartialEq, Debug, Default, Readable, Writable)]
 pub struct SetUp {
     pub user: String,
     pub settings: Vec<(String, String)>,
@@ -65,6 +66,8 @@
     pub writes: bool,
     pub look_up: bool,
     pub budget: Time,
+    pub limit: Time,
+    pub after: u64,
     pub setup: SetUp,
     pub body: String,
     pub regions: Vec<String>,
@@ -141,14 +144,14 @@
 }
 
 pub fn encode(p: &Packet) -> Vec<u8> {
-    let mut v = vec![form(&p.msg)];
+    let mut v = vec![GENERATION | form(&p.msg)];
     v.extend(p.write_to_vec().unwrap_or_default());
     v
 }
 
 pub fn decode(b: &[u8]) -> Result<Packet, String> {
     match b.split_first() {
-        Some((&v, r)) if (1..=WIRE).contains(&v) => Packet::read_from_buffer(r).map_err(|e| e.to_string()),
+        Some((&v, r)) if (1..=WIRE).contains(&(v ^ GENERATION)) => Packet::read_from_buffer(r).map_err(|e| e.to_string()),
         Some((v, _)) => Err(format!("wire version {v}, this process speaks {WIRE}")),
         None => Err("empty packet".into()),
     }
--- a/tenet/tests/codec.rs
+++ b/tenet/tests/codec.rs
@@ -15,7 +15,7 @@
     state.apply(&Entry { mark: 1, ask: ask.clone() });
     let setup = SetUp { user: "u".into(), settings: vec![("a".into(), "b".into())], prepared: vec![] };
     let load = Load {
-        db: "d".into(), id: "i".into(), act: Act::Commit, txn: 1, writes: true, look_up: true, budget: 9,
+        db: "d".into(), id: "i".into(), act: Act::Commit, txn: 1, writes: true, look_up: true, budget: 9, limit: 3, after: 9,
         setup, body: "null".into(), regions: vec!["r".into()], hops: vec![1, 2], fence: 3, session: 4, epoch: 5,
     };
     let msgs = vec![
@@ -59,7 +59,7 @@
         }
         let _ = decode(&b);
         let mut raw: Vec<u8> = u.arbitrary()?;
-        raw.insert(0, WIRE);
+        raw.insert(0, encode(&packets()[0])[0]);
         let _ = decode(&raw);
         Ok(())
     });
--- a/tenet/tests/config.rs
+++ b/tenet/tests/config.rs
@@ -104,7 +104,7 @@
 fn a_server_is_claimed_once_and_what_matches_nothing_is_told() {
     let mut st = State::default();
     let labels = [("db".to_string(), "members".to_string())].into();
-    let op = Op::Announce { server: "s".into(), addr: Addr::NONE, domain: "geneva-1".into(), labels, life: 1, leads: true, leaving: false };
+    let op = Op::Announce { server: "s".into(), addr: Addr::NONE, domain: "geneva-1".into(), labels, life: 1, leads: true, terms: false, seq: 0, leaving: false };
     st.apply(&Entry { mark: 1, ask: Ask { id: 1, from: Addr::NONE, at: 0, op } });
     let c = ruled("[]", r#"{"s": {"labels": {"db": "events"}}, "ghost": {"labels": {}}}"#).unwrap_or_else(|e| panic!("{e:?}"));
     let c = std::sync::Arc::new(c);
--- a/tenet/tests/disk.rs
+++ b/tenet/tests/disk.rs
@@ -129,12 +129,12 @@
         let log = &mut g.logs[1];
         let (whole, at) = (log.clone(), log.len());
         log.extend(whole);
-        log[at] = b's';
+        log[at] = b't';
         if i == 1 {
             g = f.clone();
-            g.slots[1][0] = b's';
+            g.slots[1][0] = b't';
         }
         let e = g.open().err().unwrap_or_default();
-        assert!(e.contains("form 115") && e.contains("newer"), "{e}");
+        assert!(e.contains("form 116") && e.contains("newer"), "{e}");
     }
 }
--- a/tenet/tests/place.rs
+++ b/tenet/tests/place.rs
@@ -25,7 +25,7 @@
     let labels = [("db".to_string(), "members".to_string())].into();
     let (server, domain) = (name.into(), domain.into());
     let addr = Addr { ip: [1; 16], port: life as u16 };
-    Op::Announce { server, addr, domain, labels, life, leads: false, leaving: false }
+    Op::Announce { server, addr, domain, labels, life, leads: false, leaving: false, terms: false, seq: 0 }
 }
 
 fn fleet() -> (Arc<Config>, State, Mark) {
--- a/tenet/tests/state.rs
+++ b/tenet/tests/state.rs
@@ -15,7 +15,7 @@
         let (server, labels) = (n.to_string(), Default::default());
         let domain = String::new();
         let id = s.mark + 100;
-        put(&mut s, id, Op::Announce { server, addr: Addr::NONE, domain, labels, life: 1, leads: false, leaving: false });
+        put(&mut s, id, Op::Announce { server, addr: Addr::NONE, domain, labels, life: 1, leads: false, leaving: false, terms: false, seq: 0 });
     }
     let db = || "d".to_string();
     put(&mut s, 1, Op::Place { db: db(), fencers: vec![1], gateways: vec![1] });
