Keep a departed server's place in the table

Cause: a server that left took its row with it, the names after it kept their numbers. Ruled out: the guard on replica reads. Tests in tenet/tests/place.rs.

--- a/tenet/src/table.rs
+++ b/tenet/src/table.rs
@@ -7,6 +7,8 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
+pub use crate::belongs::*;
+
 pub struct ServerRow {
     pub name: String,
     pub addr: Addr,
@@ -70,38 +72,6 @@
     pub kind_ix: HashMap<String, usize>,
 }
 
-pub fn labels_of(c: &Config, s: &Server) -> Labels {
-    let mut l = c.domains.get(&s.domain).map(|d| d.labels.clone()).unwrap_or_default();
-    l.extend(s.labels.clone());
-    l.extend(c.servers.get(&s.name).map(|x| x.labels.clone()).unwrap_or_default());
-    l.insert("name".into(), s.name.clone());
-    l.insert("domain".into(), s.domain.clone());
-    c.region(&s.domain).map(|r| l.insert("region".into(), r.into()));
-    l
-}
-
-pub fn db_servers<'a>(c: &Config, st: &'a State, db: &str) -> Vec<&'a Server> {
-    let d = c.databases.get(db);
-    let sel = d.and_then(|d| Selector::parse(&d.servers).ok());
-    let homes = d.map(|d| d.homes.clone()).unwrap_or_default();
-    let before: Vec<Selector> = c.databases.iter().take_while(|x| x.0.as_str() < db).filter_map(|(_, d)| Selector::parse(&d.servers).ok()).collect();
-    let home = |s: &&Server| c.region(&s.domain).is_some_and(|r| homes.iter().any(|h| h == r));
-    let mine = |s: &&Server| {
-        let l = labels_of(c, s);
-        sel.as_ref().is_some_and(|x| x.matches(&l)) && !before.iter().any(|x| x.matches(&l))
-    };
-    st.servers.values().filter(mine).filter(home).collect()
-}
-
-pub fn server_off(st: &State, s: &Server) -> Option<&'static str> {
-    let all = [
-        (s.leaving && !planted(Bug::LeavingServes), "leaving"),
-        (st.drained.contains_key(&s.name), "drained by an operator"),
-        (st.evacuated.contains_key(&s.domain) && !planted(Bug::EvacuatedServes), "its domain is evacuated"),
-    ];
-    all.into_iter().find(|(b, _)| *b).map(|(_, w)| w)
-}
-
 fn extend<'a>(v: &mut Vec<String>, from: impl Iterator<Item = &'a String>) {
     for n in from {
         if !v.contains(n) {
@@ -130,7 +100,7 @@
         extend(&mut names, st.servers.keys());
         let ix = |n: &str| names.iter().position(|m| m == n);
         let mut servers: Vec<ServerRow> =
-            names.iter().filter_map(|n| st.servers.get(n)).map(|s| self.server(s)).collect();
+            names.iter().enumerate().map(|(i, n)| st.servers.get(n).map_or_else(|| self.left(i, n), |s| self.server(s))).collect();
         let mut order: Vec<String> = self.old.map_or(Vec::new(), |t| t.dbs.iter().map(|d| d.name.clone()).collect());
         extend(&mut order, c.databases.keys());
         let mut dbs = Vec::new();
@@ -173,6 +143,12 @@
         }
     }
 
+    fn left(&self, i: usize, n: &str) -> ServerRow {
+        let life = self.old.and_then(|t| t.servers.get(i)).map_or(0, |s| s.life);
+        let none = Server { name: n.into(), addr: Addr::NONE, domain: String::new(), labels: Labels::new(), life, leads: false, leaving: true, terms: true, seq: 0 };
+        self.server(&none)
+    }
+
     fn server(&self, s: &Server) -> ServerRow {
         ServerRow {
             name: s.name.clone(),
--- a/tenet/tests/place.rs
+++ b/tenet/tests/place.rs
@@ -56,6 +56,10 @@
     put(s, Op::Place { db: "members".into(), fencers: v.fencers, gateways: v.gateways });
 }
 
+fn maker<'a>(c: &'a Arc<Config>, s: &'a State) -> Maker<'a> {
+    Maker { me: 1, domain: DOMAINS[1], now: 1, cfg: c, st: s, alive: &|_| true, old: None }
+}
+
 fn table(c: &Arc<Config>, s: &State, me: NodeId) -> Table {
     Maker { me, domain: DOMAINS[me as usize % 3], now: 1, cfg: c, st: s, alive: &|_| true, old: None }.make()
 }
@@ -146,3 +150,35 @@
     };
     assert!(joins(5000) && joins(9000));
 }
+
+#[test]
+fn a_server_that_left_keeps_its_place_in_the_table_so_that_the_others_keep_theirs() {
+    let (c, mut s, _) = fleet();
+    let old = table(&c, &s, 1);
+    put(&mut s, Op::Depart { server: "b".into(), seq: 0 });
+    put(&mut s, announce("d", DOMAINS[0], 20));
+    let t = Maker { old: Some(&old), ..maker(&c, &s) }.make();
+    let names: Vec<&str> = t.servers.iter().map(|r| r.name.as_str()).collect();
+    assert_eq!(names, ["a", "b", "c", "d"]);
+    assert_eq!((t.servers[1].addr, t.servers[1].life), (Addr::NONE, old.servers[1].life));
+    let db = &t.dbs[t.db_ix["members"]];
+    assert!(!db.servers.contains(&1) && db.servers.contains(&3) && db.primary == Some(0));
+}
+
+#[test]
+fn a_late_announcement_changes_nothing_and_an_ended_server_stays_ended() {
+    let (_, mut s, _) = fleet();
+    let told = |seq, leaving| match announce("z", DOMAINS[0], 30) {
+        Op::Announce { server, addr, domain, labels, life, leads, .. } => {
+            Op::Announce { server, addr, domain, labels, life, leads, leaving, terms: true, seq }
+        }
+        _ => unreachable!(),
+    };
+    put(&mut s, told(4, false));
+    put(&mut s, told(6, true));
+    put(&mut s, told(5, false));
+    assert!(s.servers["z"].leaving);
+    put(&mut s, Op::Depart { server: "z".into(), seq: 0 });
+    put(&mut s, told(7, false));
+    assert!(!s.servers.contains_key("z"));
+}
