Take a promotion as done only when the server is seen to lead; go around cut links

Cause: the platform's answer comes some hundred ms before the lead moves; the new primary was served at once and then taken for one that came back as a replica. Ruled out: replica reads (it broke on the primary).

--- a/chance/src/outside.rs
+++ b/chance/src/outside.rs
@@ -54,7 +54,7 @@
                 let _ = self.world.promote(self.now, &server);
                 Err(true)
             }
-            _ => self.world.promote(self.now, &server).map(|_| ()).map_err(|_| false),
+            _ => self.world.promote(self.now, &server).map(|_| true).map_err(|_| false),
         };
         self.control(node, life, In::Promoted { db, epoch, server, done });
     }
--- a/chance/src/wires.rs
+++ b/chance/src/wires.rs
@@ -157,7 +157,7 @@
     pub fn post(&mut self, i: usize, to: Addr, p: Packet) {
         let k = match p.msg {
             Msg::Probe { .. } | Msg::ProbeAck { .. } | Msg::ProbeFor { .. } | Msg::ProbeOf { .. } | Msg::Speaks { .. } => "gossip",
-            Msg::Carry { .. } | Msg::Carried { .. } => "traffic",
+            Msg::Carry { .. } | Msg::Carried { .. } | Msg::Echo { .. } => "traffic",
             Msg::Append { .. } | Msg::Have { .. } | Msg::Propose { .. } | Msg::Outcome { .. } => "chain",
             Msg::Sights { .. } => "sights",
             _ => "permits",
@@ -170,6 +170,7 @@
         let stream = by_line(&p, size);
         let make = |p: Packet| match p.msg {
             Msg::Carry { go, to, by, load } => Ev::Front(j, life, FrontIn::Carry { from: p.from, addr: p.addr, go, to, by, load }),
+            Msg::Echo { reply } => Ev::Front(j, life, FrontIn::Echo { from: p.from, addr: p.addr, reply }),
             Msg::Carried { go, clock, done } => Ev::Front(j, life, FrontIn::Carried { from: p.from, go, clock, done }),
             _ => Ev::Control(j, life, In::Packet(p)),
         };
--- a/medium/src/run.rs
+++ b/medium/src/run.rs
@@ -89,6 +89,9 @@
         Msg::Carried { go, clock, done } => {
             f2.as_ref().map(|f| f.send(FrontIn::Carried { from: p.from, go, clock, done }));
         }
+        Msg::Echo { reply } => {
+            f2.as_ref().map(|f| f.send(FrontIn::Echo { from: p.from, addr: p.addr, reply }));
+        }
         _ => {
             let _ = c2.send(In::Packet(p));
         }
--- a/medium/src/threads.rs
+++ b/medium/src/threads.rs
@@ -19,10 +19,10 @@
 
 pub type Soon<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
 
-/// The way to the platform's promote call. Errors: `true` when the outcome is unknown, `false`
+/// The way to the platform's promote call. Gives whether the server leads already. Errors: `true` when the outcome is unknown, `false`
 /// when nothing was promoted.
 pub trait Promoter: Send + Sync {
-    fn promote<'a>(&'a self, p: &'a Promote) -> Soon<'a, Result<(), bool>>;
+    fn promote<'a>(&'a self, p: &'a Promote) -> Soon<'a, Result<bool, bool>>;
 }
 
 pub struct HttpPromoter {
@@ -31,7 +31,7 @@
 }
 
 impl Promoter for HttpPromoter {
-    fn promote<'a>(&'a self, p: &'a Promote) -> Soon<'a, Result<(), bool>> {
+    fn promote<'a>(&'a self, p: &'a Promote) -> Soon<'a, Result<bool, bool>> {
         Box::pin(async move {
             let body = json!({"database": p.db, "server": p.server, "ask": p.epoch});
             let r = match self.to {
@@ -39,7 +39,7 @@
                 None => HttpRes::NotSent,
             };
             match r {
-                HttpRes::Ok(_) => Ok(()),
+                HttpRes::Ok(_) => Ok(true),
                 HttpRes::Lost => Err(true),
                 _ => Err(false),
             }
--- a/tenet/src/build.rs
+++ b/tenet/src/build.rs
@@ -15,6 +15,12 @@
         if chain.is_empty() {
             return None;
         }
+        if self.stuck(now) {
+            if let Some(i) = self.succ().and_then(|n| chain.iter().position(|s| s.id == n.id)) {
+                let last = chain.remove(i);
+                chain.push(last);
+            }
+        }
         let go: Vec<NodeId> = chain.iter().map(|s| s.id).filter(|id| c.stops(*id)).collect();
         if chain.len() >= go.len() + 2 {
             chain.retain(|s| !go.contains(&s.id));
--- a/tenet/src/control.rs
+++ b/tenet/src/control.rs
@@ -116,7 +116,8 @@
             }
             In::Promoted { db, epoch, server, done } => {
                 let t = match done {
-                    Ok(()) => format!("{db}: the platform promoted {server}"),
+                    Ok(true) => format!("{db}: the platform promoted {server}"),
+                    Ok(false) => format!("{db}: the platform is promoting {server}"),
                     Err(true) => format!("{db}: promoting {server}, outcome unknown, asking for it again"),
                     Err(false) => format!("{db}: the platform rejected promoting {server}"),
                 };
--- a/tenet/src/effect.rs
+++ b/tenet/src/effect.rs
@@ -16,7 +16,7 @@
     Show { call: u64, what: String, arg: String },
     Sights(Vec<Sight>),
     Clean { db: String, since: Mark },
-    Promoted { db: String, epoch: Mark, server: String, done: Result<(), bool> },
+    Promoted { db: String, epoch: Mark, server: String, done: Result<bool, bool> },
     Seeds(Vec<Addr>),
     Stopping,
 }
--- a/tenet/src/failover.rs
+++ b/tenet/src/failover.rs
@@ -73,17 +73,21 @@
             ops.push(Op::Asker { db: n.into(), epoch: d.epoch, asker: k.me });
             return;
         }
-        let e = self.asks.entry(n.into()).or_insert((d.epoch, Ask3::Idle));
-        if e.0 != d.epoch {
-            *e = (d.epoch, Ask3::Idle);
-        }
+        let e = self.asks.get(n).copied().filter(|e| e.0 == d.epoch).unwrap_or((d.epoch, Ask3::Idle));
         let go = match e.1 {
             Ask3::Idle => true,
             Ask3::Wait(t) => k.now >= t,
             Ask3::Out => false,
+            Ask3::Accepted(at) => {
+                let seen = k.st.servers.get(&t).and_then(|s| self.sight(k, &t, s.life, at)).is_some_and(|x| x.leads);
+                if seen {
+                    ops.push(Op::Promoted { db: n.into(), epoch: d.epoch, server: t.clone() });
+                }
+                !seen && k.now > at + LEADS_WITHIN
+            }
         };
         if go {
-            e.1 = Ask3::Out;
+            self.asks.insert(n.into(), (d.epoch, Ask3::Out));
             calls.push(Promote { db: n.into(), server: t, epoch: d.epoch, not_after: k.now + PERMIT, token: d.since });
         }
     }
--- a/tenet/src/front.rs
+++ b/tenet/src/front.rs
@@ -4,6 +4,7 @@
 pub use crate::held::*;
 use crate::job::Job;
 use crate::kind::{Kind, Reject};
+use crate::peers::Peers;
 use crate::pool::{Pool, Rules};
 pub use crate::query::*;
 pub use crate::session::Answer;
@@ -24,6 +25,7 @@
     Carry { from: NodeId, addr: Addr, go: u64, to: NodeId, by: Time, load: Load },
     Carried { from: NodeId, go: u64, clock: Time, done: Result<Done, Reject> },
     Back { token: u64, res: BackRes },
+    Echo { from: NodeId, addr: Addr, reply: bool },
     Stopping,
 }
 
@@ -77,6 +79,7 @@
     pub(crate) swept_at: Time,
     pub(crate) polled_at: Time,
     pub(crate) paused_until: Time,
+    pub(crate) peers: Peers,
 }
 
 impl Front {
@@ -112,6 +115,7 @@
             swept_at: 0,
             polled_at: 0,
             paused_until: 0,
+            peers: Peers::default(),
         }
     }
 
@@ -143,8 +147,16 @@
             FrontIn::Wakeup => (),
             FrontIn::Table(t, until) => self.new_table(now, t, until, &mut out),
             FrontIn::Call { call, req } => self.call(now, call, req, &mut out),
-            FrontIn::Carry { addr, go, to, by, load, .. } => self.carry(now, addr, go, to, by, load, &mut out),
+            FrontIn::Carry { from, addr, go, to, by, load } => {
+                self.peers.heard(from);
+                self.carry(now, addr, go, to, by, load, &mut out)
+            }
+            FrontIn::Echo { from, addr, reply } => {
+                self.peers.heard(from);
+                out.send.extend((!reply).then_some((addr, Msg::Echo { reply: true })));
+            }
             FrontIn::Carried { from, go, clock, done } => {
+                self.peers.heard(from);
                 self.clocks.insert(from, (clock, now));
                 self.carried(now, go, done, &mut out)
             }
--- a/tenet/src/gate.rs
+++ b/tenet/src/gate.rs
@@ -43,7 +43,7 @@
         let i = *t.db_ix.get(&load.db).ok_or_else(|| Reject::new(Kind::UnknownDatabase, load.db.clone()))?;
         let mine = load.fence == self.me && t.dbs[i].fences && load.hops.len() > 1;
         self.turn += 1;
-        let h = if mine { Hop::Serve } else { route::hop(&t, &t.dbs[i], &load, self.turn) };
+        let h = if mine { Hop::Serve } else { route::hop(&t, &t.dbs[i], &load, self.turn, &self.peers.silent) };
         if load.hops.len() > 6 {
             return Err(Reject::new(Kind::NoPrimary, "too many hops"));
         }
@@ -63,7 +63,10 @@
     fn pass(&mut self, now: Time, t: &Table, addr: Addr, go: u64, to: NodeId, load: Load, out: &mut FrontOut) -> Result<(), Reject> {
         let n = t.nodes.get(&to).ok_or_else(|| Reject::new(Kind::NoPrimary, "next hop unknown"))?;
         let k = self.ids.take();
-        self.relays.insert(k, Relay { addr, go, until: now + load.budget });
+        self.relays.insert(k, Relay { addr, go, to, until: now + load.budget });
+        if to != self.me {
+            self.peers.sent(now, to, n.addr);
+        }
         if load.act != Act::Pos {
             let what = if load.fence == to { "fencing" } else { "gateway" };
             self.traces.tell(now, &load.id, format!("gateway {:x} passes it to {what} {to:x}", self.me));
@@ -94,7 +97,7 @@
         (load.txn, load.fence, load.budget) = (key, fence, 1000);
         load.regions = route::homes(&t, d, None);
         load.hops = vec![self.me];
-        let g = route::gateways(&t, d, &load, self.turn);
+        let g = route::gateways(&t, d, &load, self.turn, &self.peers.silent);
         let go = self.ids.take();
         if let Some((to, n)) = g.first().and_then(|g| t.nodes.get(g).map(|n| (*g, n))) {
             let by = self.by(now, to, now + load.budget);
--- a/tenet/src/held.rs
+++ b/tenet/src/held.rs
@@ -11,6 +11,7 @@
 pub struct Relay {
     pub addr: Addr,
     pub go: u64,
+    pub to: NodeId,
     pub until: Time,
 }
 
--- a/tenet/src/lib.rs
+++ b/tenet/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod kind;
 pub mod labels;
 pub mod ledger;
+pub mod peers;
 pub mod pilot;
 pub mod place;
 pub mod plan;
--- a/tenet/src/pilot.rs
+++ b/tenet/src/pilot.rs
@@ -26,6 +26,7 @@
 pub enum Ask3 {
     Idle,
     Out,
+    Accepted(Time),
     Wait(Time),
 }
 
@@ -207,15 +208,19 @@
         let reborn = !p.leads && k.now > at + detect;
         (fenced && second)
             .then(|| format!("{} of {} fencing nodes lost {} for {detect} ms", live.len(), d.fencers.len(), p.name))
-            .or((reborn && live.len() > 1 && live.iter().all(|f| self.gave_up(k, *f, p)))
+            .or((reborn && live.len() > 1 && live.iter().all(|f| self.gave_up(k, *f, p, at)))
                 .then(|| format!("{} came back as a replica", p.name)))
     }
 
-    fn gave_up(&self, k: &Sky, f: NodeId, p: &Server) -> bool {
-        self.seen.get(&(f, p.name.clone())).is_some_and(|x| k.now < x.at + SIGHT_STALE && x.s.reach && !x.s.leads)
+    fn gave_up(&self, k: &Sky, f: NodeId, p: &Server, at: Time) -> bool {
+        self.seen.get(&(f, p.name.clone())).is_some_and(|x| k.now < x.at + SIGHT_STALE && x.at.saturating_sub(x.s.age) > at && x.s.reach && !x.s.leads)
     }
 
-    pub fn promoted(&mut self, now: Time, db: &str, epoch: Mark, server: &str, done: Result<(), bool>) -> Option<Op> {
+    pub fn promoted(&mut self, now: Time, db: &str, epoch: Mark, server: &str, done: Result<bool, bool>) -> Option<Op> {
+        if done == Ok(false) {
+            self.asks.insert(db.into(), (epoch, Ask3::Accepted(now)));
+            return None;
+        }
         if let Err(unknown) = done {
             if unknown {
                 self.unknown.insert(db.into(), epoch);
--- a/tenet/src/plan.rs
+++ b/tenet/src/plan.rs
@@ -75,7 +75,7 @@
         let e = self.entry(t, sid);
         let most = e.map_or(c.request_ms, |e| e.request_ms);
         Plan {
-            gateways: route::gateways(t, d, l, self.turn),
+            gateways: route::gateways(t, d, l, self.turn, &self.peers.silent),
             replicas: Vec::new(),
             writes: l.writes,
             pinned: false,
--- a/tenet/src/polls.rs
+++ b/tenet/src/polls.rs
@@ -13,6 +13,7 @@
     pub(crate) fn tick(&mut self, now: Time, out: &mut FrontOut) {
         if now >= self.swept_at + 5 {
             self.swept_at = now;
+            self.peers_tick(now, out);
             for j in self.jobs.iter().map(|(i, _)| i).collect::<Vec<_>>() {
                 if self.jobs.contains(j) {
                     self.job_wait(now, j, out);
@@ -30,6 +31,7 @@
         self.poll_servers(now, &t, out);
         if now >= self.sights_at {
             self.sights_at = now + 150;
+            self.peers.keep(|id| t.nodes.contains_key(id));
             self.relays.retain(|_, r| now < r.until + 500);
             let idle = t.cfg.timeouts.session_idle_ms;
             self.sessions.retain(|_, s| s.busy || now < s.last + idle);
@@ -107,7 +109,7 @@
             load.act = Act::Pos;
             load.regions = route::homes(t, d, None);
             let plan = Plan {
-                gateways: route::gateways(t, d, &load, self.turn).into_iter().take(1).collect(),
+                gateways: route::gateways(t, d, &load, self.turn, &self.peers.silent).into_iter().take(1).collect(),
                 replicas: Vec::new(),
                 writes: false,
                 pinned: true,
--- a/tenet/src/probe.rs
+++ b/tenet/src/probe.rs
@@ -1,6 +1,6 @@
 use crate::base::*;
 use crate::colleagues::*;
-use crate::wire::Msg;
+use crate::wire::{Msg, Summary};
 
 impl Colleagues {
     fn probe(&mut self, now: Time, id: NodeId, addr: Addr, send: &mut Vec<(Addr, Msg)>) {
@@ -40,6 +40,17 @@
         self.next.min(now + 50)
     }
 
+    /// Up to three others to probe through, no two of one domain while there are more domains.
+    pub fn helpers(&self, id: NodeId) -> Vec<(Addr, NodeId)> {
+        let mut v: Vec<&Summary> = self.live().filter(|s| s.id != id).collect();
+        let n = v.len().max(1);
+        v.rotate_left(self.seq as usize % n);
+        let rank = |i: usize| v[..i].iter().filter(|s| s.domain == v[i].domain).count();
+        let mut by: Vec<(usize, usize)> = (0..v.len()).map(|i| (rank(i), i)).collect();
+        by.sort_unstable();
+        by.into_iter().take(3).map(|(_, i)| (v[i].addr, v[i].id)).collect()
+    }
+
     fn expire(&mut self, now: Time, send: &mut Vec<(Addr, Msg)>) {
         self.relay.retain(|r| now < r.4 + 1000);
         let mut i = 0;
@@ -51,11 +62,8 @@
             let gone = self.all.get(&id).is_none_or(|c| c.s.status == GONE);
             if !helped && now >= at + PROBE_DIRECT && !gone {
                 self.open[i].helped = true;
-                let n = self.seq as usize;
-                let v: Vec<(Addr, NodeId)> = self.live().filter(|s| s.id != id).map(|s| (s.addr, s.id)).collect();
-                for k in 0..v.len().min(3) {
+                for (to, via) in self.helpers(id) {
                     let news = self.news();
-                    let (to, via) = v[(n + k) % v.len()];
                     let m = match self.all.get(&via).is_some_and(|c| c.wire >= 2) {
                         true => Msg::ProbeOf { seq, target: addr, id, news },
                         false => Msg::ProbeFor { seq, target: addr, news },
--- a/tenet/src/route.rs
+++ b/tenet/src/route.rs
@@ -3,6 +3,9 @@
 use crate::kind::Kind;
 use crate::table::*;
 use crate::wire::{Act, Load};
+use std::collections::BTreeSet;
+
+pub type Silent = BTreeSet<NodeId>;
 
 #[derive(Clone, Copy, PartialEq, Debug)]
 pub enum Hop {
@@ -24,7 +27,7 @@
     v
 }
 
-pub fn hop(t: &Table, db: &DbRow, l: &Load, turn: u64) -> Hop {
+pub fn hop(t: &Table, db: &DbRow, l: &Load, turn: u64, silent: &Silent) -> Hop {
     let lead = db.primary.map(|p| t.servers[p].region.clone());
     if lead.is_some_and(|r| !l.regions.contains(&r)) {
         return Hop::Nowhere(Kind::NoHome, "the primary is in no home of this tenant");
@@ -41,7 +44,7 @@
         let far: Vec<NodeId> = db
             .gateways
             .iter()
-            .filter(|g| t.nodes.get(g).is_some_and(|r| r.region != t.region && r.alive))
+            .filter(|g| !silent.contains(g) && t.nodes.get(g).is_some_and(|r| r.region != t.region && r.alive))
             .copied()
             .collect();
         if let Some(g) = alive_first(t, &far, l, turn).first() {
@@ -49,19 +52,32 @@
         }
     }
     if l.fence != 0 && !(l.act == Act::Commit && l.look_up && !db.fencers.contains(&l.fence)) {
-        let known = db.fencers.contains(&l.fence);
-        return if known { Hop::Fence(l.fence) } else { Hop::Nowhere(Kind::Aborted, "its fencing node holds the role no more") };
+        return match db.fencers.contains(&l.fence) {
+            false => Hop::Nowhere(Kind::Aborted, "its fencing node holds the role no more"),
+            true if silent.contains(&l.fence) => around(t, db, l, turn, silent).unwrap_or(Hop::Fence(l.fence)),
+            true => Hop::Fence(l.fence),
+        };
     }
-    alive_first(t, &db.fencers, l, turn)
-        .first()
-        .map_or(Hop::Nowhere(Kind::NoPrimary, "no fencing node within the allowed regions"), |f| Hop::Fence(*f))
+    let all = alive_first(t, &db.fencers, l, turn);
+    let near = all.iter().find(|f| !silent.contains(f)).map(|f| Hop::Fence(*f));
+    near.or_else(|| around(t, db, l, turn, silent))
+        .or(all.first().map(|f| Hop::Fence(*f)))
+        .unwrap_or(Hop::Nowhere(Kind::NoPrimary, "no fencing node within the allowed regions"))
+}
+
+/// Another gateway that this node reaches, in a region that the request has not passed.
+fn around(t: &Table, db: &DbRow, l: &Load, turn: u64, silent: &Silent) -> Option<Hop> {
+    let region = |n: &NodeId| t.nodes.get(n).map(|r| r.region.as_str());
+    let passed = |n: &NodeId| l.hops.iter().any(|h| region(h) == region(n));
+    let fresh = |n: &&NodeId| !silent.contains(n) && region(n) != Some(t.region.as_str()) && !passed(n);
+    alive_first(t, &db.gateways, l, turn).iter().find(fresh).map(|g| Hop::Gateway(*g))
 }
 
-pub fn gateways(t: &Table, db: &DbRow, l: &Load, turn: u64) -> Vec<NodeId> {
+pub fn gateways(t: &Table, db: &DbRow, l: &Load, turn: u64, silent: &Silent) -> Vec<NodeId> {
     let mut v = alive_first(t, &db.gateways, l, turn);
     v.sort_by_key(|n| {
         let r = t.nodes.get(n);
-        (!r.is_some_and(|r| r.alive), r.is_none_or(|r| r.region != t.region))
+        (silent.contains(n), !r.is_some_and(|r| r.alive), r.is_none_or(|r| r.region != t.region))
     });
     v
 }
--- a/tenet/src/trip.rs
+++ b/tenet/src/trip.rs
@@ -82,6 +82,9 @@
             Some(a) => {
                 let go = self.ids.take();
                 self.gos.insert(go, i);
+                if g != self.me {
+                    self.peers.sent(now, g, a);
+                }
                 self.trips[i].go_id = go;
                 let by = self.by(now, g, self.trips[i].plan.deadline);
                 out.send.push((a, Msg::Carry { go, to: g, by, load }));
--- a/tenet/src/wire.rs
+++ b/tenet/src/wire.rs
@@ -119,6 +119,7 @@
     Carried { go: u64, clock: Time, done: Result<Done, Reject> },
     Speaks { wire: u8 },
     TailGive { view: Mark, seq: u64 },
+    Echo { reply: bool },
     ProbeOf { seq: u32, target: Addr, id: NodeId, news: Vec<Summary> },
 }
 
