--- a/tenet/src/colleagues.rs
+++ b/tenet/src/colleagues.rs
@@ -9,6 +9,7 @@
 const NAMES: [&str; 3] = ["alive", "suspect", "gone"];
 
 const NEWS: usize = 10;
+const FILL: usize = 3;
 
 pub struct Colleague {
     pub s: Summary,
@@ -16,6 +17,8 @@
     pub heard: Time,
     pub why: String,
     pub wire: u8,
+    /// This process reaches it without help.
+    pub direct: bool,
 }
 
 pub(crate) struct Open {
@@ -35,6 +38,7 @@
     pub(crate) relay: Vec<(u32, Addr, u32, NodeId, Time)>,
     fresh: VecDeque<(NodeId, u8)>,
     pub(crate) cursor: NodeId,
+    pub(crate) disk_cursor: NodeId,
     news_cursor: NodeId,
     pub(crate) seq: u32,
     pub(crate) next: Time,
@@ -53,6 +57,7 @@
             relay: Vec::new(),
             fresh: VecDeque::new(),
             cursor: 0,
+            disk_cursor: 0,
             news_cursor: 0,
             seq: 0,
             next: 0,
@@ -104,7 +109,7 @@
         }
         let from = self.news_cursor;
         for (id, c) in self.all.range(from + 1..).chain(self.all.range(..=from)) {
-            if v.len() > NEWS {
+            if v.len() >= FILL {
                 break;
             }
             self.news_cursor = *id;
@@ -154,7 +159,7 @@
             let mut s = s;
             s.status = s.status.min(GONE);
             let wire = self.all.get(&id).map_or(1, |c| c.wire);
-            self.all.insert(id, Colleague { s, since, heard: now, why: "told".into(), wire });
+            self.all.insert(id, Colleague { s, since, heard: now, why: "told".into(), wire, direct: true });
             self.fresh.push_back((id, 6));
         } else if let Some(c) = self.all.get_mut(&s.id) {
             if s.life == c.s.life && (direct || s.mark >= c.s.mark) {
@@ -212,6 +217,9 @@
             Msg::ProbeAck { seq, .. } => {
                 let o = self.open.iter().position(|o| o.seq == *seq).map(|i| self.open.swap_remove(i));
                 if let Some(o) = o {
+                    if o.addr == addr {
+                        self.all.get_mut(&from).into_iter().for_each(|c| c.direct = true);
+                    }
                     let same = o.id == from || o.addr != addr;
                     let id = if o.id == 0 { from } else { o.id };
                     if same || o.id == 0 {
--- a/tenet/src/control.rs
+++ b/tenet/src/control.rs
@@ -36,7 +36,7 @@
     pub(crate) cfg: Option<(Mark, Arc<Config>)>,
     pub(crate) table: Option<Arc<Table>>,
     pub(crate) stopping: bool,
-    stale: bool,
+    pub(crate) stale: bool,
     pub(crate) told: Mark,
     pilot_at: Time,
     table_at: Time,
@@ -162,6 +162,17 @@
                 self.stale |= self.f.fresh(now, seq, have, part, view);
             }
             Msg::Nudge { mark } => self.f.nudge(mark),
+            Msg::Relay { to, packet } if to != self.me.addr => {
+                let (from, addr, cluster) = (self.me.id, self.me.addr, self.f.view.cluster);
+                e.send.push((to, Packet { from, addr, cluster, msg: Msg::Relay { to, packet } }));
+            }
+            Msg::Relay { packet, .. } => match decode(&packet) {
+                Ok(p) => {
+                    self.c.doubt(p.addr);
+                    self.packet(now, p, out, e)
+                }
+                Err(w) => e.log.push(format!("what was relayed does not read: {w}")),
+            },
             Msg::ViewIs { view } => {
                 self.f.learn(&view);
                 self.to_chain(now, from, addr, Msg::ViewIs { view }, out);
@@ -183,7 +194,7 @@
             self.c.me.view = c.d.view.n;
             self.f.learn(&c.d.view);
         }
-        self.f.tick(now, &self.c, &mut out.send);
+        self.f.tick(now, &mut self.c, &mut out.send);
         self.resend(now, &mut out, e);
         self.enrol(now, &mut out);
         if now >= self.pilot_at {
@@ -211,10 +222,9 @@
                 continue;
             }
             let p = Packet { from, addr, cluster, msg };
-            if to == addr {
-                own.push(p);
-            } else {
-                e.send.push((to, p));
+            match to == addr {
+                true => own.push(p),
+                false => e.send.push(self.by_relay(to, p)),
             }
         }
         e.wakeup = wake.min(now + 50).max(now + 1);
@@ -232,11 +242,4 @@
             }
         }
     }
-
-    pub(crate) fn fresh_table(&mut self, t: Table) -> Arc<Table> {
-        self.stale = false;
-        let t = Arc::new(t);
-        self.table = Some(t.clone());
-        t
-    }
 }
--- a/tenet/src/follow.rs
+++ b/tenet/src/follow.rs
@@ -5,8 +5,8 @@
 use crate::control::{Control, Effect};
 use crate::disk::View;
 use crate::state::*;
-use crate::table::Maker;
-use crate::wire::{Changes, Msg};
+use crate::table::{Maker, Table};
+use crate::wire::{encode, Changes, Msg, Packet};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -79,7 +79,7 @@
         self.state.mark != was
     }
 
-    pub fn tick(&mut self, now: Time, c: &Colleagues, send: &mut Vec<(Addr, Msg)>) {
+    pub fn tick(&mut self, now: Time, c: &mut Colleagues, send: &mut Vec<(Addr, Msg)>) {
         if now < self.next {
             return;
         }
@@ -94,6 +94,9 @@
             }
         }
         if let Some(t) = self.view.chain.last() {
+            if self.until > 0 && !self.holds(now + PERMIT - REFRESH_DOUBT) {
+                c.doubt(t.addr);
+            }
             self.seq += 1;
             self.asks.insert(self.seq, now);
             let (have, cluster) = (self.state.mark, self.state.cluster);
@@ -103,6 +106,17 @@
 }
 
 impl Control {
+    pub(crate) fn by_relay(&self, to: Addr, p: Packet) -> (Addr, Packet) {
+        use Msg::*;
+        if matches!(p.msg, Probe { .. } | ProbeAck { .. } | ProbeFor { .. } | ProbeOf { .. } | Speaks { .. }) {
+            return (to, p);
+        }
+        match self.c.relay_to(to) {
+            Some(via) => (via, Packet { msg: Relay { to, packet: encode(&p) }, ..p }),
+            None => (to, p),
+        }
+    }
+
     pub fn state(&self) -> &State {
         &self.f.state
     }
@@ -165,4 +179,11 @@
         let t = self.fresh_table(t);
         e.news = Some((t, self.f.until));
     }
+
+    pub(crate) fn fresh_table(&mut self, t: Table) -> Arc<Table> {
+        self.stale = false;
+        let t = Arc::new(t);
+        self.table = Some(t.clone());
+        t
+    }
 }
--- a/tenet/src/probe.rs
+++ b/tenet/src/probe.rs
@@ -23,11 +23,12 @@
         }
         if now >= self.next {
             self.next = now + PROBE_ROUND;
-            for _ in 0..2.min(self.all.len()) {
-                let c = self.cursor;
-                let n = self.all.range(c + 1..).chain(self.all.range(..=c)).next();
-                if let Some((id, addr)) = n.map(|(i, c)| (*i, c.s.addr)) {
-                    self.cursor = id;
+            let disk = self.me.disk.then(|| self.turn_of(self.disk_cursor, true)).flatten();
+            let any = self.turn_of(self.cursor, false);
+            disk.into_iter().for_each(|(id, _)| self.disk_cursor = id);
+            any.into_iter().for_each(|(id, _)| self.cursor = id);
+            for n in [disk, any] {
+                if let Some((id, addr)) = n {
                     if self.seq % 8 == 0 || self.all.get(&id).is_some_and(|c| c.wire < self.wire) {
                         send.push((addr, Msg::Speaks { wire: self.wire }));
                     }
@@ -40,6 +41,26 @@
         self.next.min(now + 50)
     }
 
+    fn turn_of(&self, c: NodeId, disk: bool) -> Option<(NodeId, Addr)> {
+        let mut all = self.all.range(c + 1..).chain(self.all.range(..=c));
+        all.find(|(_, c)| !disk || c.s.disk).map(|(i, c)| (*i, c.s.addr))
+    }
+
+    /// Someone who may carry a packet to `to`, which this process does not reach itself.
+    pub fn relay_to(&self, to: Addr) -> Option<Addr> {
+        let t = self.all.values().find(|c| c.s.addr == to && !c.direct && c.s.status != GONE)?;
+        let fit = |c: &&Colleague| c.direct && c.s.status == ALIVE && c.s.domain != t.s.domain && c.s.id != t.s.id;
+        let far = |c: &&Colleague| c.s.domain != self.me.domain;
+        let v: Vec<&Colleague> = self.all.values().filter(fit).collect();
+        let far: Vec<&Colleague> = v.into_iter().filter(far).collect();
+        far.get(self.seq as usize % far.len().max(1)).map(|c| c.s.addr)
+    }
+
+    /// Something that was due from `to` did not come.
+    pub fn doubt(&mut self, to: Addr) {
+        self.all.values_mut().filter(|c| c.s.addr == to).for_each(|c| c.direct = false);
+    }
+
     /// Up to three others to probe through, no two of one domain while there are more domains.
     pub fn helpers(&self, id: NodeId) -> Vec<(Addr, NodeId)> {
         let mut v: Vec<&Summary> = self.live().filter(|s| s.id != id).collect();
@@ -62,6 +83,7 @@
             let gone = self.all.get(&id).is_none_or(|c| c.s.status == GONE);
             if !helped && now >= at + PROBE_DIRECT && !gone {
                 self.open[i].helped = true;
+                self.all.get_mut(&id).into_iter().for_each(|c| c.direct = false);
                 for (to, via) in self.helpers(id) {
                     let news = self.news();
                     let m = match self.all.get(&via).is_some_and(|c| c.wire >= 2) {
--- a/tenet/src/wire.rs
+++ b/tenet/src/wire.rs
@@ -120,6 +120,8 @@
     Speaks { wire: u8 },
     TailGive { view: Mark, seq: u64 },
     Echo { reply: bool },
+    /// A packet for `to` from a process that does not reach it itself.
+    Relay { to: Addr, packet: Vec<u8> },
     ProbeOf { seq: u32, target: Addr, id: NodeId, news: Vec<Summary> },
 }
 
