--- a/tenet/src/config.rs
+++ b/tenet/src/config.rs
@@ -63,6 +63,10 @@
     #[serde(default)]
     #[garde(skip)]
     pub can: Abilities,
+    /// A gateway beside the primary passes by one in another region first.
+    #[serde(default = "yes")]
+    #[garde(skip)]
+    pub detour: bool,
     #[serde(default)]
     #[garde(skip)]
     pub tenants: BTreeMap<String, Vec<String>>,
--- a/tenet/src/route.rs
+++ b/tenet/src/route.rs
@@ -40,7 +40,7 @@
     }
     let fence_region = db.fencers.iter().filter_map(|f| t.nodes.get(f)).map(|r| &r.region).next();
     let local = fence_region == Some(&t.region);
-    if local && !db.merged && l.hops.len() < 2 {
+    if local && db.detour && !db.merged && l.hops.len() < 2 {
         let far: Vec<NodeId> = db
             .gateways
             .iter()
--- a/tenet/src/table.rs
+++ b/tenet/src/table.rs
@@ -42,6 +42,7 @@
     pub fence_from: Time,
     pub gates: bool,
     pub can: Abilities,
+    pub detour: bool,
 }
 
 pub struct KindRow {
@@ -220,6 +221,7 @@
             fence_from,
             gates: b.gateways.contains(&self.me),
             can: d.can,
+            detour: d.detour,
         }
     }
 }
