Serve HTTP without ending at SIGHUP

Cause: volo's server takes SIGHUP for an order to stop; the platform sends it when settings changed. Ruled out: panics (none in the logs). Now hyper, the library below volo, serves; volo's types stay.

--- a/guise/src/hosts.rs
+++ b/guise/src/hosts.rs
@@ -1,7 +1,8 @@
 use crate::world::World;
 use medium::back::Back;
 use medium::clock::Clock;
-use medium::doors::{response, serve};
+use medium::doors::response;
+use medium::http::serve;
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
--- a/medium/src/doors.rs
+++ b/medium/src/doors.rs
@@ -3,7 +3,6 @@
 use crate::dialect;
 use crate::paths::{door, Door};
 use serde_json::{json, Value};
-use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::Sender;
@@ -13,10 +12,8 @@
 use tenet::kind::{Kind, Reject};
 use tenet::state::Op;
 use tokio::sync::mpsc::UnboundedSender;
-use volo_http::http::{header, HeaderValue, Method, StatusCode, Uri};
+use volo_http::http::{header, HeaderValue, StatusCode};
 use volo_http::response::Response;
-use volo_http::server::route::Router;
-use volo_http::server::Server;
 
 pub const BODY_LIMIT: usize = 1 << 20;
 
@@ -158,18 +155,3 @@
     }
     r
 }
-
-pub async fn serve<F, H, D>(at: SocketAddr, h: H, drain: D) -> eyre::Result<()>
-where
-    H: Fn(String, String, String, Vec<u8>) -> F + Clone + Send + Sync + 'static,
-    F: Future<Output = Response> + Send + 'static,
-    D: Future<Output = ()> + Send + 'static,
-{
-    let f = move |m: Method, u: Uri, b: Vec<u8>| {
-        let q = u.query().unwrap_or("").to_string();
-        h(m.to_string(), u.path().to_string(), q, b)
-    };
-    let app: Router = Router::new().fallback(f);
-    let s = Server::new(app).register_shutdown_hook(move || Box::pin(drain));
-    s.run(volo::net::Address::from(at)).await.map_err(|e| eyre::eyre!("http: {e}"))
-}
--- a/medium/src/lib.rs
+++ b/medium/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod dialect;
 pub mod doors;
 pub mod files;
+pub mod http;
 pub mod link;
 pub mod net;
 pub mod paths;
--- a/medium/src/run.rs
+++ b/medium/src/run.rs
@@ -2,7 +2,8 @@
 use crate::traffic::{Later, Servers, Traffic};
 use crate::calls::Calls;
 use crate::clock::{entropy, wall, Clock};
-use crate::doors::{response, serve, App};
+use crate::doors::{response, App};
+use crate::http::serve;
 use crate::files;
 use crate::net::Net;
 use crate::settings::{Flags, Place};
@@ -214,7 +215,7 @@
 
 /// Opens the product's own doors beside others that see to the process's end.
 pub async fn own_doors(n: Node) {
-    if let Err(e) = serve(n.place.http, handler(n.app), async {}).await {
+    if let Err(e) = serve(n.place.http, handler(n.app), std::future::pending()).await {
         log::error!("node: {e}");
     }
 }
