--- a/chance/src/lib.rs
+++ b/chance/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod runs;
 pub mod scripts;
 pub mod sim;
+pub mod slopes;
 pub mod step;
 pub mod watch;
 pub mod wires;
--- /dev/null
+++ b/chance/src/slopes/change.rs
@@ -0,0 +1,63 @@
+use crate::slopes::fit::{spread, Spread};
+use crate::slopes::fleet::{timed, Fleet, Node};
+use crate::slopes::scene::*;
+use std::time::Duration;
+use tenet::base::*;
+use tenet::config::Config;
+use tenet::control::In;
+use tenet::state::{Op, State};
+use tenet::wire::{decode, encode, Changes, Msg, Packet};
+
+/// One configuration change through a running fleet. Times in ms of virtual time, from the ask.
+pub struct Change {
+    pub text: usize,
+    pub took: Spread,
+    pub missing: usize,
+    pub head: Duration,
+    pub tail_out: u64,
+    pub node_in: u64,
+}
+
+pub fn change(f: &mut Fleet, turn: u32, wait: Time) -> Change {
+    let text = f.sc.text(turn);
+    let size = text.len();
+    let base = match &f.nodes[0] {
+        Node::Real(c) => c.state().cfg_mark,
+        Node::Hollow(_) => 0,
+    };
+    f.forced.iter_mut().for_each(|t| *t = 0);
+    f.reset();
+    let at = f.now;
+    f.poll(VOTERS, In::Ask { call: 1, id: None, op: Op::Config { base, text } });
+    f.run(at + wait);
+    let real: Vec<usize> = (VOTERS..f.nodes.len()).filter(|i| matches!(f.nodes[*i], Node::Real(_))).collect();
+    let took: Vec<f64> = real.iter().filter(|i| f.forced[**i] > 0).map(|i| (f.forced[*i] - at) as f64).collect();
+    let bytes = |i: usize, k: &str| f.tally[i].got.get(k).map_or(0, |v| v.1);
+    Change {
+        text: size,
+        missing: real.len() - took.len(),
+        took: spread(&took),
+        head: f.tally[0].worst,
+        tail_out: f.tally[VOTERS - 1].totals().0 .1,
+        node_in: real.iter().map(|i| bytes(*i, "fresh")).sum::<u64>() / real.len().max(1) as u64,
+    }
+}
+
+/// A snapshot of the state to a joining node: bytes, then encoding, decoding and reading the configuration.
+pub struct Joined {
+    pub frame: usize,
+    pub text: usize,
+    pub write: Duration,
+    pub read: Duration,
+    pub parse: Duration,
+}
+
+pub fn joined(sc: &Scene, st: &State) -> Joined {
+    let s = seat(2);
+    let msg = Msg::Fresh { seq: 1, have: st.mark, part: Changes::Frame(st.clone()), view: sc.view() };
+    let p = Packet { from: s.id, addr: s.addr, cluster: 7, msg };
+    let (b, write) = timed(|| encode(&p));
+    let (_, read) = timed(|| decode(&b).is_ok());
+    let (_, parse) = timed(|| Config::parse(&st.cfg).is_ok());
+    Joined { frame: b.len(), text: st.cfg.len(), write, read, parse }
+}
