--- a/chance/src/bin/slopes.rs
+++ b/chance/src/bin/slopes.rs
@@ -1,6 +1,6 @@
 use bpaf::{construct, long, Parser};
 use chance::slopes::bench;
-use chance::slopes::change::{change, joined};
+use chance::slopes::change::{change, joined, loss};
 use chance::slopes::fleet::Fleet;
 use chance::slopes::report::*;
 use chance::slopes::scene::{Scene, VOTERS};
@@ -33,7 +33,7 @@
 
 fn main() {
     let list = |n: &'static str, help: &'static str, f: Vec<usize>| long(n).help(help).argument::<String>("N,N").parse(numbers).fallback(f);
-    let what = long("what").help("fleet, change, join, table, pilot or front").argument("WHAT").fallback("fleet".into());
+    let what = long("what").help("fleet, change, loss, join, table, pilot or front").argument("WHAT").fallback("fleet".into());
     let nodes = list("nodes", "Followers, beside 3 of the chain (default 30,100,300)", vec![30, 100, 300]);
     let databases = list("databases", "Databases, each with 3 servers (default 3)", vec![3]);
     let sessions = list("sessions", "Idle sessions of one node, for front (default 1000)", vec![1000]);
@@ -48,7 +48,7 @@
         .descr("slopes: how the cost of each role grows. Real machines share one process under virtual time; processor time is this machine's, by its monotonic clock around each call. Memory is told for the first run only, since later ones reuse what was freed.")
         .version(env!("CARGO_PKG_VERSION"))
         .run();
-    if !["fleet", "change", "join", "table", "pilot", "front"].contains(&a.what.as_str()) {
+    if !["fleet", "change", "loss", "join", "table", "pilot", "front"].contains(&a.what.as_str()) {
         eprintln!("nothing called '{}' to measure; see --help", a.what);
         std::process::exit(2);
     }
@@ -129,6 +129,12 @@
         put(all, "follower got from the tail".into(), "bytes", x, c.node_in as f64);
         return;
     }
+    if a.what == "loss" {
+        let (took, never) = loss(&mut f, a.seconds * 1000);
+        took.iter().for_each(|t| put(all, "head knows a lost node".into(), "ms", x, *t));
+        put(all, "lost and not known at the end".into(), "number", x, never as f64);
+        return;
+    }
     let mark = f.known().1;
     f.reset();
     f.run((a.warm + a.seconds) * 1000);
--- a/chance/src/slopes/change.rs
+++ b/chance/src/slopes/change.rs
@@ -23,7 +23,7 @@
     let size = text.len();
     let base = match &f.nodes[0] {
         Node::Real(c) => c.state().cfg_mark,
-        Node::Hollow(_) => 0,
+        _ => 0,
     };
     f.forced.iter_mut().for_each(|t| *t = 0);
     f.reset();
@@ -61,3 +61,21 @@
     let (_, parse) = timed(|| Config::parse(&st.cfg).is_ok());
     Joined { frame: b.len(), text: st.cfg.len(), write, read, parse }
 }
+
+/// Ten followers die at once: ms until the head's table has each as not alive, and how many it never had.
+pub fn loss(f: &mut Fleet, wait: Time) -> (Vec<f64>, usize) {
+    let at = f.now;
+    let n = f.nodes.len() - VOTERS;
+    let v: Vec<usize> = (0..LOST.min(n / 3)).map(|k| VOTERS + k * n / LOST.min(n / 3)).collect();
+    for i in &v {
+        f.nodes[*i] = Node::Dead;
+        f.victims.push(seat(*i).id);
+    }
+    while f.now < at + wait && f.seen_off.len() < v.len() {
+        f.run(f.now + 1000);
+    }
+    let took = f.seen_off.values().map(|t| (t - at) as f64).collect();
+    (took, v.len() - f.seen_off.len())
+}
+
+const LOST: usize = 10;
--- a/chance/src/slopes/fleet.rs
+++ b/chance/src/slopes/fleet.rs
@@ -19,6 +19,7 @@
 pub enum Node {
     Real(Box<Control>),
     Hollow(Hollow),
+    Dead,
 }
 
 /// A whole fleet in one process. One way takes 5 ms, a sync 25 ms; nothing is lost.
@@ -29,7 +30,8 @@
     pub tally: Vec<Tally>,
     pub forced: Vec<Time>,
     pub told: Vec<String>,
-    pub sent_sights: u64,
+    pub seen_off: HashMap<NodeId, Time>,
+    pub victims: Vec<NodeId>,
     by: HashMap<Addr, usize>,
     wake: Vec<Time>,
     sights: Vec<Vec<Sight>>,
@@ -51,7 +53,8 @@
             tally: vec![Tally::default(); n],
             forced: vec![0; n],
             told: Vec::new(),
-            sent_sights: 0,
+            seen_off: HashMap::new(),
+            victims: Vec::new(),
             by: (0..n).map(|i| (seat(i).addr, i)).collect(),
             wake: vec![0; n],
             sights: vec![Vec::new(); n],
@@ -101,10 +104,10 @@
             Ev::Sights(i) => {
                 self.at(self.now + TELL, Ev::Sights(i));
                 let v = self.sights[i].clone();
-                self.sent_sights += v.len() as u64;
                 match self.nodes[i] {
                     Node::Real(_) => self.poll(i, In::Sights(v)),
                     Node::Hollow(_) => self.post(i, seat(0).addr, Msg::Sights { v }),
+                    Node::Dead => (),
                 }
             }
             Ev::Hollow(i) => {
@@ -125,6 +128,7 @@
                         let r = h.take(p.addr, &p.msg, &self.sc);
                         r.into_iter().for_each(|(a, m)| self.post(i, a, m));
                     }
+                    Node::Dead => (),
                 }
             }
         }
@@ -147,6 +151,12 @@
         if i < VOTERS {
             self.told.extend(e.log);
         }
+        if let Some((t, _)) = e.news.filter(|_| i == 0) {
+            let off = |n: &NodeId| t.nodes.get(n).is_none_or(|r| !r.alive);
+            for n in self.victims.iter().filter(|n| off(n)) {
+                self.seen_off.entry(*n).or_insert(self.now);
+            }
+        }
         e.send.into_iter().for_each(|(a, p)| self.packet(i, a, &p));
         if let Some((s, _)) = e.write {
             self.at(self.now + SYNC, Ev::Synced(i, s));
--- a/chance/tests/slopes.rs
+++ b/chance/tests/slopes.rs
@@ -1,4 +1,4 @@
-use chance::slopes::change::change;
+use chance::slopes::change::{change, loss};
 use chance::slopes::fit::{line, power, spread, Spread};
 use chance::slopes::fleet::Fleet;
 use chance::slopes::report::Series;
@@ -83,3 +83,15 @@
         assert_eq!(f.known(), (VOTERS + 12, st.mark as usize + 1));
     }
 }
+
+#[test]
+fn the_head_knows_the_lost_and_only_those() {
+    let (mut f, _) = settled(12);
+    let (took, never) = loss(&mut f, 20_000);
+    assert_eq!((took.len(), never), (4, 0));
+    assert!(took.iter().all(|t| *t > 250.0), "{took:?}");
+    let (mut f, _) = settled(12);
+    f.victims.push(chance::slopes::scene::seat(VOTERS).id);
+    f.run(20_000);
+    assert!(f.seen_off.is_empty());
+}
