Serve sooner after a total loss: early shares for new fencing, placement after half a second

Cause: the pilot waited 1 s, then new fencing nodes 1.65 s for connections that nobody held. Ruled out: the chain (0.4 s) and leases.

--- a/tenet/src/bounds.rs
+++ b/tenet/src/bounds.rs
@@ -32,7 +32,7 @@
 pub const PEER_SILENT: Time = 320;
 pub const PEER_LOST: Time = 600;
 pub const WATCH_QUIET: Time = 300;
-pub const WATCH_REPLICA: Time = 1000;
+pub const WATCH_REPLICA: Time = 250;
 pub const LOOK_AGAIN: Time = 100;
 pub const FENCE_POLL: Time = 100;
 pub const READ_POLL: Time = 250;
@@ -61,7 +61,7 @@
 pub const HEIR_LAG: Time = 1000;
 pub const MEMBER_LOST: Time = 3000;
 pub const MEMBER_UNSEEN: Time = 4000;
-pub const PILOT_FIRST: Time = 1000;
+pub const PILOT_FIRST: Time = 500;
 /// How long an accepted promotion may take before it is asked for again.
 pub const LEADS_WITHIN: Time = 2500;
 pub const PROMOTE_AGAIN: Time = 500;
--- a/tenet/src/polls.rs
+++ b/tenet/src/polls.rs
@@ -45,7 +45,11 @@
 
     pub(crate) fn set_shares(&mut self, now: Time, t: &Table) {
         for d in &t.dbs {
-            let extra = if d.fences && now >= d.fence_from { d.fence_share } else { 0 };
+            let extra = match (d.fences, now >= d.fence_from) {
+                (true, true) => d.fence_share,
+                (true, false) => d.fence_early,
+                _ => 0,
+            };
             for s in &d.servers {
                 self.pools[*s].share = t.servers[*s].read_share + extra;
                 self.pools[*s].warm = t.servers[*s].warm;
--- a/tenet/src/table.rs
+++ b/tenet/src/table.rs
@@ -39,6 +39,8 @@
     pub tenants: BTreeMap<String, Vec<String>>,
     pub fences: bool,
     pub fence_share: u32,
+    /// Connections that a new fencing node may use before the former ones must have closed theirs.
+    pub fence_early: u32,
     pub fence_from: Time,
     pub gates: bool,
     pub can: Abilities,
@@ -217,7 +219,8 @@
             homes: d.homes.clone(),
             tenants: d.tenants.clone(),
             fences,
-            fence_share: (d.cap - d.cap / 2) / need,
+            fence_share: (d.cap - d.cap / 2) * 2 / 3 / need,
+            fence_early: (d.cap - d.cap / 2) / 3 / need,
             fence_from,
             gates: b.gateways.contains(&self.me),
             can: d.can,
--- a/tenet/src/watch.rs
+++ b/tenet/src/watch.rs
@@ -11,12 +11,18 @@
             _ if d.can.guards && !d.fences => None,
             _ if acks && heir => Some(ACK_POLL),
             _ if d.can.guards && lead => Some(if now < self.known[s].heard + WATCH_QUIET { WATCH_QUIET } else { FENCE_POLL }),
-            _ if d.can.guards && d.phase == "steady" => Some(WATCH_REPLICA),
+            _ if d.can.guards && d.phase == "steady" => self.failing(d).then_some(WATCH_REPLICA),
             _ if d.fences => Some(FENCE_POLL),
             _ => Some(READ_POLL),
         }
     }
 
+    /// Its primary must leave or is not reached, so that a successor may be needed soon.
+    fn failing(&self, d: &DbRow) -> bool {
+        let off = |p: usize| self.off_at[p] != Time::MAX || !self.known[p].reach;
+        d.primary.is_none_or(off)
+    }
+
     pub(crate) fn poll_servers(&mut self, now: Time, t: &Table, out: &mut FrontOut) {
         for (i, d) in t.dbs.iter().enumerate() {
             let acks = d.can.confirms && self.jobs.iter().any(|(_, j)| j.db == i && j.step == Step::Acks);
