--- a/medium/src/lib.rs
+++ b/medium/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod doors;
 pub mod files;
 pub mod http;
+pub mod line;
 pub mod link;
 pub mod net;
 pub mod paths;
--- /dev/null
+++ b/medium/src/line.rs
@@ -0,0 +1,138 @@
+use crate::link::connect;
+use crate::net::Sink;
+use flate2::{Compress, Compression, Decompress, FlushCompress, FlushDecompress};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tenet::base::{LINE_ACK, LINE_OLD};
+use tenet::wire::decode;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+
+pub type Letter = (Instant, Vec<u8>);
+
+/// Longest packet on a line, in bytes.
+pub const LARGE: usize = 16 << 20;
+const OLD: Duration = Duration::from_millis(LINE_OLD);
+const QUIET: Duration = Duration::from_secs(60);
+const PLAIN: u8 = 0;
+const DEFLATED: u8 = 1;
+const BATCH: usize = 64 << 10;
+const STEP: usize = 4096;
+
+fn deflate(z: &mut Compress, plain: &[u8], out: &mut Vec<u8>) {
+    let mut at = 0;
+    loop {
+        out.reserve(plain.len() / 2 + 64);
+        let was = z.total_in();
+        if z.compress_vec(&plain[at..], out, FlushCompress::Sync).is_err() {
+            return;
+        }
+        at += (z.total_in() - was) as usize;
+        if at == plain.len() && out.len() < out.capacity() {
+            return;
+        }
+    }
+}
+
+fn inflate(z: &mut Decompress, mut b: &[u8], out: &mut Vec<u8>) -> Result<(), String> {
+    loop {
+        out.reserve(STEP);
+        let (was, had) = (z.total_in(), out.len());
+        z.decompress_vec(b, out, FlushDecompress::Sync).map_err(|e| e.to_string())?;
+        b = &b[(z.total_in() - was) as usize..];
+        if out.len() > LARGE + 4 {
+            return Err("too much in one piece".into());
+        }
+        if b.is_empty() && out.len() < out.capacity() || z.total_in() == was && out.len() == had {
+            return Ok(());
+        }
+    }
+}
+
+/// Writes packets to one process until it is gone, silent or too slow. What waited too long is
+/// dropped.
+pub async fn write(to: SocketAddr, mut rx: mpsc::Receiver<Letter>, far: bool) {
+    let Ok(s) = connect(to, OLD, LINE_ACK).await else { return };
+    let (mut r, mut w) = s.into_split();
+    let mut end = [0u8; 1];
+    let mut z = far.then(|| Compress::new(Compression::fast(), false));
+    let mut out = vec![if far { DEFLATED } else { PLAIN }];
+    let mut plain = Vec::new();
+    loop {
+        let letter = tokio::select! {
+            _ = r.read(&mut end) => return,
+            l = rx.recv() => l,
+        };
+        let mut next = letter;
+        if next.is_none() {
+            return;
+        }
+        while let Some((at, b)) = next.take() {
+            if at.elapsed() <= OLD {
+                plain.extend((b.len() as u32).to_le_bytes());
+                plain.extend(b);
+            }
+            if plain.len() < BATCH {
+                next = rx.try_recv().ok();
+            }
+        }
+        match z.as_mut() {
+            Some(z) => deflate(z, &plain, &mut out),
+            None => out.extend(&plain),
+        }
+        plain.clear();
+        let limit = OLD + Duration::from_micros(out.len() as u64);
+        if !matches!(tokio::time::timeout(limit, w.write_all(&out)).await, Ok(Ok(()))) {
+            return;
+        }
+        out.clear();
+        if out.capacity() > BATCH {
+            (out, plain) = (Vec::new(), Vec::new());
+        }
+    }
+}
+
+fn packets(buf: &mut Vec<u8>, sink: &Sink) -> Result<(), String> {
+    let mut at = 0;
+    while let Some(h) = buf.get(at..at + 4) {
+        let n = u32::from_le_bytes([h[0], h[1], h[2], h[3]]) as usize;
+        if n > LARGE {
+            return Err(format!("announced {n} bytes"));
+        }
+        let Some(b) = buf.get(at + 4..at + 4 + n) else { break };
+        sink(decode(b)?);
+        at += 4 + n;
+    }
+    buf.drain(..at);
+    Ok(())
+}
+
+/// Reads one line until it ends; what does not read ends it.
+pub async fn hear(mut s: TcpStream, from: SocketAddr, sink: Sink) {
+    let _ = s.set_nodelay(true);
+    let Ok(Ok(form)) = tokio::time::timeout(QUIET, s.read_u8()).await else { return };
+    let mut z = (form == DEFLATED).then(|| Decompress::new(false));
+    let (mut raw, mut buf) = (Vec::with_capacity(STEP), Vec::new());
+    loop {
+        match tokio::time::timeout(QUIET, s.read_buf(&mut raw)).await {
+            Ok(Ok(n)) if n > 0 => (),
+            _ => return,
+        }
+        let got = match z.as_mut() {
+            Some(z) => inflate(z, &raw, &mut buf),
+            None => {
+                buf.extend(&raw);
+                Ok(())
+            }
+        };
+        raw.clear();
+        if let Err(e) = got.and_then(|_| packets(&mut buf, &sink)) {
+            log::warn!("net: {from} sent what does not read, line closed: {e}");
+            return;
+        }
+        if buf.is_empty() && buf.capacity() > BATCH {
+            buf = Vec::new();
+        }
+    }
+}
--- a/medium/src/net.rs
+++ b/medium/src/net.rs
@@ -1,24 +1,19 @@
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use crate::link::connect;
+use crate::line::{hear, write, Letter, LARGE};
 use std::time::{Duration, Instant};
-use tenet::base::{Addr, LINE_ACK, LINE_OLD};
+use tenet::base::Addr;
 use tenet::wire::{by_line, decode, encode, Packet};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc;
 
-const OLD: Duration = Duration::from_millis(LINE_OLD);
-const QUIET: Duration = Duration::from_secs(60);
-const LARGE: usize = 16 << 20;
 const QUEUE: usize = 4096;
 
-type Letter = (Instant, Vec<u8>);
-
 pub struct Net {
     udp: Arc<UdpSocket>,
     lines: Mutex<HashMap<Addr, mpsc::Sender<Letter>>>,
+    far: Mutex<HashSet<Addr>>,
     rt: tokio::runtime::Handle,
 }
 
@@ -31,7 +26,12 @@
         let rt = tokio::runtime::Handle::current();
         tokio::spawn(hear_udp(udp.clone(), sink.clone()));
         tokio::spawn(hear_tcp(tcp, sink));
-        Ok(Arc::new(Net { udp, lines: Mutex::new(HashMap::new()), rt }))
+        Ok(Arc::new(Net { udp, lines: Mutex::new(HashMap::new()), far: Mutex::default(), rt }))
+    }
+
+    /// Processes of other regions; lines opened to them from now on are compressed.
+    pub fn set_far(&self, v: HashSet<Addr>) {
+        *self.far.lock().unwrap_or_else(|e| e.into_inner()) = v;
     }
 
     pub fn send(&self, to: Addr, p: &Packet) {
@@ -55,36 +55,12 @@
 
     fn line(&self, to: Addr) -> mpsc::Sender<Letter> {
         let (tx, rx) = mpsc::channel::<Letter>(QUEUE);
-        self.rt.spawn(write_line(to.into(), rx));
+        let far = self.far.lock().unwrap_or_else(|e| e.into_inner()).contains(&to);
+        self.rt.spawn(write(to.into(), rx, far));
         tx
     }
 }
 
-async fn write_line(to: SocketAddr, mut rx: mpsc::Receiver<Letter>) {
-    let Ok(s) = connect(to, OLD, LINE_ACK).await else { return };
-    let (mut r, mut w) = s.into_split();
-    let mut end = [0u8; 1];
-    loop {
-        let letter = tokio::select! {
-            _ = r.read(&mut end) => return,
-            l = rx.recv() => l,
-        };
-        let Some((at, b)) = letter else { return };
-        if at.elapsed() > OLD {
-            continue;
-        }
-        let n = (b.len() as u32).to_le_bytes();
-        let put = async {
-            w.write_all(&n).await?;
-            w.write_all(&b).await
-        };
-        let limit = OLD + Duration::from_micros(b.len() as u64);
-        if !matches!(tokio::time::timeout(limit, put).await, Ok(Ok(()))) {
-            return;
-        }
-    }
-}
-
 async fn hear_udp(udp: Arc<UdpSocket>, sink: Sink) {
     let mut b = vec![0u8; 65536];
     loop {
@@ -101,33 +77,9 @@
 async fn hear_tcp(tcp: TcpListener, sink: Sink) {
     loop {
         if let Ok((s, from)) = tcp.accept().await {
-            tokio::spawn(hear_line(s, from, sink.clone()));
+            tokio::spawn(hear(s, from, sink.clone()));
         } else {
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
     }
 }
-
-async fn hear_line(mut s: TcpStream, from: SocketAddr, sink: Sink) {
-    let _ = s.set_nodelay(true);
-    let mut h = [0u8; 4];
-    while matches!(tokio::time::timeout(QUIET, s.read_exact(&mut h)).await, Ok(Ok(_))) {
-        let n = u32::from_le_bytes(h) as usize;
-        if n > LARGE {
-            log::warn!("net: {from} announced {n} bytes, line closed");
-            return;
-        }
-        let mut b = Vec::new();
-        let got = (&mut s).take(n as u64).read_to_end(&mut b).await;
-        if !matches!(got, Ok(m) if m == n) {
-            return;
-        }
-        match decode(&b) {
-            Ok(p) => sink(p),
-            Err(e) => {
-                log::warn!("net: {from} sent what does not read, line closed: {e}");
-                return;
-            }
-        }
-    }
-}
--- a/medium/src/traffic.rs
+++ b/medium/src/traffic.rs
@@ -45,6 +45,7 @@
 impl Traffic {
     pub fn drive(self: &Rc<Self>, i: FrontIn) {
         if let Some((t, until)) = self.news.borrow_mut().newer().flatten() {
+            self.net.set_far(t.nodes.values().filter(|n| n.region != t.region).map(|n| n.addr).collect());
             self.step(FrontIn::Table(t, until));
         }
         self.step(i);
--- a/tenet/src/colleagues.rs
+++ b/tenet/src/colleagues.rs
@@ -10,6 +10,7 @@
 
 const NEWS: usize = 10;
 const FILL: usize = 3;
+const FILL_EACH: u32 = 8;
 
 pub struct Colleague {
     pub s: Summary,
@@ -48,6 +49,7 @@
 
 impl Colleagues {
     pub fn new(me: Summary, seeds: Vec<Addr>, wire: u8) -> Self {
+        let me_id = me.id;
         Colleagues {
             me,
             wire,
@@ -56,7 +58,7 @@
             open: Vec::new(),
             relay: Vec::new(),
             fresh: VecDeque::new(),
-            cursor: 0,
+            cursor: me_id,
             disk_cursor: 0,
             news_cursor: 0,
             seq: 0,
@@ -109,7 +111,7 @@
         }
         let from = self.news_cursor;
         for (id, c) in self.all.range(from + 1..).chain(self.all.range(..=from)) {
-            if v.len() >= FILL {
+            if v.len() >= FILL || self.seq % FILL_EACH != 0 {
                 break;
             }
             self.news_cursor = *id;
