Replace a voter whose disk was lost as soon as another stands at its address; five voters

Cause: a disk lost 5 s before the closing one was still the voter (4 s without a sign, then a view), so two of three voters were gone for good. Ruled out: copies on disk (two, both synced). Now its successor at the same address votes at once, others after 2.5 s. Also: seeds found the fleet, further disks join as voters by twos up to five; what an acknowledged change needs is one copy more than may be lost; a transaction's begin waits for its first statement; selectors are read once.

--- a/chance/src/client.rs
+++ b/chance/src/client.rs
@@ -98,7 +98,7 @@
                 self.send(c, Req::Run { session, kind: Want::Kind(kind), id, body: body.to_string(), prepared: None, budget: None });
             }
             Do::Txn { id, steps, key, value } => {
-                let req = Req::Begin { session, kind: None, id: Some(id.clone()), budget: None };
+                let req = Req::Begin { session, kind: None, id: Some(id.clone()), lazy: false, budget: None };
                 self.clients[c].doing = Doing::Txn { id, steps, at: 0, key, value, begun: false };
                 self.send(c, req);
             }
--- a/chance/src/node.rs
+++ b/chance/src/node.rs
@@ -74,6 +74,8 @@
             domain: self.domain.clone(),
             disk: self.disk,
             seeds,
+            found: true,
+            copies: 2,
             durable,
             seed: mix(seed ^ mix(self.i as u64 * 1000 + self.life as u64)),
             wall: 1_000_000 + t,
--- a/chance/src/slopes/scene.rs
+++ b/chance/src/slopes/scene.rs
@@ -89,7 +89,7 @@
                 let s = format!("{n}-{h}");
                 let labels = BTreeMap::from([("db".to_string(), n.clone())]);
                 let at = addr(2, d * 3 + h);
-                st.servers.insert(s.clone(), Server { name: s, addr: at, domain: zone((d + h) % REGIONS), labels, life: 9, leads: h == 0, leaving: false });
+                st.servers.insert(s.clone(), Server { name: s, addr: at, domain: zone((d + h) % REGIONS), labels, life: 9, leads: h == 0, terms: false, seq: 0, leaving: false });
             }
             let heirs = (1..3).map(|h| (format!("{n}-{h}"), 9)).collect();
             let db = Db { epoch: 5, since: 5, phase: "steady".into(), primary: Some(format!("{n}-0")), heirs, ..Db::default() };
@@ -111,6 +111,8 @@
         let s = seat(i);
         let d = Durable { id: s.id, pledge: self.view().chain, view: self.view(), whole: 1, state: st.clone(), ..Durable::default() };
         Start {
+            found: true,
+            copies: 2,
             addr: s.addr,
             http: s.addr,
             domain: zone(i),
--- a/medium/src/dialect.rs
+++ b/medium/src/dialect.rs
@@ -84,6 +84,7 @@
         Answer::Prepared => json!({"prepared": true}),
         Answer::Released => json!({"released": true}),
         Answer::Closed => json!({"closed": true}),
+        Answer::Begun => json!({"begun": true}),
         Answer::RolledBack => json!({"rolled_back": true}),
         Answer::Text(v) => v,
         Answer::Ran(r) => {
--- a/medium/src/paths.rs
+++ b/medium/src/paths.rs
@@ -127,7 +127,7 @@
         }
         "begin" => {
             let m = Body::read(b, &["kind", "id", "deadline_ms"])?;
-            Req::Begin { session, kind: m.opt("kind")?.map(Want::Kind), id: m.opt("id")?, budget: m.num("deadline_ms")? }
+            Req::Begin { session, kind: m.opt("kind")?.map(Want::Kind), id: m.opt("id")?, lazy: false, budget: m.num("deadline_ms")? }
         }
         "commit" => Req::Commit { session, body: String::new(), budget: Body::read(b, &["deadline_ms"])?.num("deadline_ms")? },
         "rollback" => Body::read(b, &[]).map(|_| Req::Rollback { session })?,
--- a/medium/src/run.rs
+++ b/medium/src/run.rs
@@ -103,6 +103,8 @@
         http: p.http.into(),
         domain: p.domain.clone(),
         disk,
+        found: p.found,
+        copies: p.copies,
         seeds: p.seeds.iter().map(|s| (*s).into()).collect(),
         durable,
         seed,
--- a/medium/src/settings.rs
+++ b/medium/src/settings.rs
@@ -23,6 +23,10 @@
     pub seeds: Vec<SocketAddr>,
     pub data: Option<PathBuf>,
     pub platform: Option<SocketAddr>,
+    /// The fleet may be founded now.
+    pub found: bool,
+    /// Synced copies that an acknowledged change needs.
+    pub copies: usize,
 }
 
 #[derive(Clone, Debug)]
@@ -104,7 +108,7 @@
         return Err(eyre!("settings.{f}: name one address, the others must be able to reach it"));
     }
     let platform = s.platform.as_deref().map(|p| addr("platform", p)).transpose()?;
-    Ok(Place { listen, http, domain: s.domain, seeds, data: s.data, platform })
+    Ok(Place { listen, http, domain: s.domain, seeds, data: s.data, platform, found: true, copies: 2 })
 }
 
 #[cfg(test)]
--- a/tenet/src/answer.rs
+++ b/tenet/src/answer.rs
@@ -2,6 +2,7 @@
 use crate::front::*;
 use crate::job::*;
 use crate::kind::{Kind, Reject};
+use crate::query::word;
 use crate::wire::*;
 
 impl Front {
@@ -13,7 +14,7 @@
             Step::Open => self.back_open(now, j, res, out),
             Step::Reset => match res {
                 BackRes::Ok(_) => self.job_run(now, j, out),
-                _ if matches!(self.jobs[j].load.act, Act::Step | Act::Commit | Act::Rollback) => {
+                _ if self.jobs[j].load.act.inside() => {
                     self.job_discard(now, j, out);
                     self.job_end(now, j, Err(Reject::new(Kind::Aborted, "its settings could not be changed")), out);
                 }
@@ -76,8 +77,16 @@
     fn back_run(&mut self, now: Time, j: usize, res: BackRes, out: &mut FrontOut) {
         let act = self.jobs[j].load.act.clone();
         let writes = self.jobs[j].load.writes;
-        let inside = matches!(act, Act::Step | Act::Commit | Act::Rollback);
+        let inside = act.inside();
         self.heard(now, j, &res);
+        let deferred = matches!(act, Act::First | Act::Whole);
+        if deferred && !self.jobs[j].begun && matches!(res, BackRes::Ok(_)) {
+            self.jobs[j].begun = true;
+            return self.job_run(now, j, out);
+        }
+        let inside = inside || deferred && self.jobs[j].begun;
+        let commits = act == Act::Commit || act == Act::Whole && self.jobs[j].begun;
+        let writes = writes && !(deferred && !commits);
         match res {
             BackRes::Ok(Got::Ran { pos, result, repeat }) => {
                 (self.jobs[j].pos, self.jobs[j].body, self.jobs[j].repeat) = (pos, result, repeat);
@@ -89,6 +98,7 @@
             }
             BackRes::Rejected(Refusal::Failed, w) => {
                 match act {
+                    _ if deferred => self.job_discard(now, j, out),
                     Act::Step => self.txn_free(now, j),
                     Act::Commit => {
                         let k = self.jobs[j].load.txn;
@@ -113,12 +123,12 @@
                 let k = if k == Refusal::Behind { Kind::NotCurrent } else { Kind::Busy };
                 self.job_end(now, j, Err(Reject::new(k, w)), out);
             }
-            BackRes::Lost if (writes || act == Act::Commit) && !self.looks_up(j) => {
+            BackRes::Lost if (writes || commits) && !self.looks_up(j) => {
                 self.job_discard(now, j, out);
                 let r = Reject::new(Kind::Unknown, "its answer vanished and its servers look nothing up");
                 self.job_end(now, j, Err(r), out);
             }
-            BackRes::Lost if writes || act == Act::Commit => {
+            BackRes::Lost if writes || commits => {
                 self.jobs[j].lost = self.jobs[j].conn.as_ref().map_or(0, |c| c.id);
                 self.job_discard(now, j, out);
                 let id = self.jobs[j].load.id.clone();
@@ -150,7 +160,7 @@
         let job = &mut self.jobs[j];
         let key = job.load.txn;
         match act {
-            Act::Begin => {
+            Act::Begin | Act::First => {
                 let life = self.t.as_ref().map_or(0, |t| t.servers[job.server].life);
                 if let Some(c) = job.conn.take() {
                     let x = TxnHeld {
@@ -177,7 +187,7 @@
                 self.job_put(now, j, out);
                 self.job_end(now, j, Ok(()), out);
             }
-            Act::Commit => {
+            Act::Commit | Act::Whole => {
                 self.txns.remove(&key);
                 self.job_put(now, j, out);
                 self.wait_acks(now, j, out);
@@ -232,12 +242,3 @@
         self.job_wait(now, j, out);
     }
 }
-
-fn word(r: &BackRes) -> String {
-    match r {
-        BackRes::Ok(_) => "an answer without sense".into(),
-        BackRes::Rejected(c, w) => format!("{c} {w}"),
-        BackRes::NotSent => "not reached".into(),
-        BackRes::Lost => "no answer".into(),
-    }
-}
--- a/tenet/src/belongs.rs
+++ b/tenet/src/belongs.rs
@@ -1,7 +1,8 @@
 use crate::config::Config;
-use crate::labels::{Labels, Selector};
+use crate::labels::Labels;
 use crate::plant::{planted, Bug};
 use crate::state::{Server, State};
+use std::collections::BTreeMap;
 
 pub fn labels_of(c: &Config, s: &Server) -> Labels {
     let mut l = c.domains.get(&s.domain).map(|d| d.labels.clone()).unwrap_or_default();
@@ -13,17 +14,22 @@
     l
 }
 
-pub fn db_servers<'a>(c: &Config, st: &'a State, db: &str) -> Vec<&'a Server> {
-    let d = c.databases.get(db);
-    let sel = d.and_then(|d| Selector::parse(&d.servers).ok());
-    let homes = d.map(|d| d.homes.clone()).unwrap_or_default();
-    let before: Vec<Selector> = c.databases.iter().take_while(|x| x.0.as_str() < db).filter_map(|(_, d)| Selector::parse(&d.servers).ok()).collect();
-    let home = |s: &&Server| c.region(&s.domain).is_some_and(|r| homes.iter().any(|h| h == r));
-    let mine = |s: &&Server| {
+/// Which servers each database has: the first by name that selects a server, in a home of it.
+pub fn assigned<'a>(c: &Config, st: &'a State) -> BTreeMap<String, Vec<&'a Server>> {
+    let mut m: BTreeMap<String, Vec<&Server>> = BTreeMap::new();
+    for s in st.servers.values() {
         let l = labels_of(c, s);
-        sel.as_ref().is_some_and(|x| x.matches(&l)) && !before.iter().any(|x| x.matches(&l))
-    };
-    st.servers.values().filter(mine).filter(home).collect()
+        let of = c.selectors().iter().find(|x| x.1.matches(&l));
+        let home = |d: &str| c.region(&s.domain).is_some_and(|r| c.databases.get(d).is_some_and(|d| d.homes.iter().any(|h| h == r)));
+        if let Some((d, _)) = of.filter(|x| home(&x.0)) {
+            m.entry(d.clone()).or_default().push(s);
+        }
+    }
+    m
+}
+
+pub fn db_servers<'a>(c: &Config, st: &'a State, db: &str) -> Vec<&'a Server> {
+    assigned(c, st).remove(db).unwrap_or_default()
 }
 
 pub fn server_off(st: &State, s: &Server) -> Option<&'static str> {
--- a/tenet/src/bounds.rs
+++ b/tenet/src/bounds.rs
@@ -21,7 +21,9 @@
 pub const VIEW_ROUND: Time = 50;
 pub const VIEW_HOLD: Time = 300;
 pub const VIEW_OPEN: Time = 1500;
-pub const VOTER_REPLACE: Time = 4000;
+/// Most voters; their number grows by two, so that it stays odd.
+pub const VOTERS_MOST: usize = 5;
+pub const VOTER_REPLACE: Time = 2500;
 pub const ANSWER_WAIT: Time = 1000;
 pub const ASK_GIVE_UP: Time = 5000;
 pub const PROOF_MARGIN: Time = 60;
--- a/tenet/src/build.rs
+++ b/tenet/src/build.rs
@@ -2,8 +2,18 @@
 use crate::chain::Chain;
 use crate::colleagues::Colleagues;
 use crate::disk::*;
+use crate::wire::Summary;
 
 impl Chain {
+    /// Disks of this cluster that neither vote nor may replace a lost voter.
+    pub fn joiners(&self, c: &Colleagues) -> Vec<Seat> {
+        let votes = |id: NodeId| self.d.view.voters.iter().any(|v| v.id == id);
+        let fit = |s: &&Summary| s.disk && s.view > 0 && !s.stopping && !votes(s.id);
+        let mut v: Vec<Seat> = c.live().filter(fit).map(|s| Seat { id: s.id, addr: s.addr }).collect();
+        v.sort();
+        v
+    }
+
     pub(crate) fn build(&self, now: Time, c: &Colleagues) -> Option<View> {
         let v = &self.d.view;
         let best = self.agree.promises.values().filter(|p| p.1 > 0).max_by_key(|p| p.1);
@@ -39,6 +49,10 @@
                 voters[i] = s;
             }
         }
+        let more = self.joiners(c);
+        if voters.len() + 2 <= VOTERS_MOST && more.len() >= 2 {
+            voters.extend(&more[..2]);
+        }
         let add: Vec<Seat> = voters
             .iter()
             .filter(|s| c.alive(s.id) && !c.stops(s.id) && !chain.iter().any(|t| t.id == s.id))
--- a/tenet/src/chain.rs
+++ b/tenet/src/chain.rs
@@ -35,6 +35,8 @@
     pub(crate) tick_at: Time,
     pub(crate) born: Time,
     pub(crate) subs: BTreeMap<Addr, Time>,
+    pub(crate) found: bool,
+    pub(crate) copies: usize,
 }
 
 impl Chain {
@@ -58,9 +60,15 @@
             tick_at: 0,
             born: now,
             subs: BTreeMap::new(),
+            found: true,
+            copies: 2,
         }
     }
 
+    pub fn with(self, found: bool, copies: usize) -> Self {
+        Chain { found, copies, ..self }
+    }
+
     pub fn keep(&mut self, r: Rec, out: &mut Out) -> Option<Verdict> {
         let v = self.d.play(&r);
         out.write.push(r);
--- a/tenet/src/collect.rs
+++ b/tenet/src/collect.rs
@@ -2,10 +2,8 @@
 use crate::base::*;
 use crate::front::*;
 use crate::kind::{Kind, Reject};
-use crate::ledger::Plan;
 use crate::session::*;
 use crate::table::*;
-use crate::trip::{For, Trip};
 use crate::plan::blank;
 use crate::wire::*;
 use serde_json::{json, Value};
@@ -53,7 +51,7 @@
         }
         let id = self.ids.take();
         let setup = SetUp { user, settings, prepared: Vec::new() };
-        let s = Session { db: i, entry: None, tenant, setup, txn: None, mark: 0, last: now, busy: false };
+        let s = Session { db: i, entry: None, tenant, setup, txn: None, deferred: None, mark: 0, last: now, busy: false };
         self.sessions.insert(id, s);
         Ok(Answer::Opened { session: id, node: self.me, region: t.region.clone() })
     }
@@ -92,9 +90,7 @@
             Req::Run { kind, id: rid, body, prepared, budget, .. } => {
                 self.run(now, call, id, kind, rid, body, prepared, budget, out).map(|_| None)
             }
-            Req::Begin { kind, id: rid, budget, .. } => {
-                self.begin(now, call, id, kind, rid, budget, out).map(|_| None)
-            }
+            Req::Begin { kind, id: rid, lazy, budget, .. } => self.begin(now, call, id, kind, rid, lazy, budget, out),
             Req::Commit { body, budget, .. } => self.commit(now, call, id, body, budget, out).map(|_| None),
             Req::Rollback { .. } => match self.forget_txn(now, id, out) {
                 true => Ok(Some(Answer::RolledBack)),
@@ -118,6 +114,9 @@
         out: &mut FrontOut,
     ) -> Result<(), Reject> {
         let t = self.table()?;
+        if let Some(id) = self.sessions.get_mut(&sid).and_then(|s| s.deferred.take()) {
+            return self.whole(now, call, sid, id, Act::First, body, budget, out);
+        }
         let open = self.sessions[&sid].txn.is_some();
         let k = match open && self.sessions[&sid].entry.is_some() {
             true => Ok(0),
@@ -159,18 +158,23 @@
         Ok(())
     }
 
-    fn begin(&mut self, now: Time, call: u64, sid: u64, want: Option<Want>, rid: Option<String>, budget: Option<Time>, out: &mut FrontOut) -> Result<(), Reject> {
+    fn begin(&mut self, now: Time, call: u64, sid: u64, want: Option<Want>, rid: Option<String>, lazy: bool, budget: Option<Time>, out: &mut FrontOut) -> Result<Option<Answer>, Reject> {
         let t = self.welcome(now, true)?;
         let want = want.or(self.sessions[&sid].entry.is_some().then_some(Want::Writes));
         want.map_or(Ok(0), |w| self.bind(&t, sid, &w))?;
-        if self.sessions[&sid].txn.is_some() {
+        if self.sessions[&sid].txn.is_some() || self.sessions[&sid].deferred.is_some() {
             return Err(reject(Kind::BadState, "a transaction is open already"));
         }
+        if lazy {
+            let id = rid.unwrap_or_else(|| format!("r{:x}", self.ids.take()));
+            self.sessions.get_mut(&sid).into_iter().for_each(|s| s.deferred = Some(id.clone()));
+            return Ok(Some(Answer::Begun));
+        }
         let mut load = self.load(&t, sid, rid, Act::Begin);
         load.txn = self.ids.take();
         let plan = self.plan(now, &t, sid, &load, budget);
         self.set_off(now, call, sid, load, plan, None, out);
-        Ok(())
+        Ok(None)
     }
 
     fn step(&mut self, now: Time, call: u64, sid: u64, body: String, budget: Option<Time>, out: &mut FrontOut) -> Result<(), Reject> {
@@ -182,6 +186,10 @@
 
     fn forget_txn(&mut self, now: Time, sid: u64, out: &mut FrontOut) -> bool {
         let s = self.sessions.get_mut(&sid);
+        if s.as_ref().is_some_and(|s| s.deferred.is_some()) {
+            s.into_iter().for_each(|s| s.deferred = None);
+            return true;
+        }
         let Some((x, db)) = s.and_then(|s| s.txn.take().map(|x| (x, s.db))) else { return false };
         let load = Load { act: Act::Rollback, session: sid, ..blank(x.id.clone()) };
         self.roll_back_for(now, db, x.key, x.fence, load, out);
@@ -189,6 +197,9 @@
     }
 
     fn commit(&mut self, now: Time, call: u64, sid: u64, body: String, budget: Option<Time>, out: &mut FrontOut) -> Result<(), Reject> {
+        if let Some(id) = self.sessions.get_mut(&sid).and_then(|s| s.deferred.take()) {
+            return self.whole(now, call, sid, id, Act::Whole, body, budget, out);
+        }
         let r = self.pinned(now, sid, Act::Commit, budget);
         if r.is_err() {
             self.forget_txn(now, sid, out);
@@ -198,33 +209,4 @@
         self.set_off(now, call, sid, load, plan, None, out);
         Ok(())
     }
-
-    fn pinned(&mut self, now: Time, sid: u64, act: Act, budget: Option<Time>) -> Result<(Load, Plan), Reject> {
-        let t = self.table()?;
-        let s = &self.sessions[&sid];
-        let x = s.txn.as_ref().ok_or_else(|| reject(Kind::BadState, "no transaction is open"))?;
-        if let TxnState::Broken(w) = &x.state {
-            return Err(reject(Kind::Aborted, format!("rolled back before: {w}")));
-        }
-        let (id, key, fence, via, epoch) = (x.id.clone(), x.key, x.fence, x.via, x.epoch);
-        let commit = act == Act::Commit;
-        let mut load = self.load(&t, sid, Some(id), act);
-        (load.txn, load.fence, load.epoch) = (key, fence, epoch);
-        let mut plan = self.plan(now, &t, sid, &load, budget);
-        plan.pinned = true;
-        plan.commit = commit;
-        if let Some(i) = plan.gateways.iter().position(|g| *g == via) {
-            plan.gateways.swap(0, i);
-        }
-        Ok((load, plan))
-    }
-
-    #[allow(clippy::too_many_arguments)]
-    fn set_off(&mut self, now: Time, call: u64, sid: u64, load: Load, plan: Plan, bound: Option<Time>, out: &mut FrontOut) {
-        self.sessions.get_mut(&sid).into_iter().for_each(|s| s.busy = true);
-        let owner = For::Caller { call, session: sid };
-        self.traces.tell(now, &load.id, format!("taken in at {:x}: {:?} on {}", self.me, load.act, load.db));
-        let t = Trip::new(now, owner, load, plan, bound);
-        self.trip_start(now, t, out);
-    }
 }
--- a/tenet/src/config.rs
+++ b/tenet/src/config.rs
@@ -1,9 +1,10 @@
 use crate::entry::{Abilities, Entry};
-use crate::labels::Labels;
+use crate::labels::{Labels, Selector};
 use crate::rules::{Labelled, Rule};
 use garde::Validate;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use std::sync::OnceLock;
 
 #[derive(Clone, Serialize, Deserialize, Validate)]
 #[serde(deny_unknown_fields)]
@@ -39,6 +40,9 @@
     #[serde(default)]
     #[garde(dive)]
     pub timeouts: Timeouts,
+    #[serde(skip)]
+    #[garde(skip)]
+    selectors: OnceLock<Vec<(String, Selector)>>,
 }
 
 #[derive(Clone, Serialize, Deserialize, Validate)]
@@ -168,6 +172,14 @@
         out.is_empty().then_some(c).ok_or(out)
     }
 
+    /// Each database's selector, by name; read once.
+    pub fn selectors(&self) -> &[(String, Selector)] {
+        self.selectors.get_or_init(|| {
+            let one = |(n, d): (&String, &Database)| Selector::parse(&d.servers).ok().map(|s| (n.clone(), s));
+            self.databases.iter().filter_map(one).collect()
+        })
+    }
+
     pub fn region<'a>(&'a self, domain: &str) -> Option<&'a str> {
         self.domains.get(domain).map(|d| d.region.as_str())
     }
--- a/tenet/src/effect.rs
+++ b/tenet/src/effect.rs
@@ -44,6 +44,10 @@
     pub domain: String,
     pub disk: bool,
     pub seeds: Vec<Addr>,
+    /// The fleet may be founded now: it starts for the first time.
+    pub found: bool,
+    /// Synced copies that an acknowledged change needs.
+    pub copies: usize,
     pub durable: Option<Durable>,
     pub seed: u64,
     pub wall: u64,
--- a/tenet/src/entry.rs
+++ b/tenet/src/entry.rs
@@ -78,7 +78,7 @@
         let db = t.entries.get(&entry).ok_or_else(|| Reject::new(Kind::UnknownDatabase, entry.clone()))?.db;
         let session = self.ids.take();
         let setup = SetUp { user, ..SetUp::default() };
-        let s = Session { db, entry: Some(entry), tenant: None, setup, txn: None, mark: 0, last: now, busy: false };
+        let s = Session { db, entry: Some(entry), tenant: None, setup, txn: None, deferred: None, mark: 0, last: now, busy: false };
         self.sessions.insert(session, s);
         Ok(Answer::Opened { session, node: self.me, region: t.region.clone() })
     }
--- a/tenet/src/fence.rs
+++ b/tenet/src/fence.rs
@@ -16,7 +16,7 @@
     pub(crate) fn fence_start(&mut self, now: Time, owner: Owner, load: Load, db: usize, out: &mut FrontOut) -> Result<(), Reject> {
         let t = self.table()?;
         let d = &t.dbs[db];
-        let inside = matches!(load.act, Act::Step | Act::Commit | Act::Rollback);
+        let inside = load.act.inside();
         let p = match (d.phase.as_str(), d.primary) {
             ("steady", Some(p)) => p,
             ("closing", Some(p)) if inside || load.look_up => p,
@@ -33,7 +33,7 @@
         if load.act == Act::Pos {
             return self.tell_pos(now, owner, &load, db, p, out);
         }
-        if d.can.confirms && (load.writes || load.act == Act::Begin) && d.heirs.is_empty() {
+        if d.can.confirms && (load.writes || matches!(load.act, Act::Begin | Act::First | Act::Whole)) && d.heirs.is_empty() {
             return Err(reject(Kind::NoCopies, "no replica counts as holding the log yet"));
         }
         if inside {
--- a/tenet/src/found.rs
+++ b/tenet/src/found.rs
@@ -54,10 +54,13 @@
             out.send.push((*a, Msg::ViewAsk));
             return;
         }
+        let seed = |s: &Seat| c.seeds.contains(&s.addr);
         let mut set: Vec<Seat> = c.live().filter(|s| s.disk).map(|s| Seat { id: s.id, addr: s.addr }).collect();
         set.push(self.me);
+        set.retain(seed);
         set.sort();
-        if self.d.pledge.is_empty() && set.len() == 3 && now > 1000 {
+        let all = set.len() == c.seeds.len() && set.len() >= self.copies && seed(&self.me);
+        if self.d.pledge.is_empty() && self.found && all && now > 1000 {
             self.keep(Rec::Pledge(set), out);
         }
         if !self.d.pledge.is_empty() {
@@ -77,7 +80,7 @@
         }
         self.pledges.insert(from, set);
         let mine = self.d.pledge.clone();
-        let all = mine.len() == 3 && mine.iter().all(|s| self.pledges.get(&s.id) == Some(&mine));
+        let all = mine.len() >= self.copies && mine.iter().all(|s| self.pledges.get(&s.id) == Some(&mine));
         if all {
             let cluster = mine.iter().fold(7, |h, s| mix(h ^ s.id)) | 1;
             let view = View { n: 1, cluster, voters: mine.clone(), chain: mine };
--- a/tenet/src/job.rs
+++ b/tenet/src/job.rs
@@ -47,6 +47,7 @@
     pub lost: u64,
     pub life: u64,
     pub sent: Time,
+    pub begun: bool,
 }
 
 impl Job {
@@ -69,6 +70,7 @@
             lost: 0,
             life: 0,
             sent: now,
+            begun: false,
         }
     }
 }
@@ -149,11 +151,11 @@
         let job = &self.jobs[j];
         let fenced = matches!(job.owner, Owner::Carry(..));
         if now >= job.deadline {
-            let k = if matches!(job.load.act, Act::Single | Act::Begin) { Kind::TooLate } else { Kind::Aborted };
+            let k = if !job.load.act.inside() { Kind::TooLate } else { Kind::Aborted };
             return self.job_end(now, j, Err(Reject::new(k, "its deadline passed before it was sent")), out);
         }
         if fenced && !self.still(now + margin(), job.db, job.epoch) {
-            let k = if job.load.act == Act::Single || job.load.act == Act::Begin { Kind::NotCurrent } else { Kind::Aborted };
+            let k = if !job.load.act.inside() { Kind::NotCurrent } else { Kind::Aborted };
             return self.job_end(now, j, Err(Reject::new(k, "the permit ended before it was sent")), out);
         }
         if fenced && job.load.act != Act::Pos {
@@ -167,6 +169,9 @@
         let (id, body, after) = (l.id.clone(), l.body.clone(), l.after);
         let query = match l.act {
             Act::Begin => Query::Begin { conn, after, read_only: false },
+            Act::First | Act::Whole if !job.begun => Query::Begin { conn, after, read_only: false },
+            Act::First => Query::Run { conn, id: None, writes: true, body, after: 0 },
+            Act::Whole => Query::Commit { conn, id, body },
             Act::Step => Query::Run { conn, id: None, writes: true, body, after: 0 },
             Act::Commit => Query::Commit { conn, id, body },
             Act::Rollback => Query::Rollback { conn },
@@ -211,7 +216,7 @@
         let fenced = matches!(job.owner, Owner::Carry(..));
         let mut r = r;
         if fenced && r.is_ok() && !self.still(now, job.db, job.epoch) {
-            let k = if job.load.writes || job.load.act == Act::Commit { Kind::Unknown } else { Kind::NotCurrent };
+            let k = if job.load.writes || job.load.act.commits() { Kind::Unknown } else { Kind::NotCurrent };
             r = Err(Reject::new(k, "the permit ended before success could be told"));
         }
         let server = self.t.as_ref().map_or(String::new(), |t| t.servers[job.server].name.clone());
--- a/tenet/src/ledger.rs
+++ b/tenet/src/ledger.rs
@@ -36,6 +36,8 @@
     pub patience: Time,
     pub none: Kind,
     pub looks_up: bool,
+    /// It opens a transaction, so it must not run on two connections.
+    pub opens: bool,
 }
 
 #[derive(Clone, Copy, PartialEq, Debug)]
@@ -79,6 +81,10 @@
         Some(End::Rejected(k)) => k,
         _ => p.none,
     };
+    let ran = matches!(last, Some(End::Lost | End::Rejected(Kind::Aborted | Kind::Unknown)));
+    if p.opens && !p.commit && ran {
+        return Move::Give(Kind::Aborted);
+    }
     let doubt = unsure(p, gos);
     if doubt && !p.looks_up {
         return Move::Give(Kind::Unknown);
@@ -129,6 +135,7 @@
             patience: 500,
             none: Kind::NoPrimary,
             looks_up: true,
+            opens: false,
         }
     }
 
@@ -173,6 +180,17 @@
         assert_eq!(next(&p, &[go(1, End::Lost)], 10), Move::Give(Kind::Aborted));
     }
 
+    #[test]
+    fn what_opens_a_transaction_and_may_have_run_is_not_run_again() {
+        let p = Plan { writes: false, opens: true, ..plan() };
+        assert!(matches!(next(&p, &[go(1, End::Rejected(Kind::Busy))], 10), Move::Send { .. }));
+        for e in [End::Lost, End::Rejected(Kind::Aborted), End::Rejected(Kind::Unknown)] {
+            assert_eq!(next(&p, &[go(1, e)], 10), Move::Give(Kind::Aborted));
+        }
+        let p = Plan { writes: true, commit: true, looks_up: false, ..p };
+        assert_eq!(next(&p, &[go(1, End::Lost)], 10), Move::Give(Kind::Unknown));
+    }
+
     #[test]
     fn a_pause_before_the_next_go_never_passes_the_moment_of_giving_up() {
         let no = |at| Go { end_at: at, ..go(1, End::Rejected(Kind::NoPrimary)) };
--- a/tenet/src/lib.rs
+++ b/tenet/src/lib.rs
@@ -2,6 +2,7 @@
 pub mod apply;
 pub mod asks;
 pub mod base;
+pub mod begin;
 pub mod belongs;
 pub mod bounds;
 pub mod build;
--- a/tenet/src/pilot.rs
+++ b/tenet/src/pilot.rs
@@ -173,10 +173,9 @@
             server_off(k.st, s).is_none() && self.sight(k, h, s.life, 0).is_some()
         });
         let can = k.cfg.databases.get(n).map(|d| d.can).unwrap_or_default();
-        let names = db_servers(k.cfg, k.st, n);
         let ready = match can.confirms {
             true => d.heirs.keys().any(other),
-            false => names.iter().any(|s| s.name != *p && other(&s.name)),
+            false => off.is_some() && db_servers(k.cfg, k.st, n).iter().any(|s| s.name != *p && other(&s.name)),
         };
         if let Some(w) = off.filter(|_| ready) {
             ops.push(Op::Close { db, epoch, why: format!("{p}: {w}") });
--- a/tenet/src/plan.rs
+++ b/tenet/src/plan.rs
@@ -83,6 +83,7 @@
             deadline: (now + budget.unwrap_or(most).min(most)).min(self.stop_by().max(now)),
             patience: now + e.map_or(c.patience_ms, |e| e.patience_ms),
             looks_up: d.can.outcomes,
+            opens: false,
             none: if d.gateways.is_empty() { Kind::NoPrimary } else { Kind::NoHome },
         }
     }
--- a/tenet/src/polls.rs
+++ b/tenet/src/polls.rs
@@ -122,6 +122,7 @@
                 patience: now,
                 none: Kind::NoPrimary,
                 looks_up: true,
+                opens: false,
             };
             let owner = For::Pos { db: i };
             let trip = Trip::new(now, owner, load, plan, None);
--- a/tenet/src/query.rs
+++ b/tenet/src/query.rs
@@ -74,3 +74,12 @@
         })
     }
 }
+
+pub(crate) fn word(r: &BackRes) -> String {
+    match r {
+        BackRes::Ok(_) => "an answer without sense".into(),
+        BackRes::Rejected(c, w) => format!("{c} {w}"),
+        BackRes::NotSent => "not reached".into(),
+        BackRes::Lost => "no answer".into(),
+    }
+}
--- a/tenet/src/serve.rs
+++ b/tenet/src/serve.rs
@@ -11,10 +11,10 @@
             out.send.extend(to.map(|a| (a, Msg::Propose { ask })));
             return;
         }
-        if self.d.view.chain.len() < 2 {
+        if self.d.view.chain.len() < self.copies {
             let verdict = Verdict {
                 mark: 0,
-                reject: Some(Reject::new(Kind::NoCopies, "fewer than two control disks hold the state")),
+                reject: Some(Reject::new(Kind::NoCopies, "too few control disks hold the state")),
             };
             out.send.push((ask.from, Msg::Outcome { id: ask.id, verdict }));
             return;
@@ -34,7 +34,7 @@
     }
 
     pub(crate) fn advance(&mut self, now: Time, from: Mark, out: &mut Out) {
-        if self.is_tail() && self.d.view.chain.len() >= 2 {
+        if self.is_tail() && self.d.view.chain.len() >= self.copies {
             let v: Vec<Ask> = self
                 .log
                 .iter()
--- a/tenet/src/session.rs
+++ b/tenet/src/session.rs
@@ -22,6 +22,8 @@
     pub tenant: Option<String>,
     pub setup: SetUp,
     pub txn: Option<TxnAt>,
+    /// The id of a transaction whose begin waits for its first statement.
+    pub deferred: Option<String>,
     pub mark: u64,
     pub last: Time,
     pub busy: bool,
@@ -43,6 +45,7 @@
     Released,
     Closed,
     RolledBack,
+    Begun,
     Ran(Box<Ran>),
     Text(serde_json::Value),
 }
@@ -63,7 +66,8 @@
     Prepare { session: u64, name: String, text: String },
     Release { session: u64, name: String },
     Run { session: u64, kind: Want, id: Option<String>, body: String, prepared: Option<String>, budget: Option<Time> },
-    Begin { session: u64, kind: Option<Want>, id: Option<String>, budget: Option<Time> },
+    /// `lazy`: nothing is sent before the first statement.
+    Begin { session: u64, kind: Option<Want>, id: Option<String>, lazy: bool, budget: Option<Time> },
     Commit { session: u64, body: String, budget: Option<Time> },
     Rollback { session: u64 },
     Close { session: u64 },
--- a/tenet/src/table.rs
+++ b/tenet/src/table.rs
@@ -101,14 +101,17 @@
         let count = st.members.values().filter(|m| !m.disk).count().max(1) as u32;
         let mut names: Vec<String> = self.old.map_or(Vec::new(), |t| t.servers.iter().map(|s| s.name.clone()).collect());
         extend(&mut names, st.servers.keys());
-        let ix = |n: &str| names.iter().position(|m| m == n);
+        let at: HashMap<&str, usize> = names.iter().enumerate().map(|(i, n)| (n.as_str(), i)).collect();
+        let ix = |n: &str| at.get(n).copied();
         let mut servers: Vec<ServerRow> =
             names.iter().enumerate().map(|(i, n)| st.servers.get(n).map_or_else(|| self.left(i, n), |s| self.server(s))).collect();
         let mut order: Vec<String> = self.old.map_or(Vec::new(), |t| t.dbs.iter().map(|d| d.name.clone()).collect());
         extend(&mut order, c.databases.keys());
+        let of = assigned(c, st);
         let mut dbs = Vec::new();
         for n in &order {
-            let row = self.db(n, &ix, &mut servers, count, full(&self.me));
+            let mine = of.get(n).map_or(Vec::new(), |v| v.iter().filter_map(|s| ix(&s.name)).collect());
+            let row = self.db(n, mine, &ix, &mut servers, count, full(&self.me));
             dbs.push(row);
         }
         let kinds: Vec<KindRow> = c
@@ -117,8 +120,10 @@
             .map(|(n, _)| (n, c.effective(n)))
             .map(|(n, k)| KindRow { name: n.clone(), sel: Selector::parse(&k.servers).unwrap_or_default(), cfg: k })
             .collect();
-        let db_at = |n: &String| dbs.iter().position(|d| d.name == *n);
-        let kind_at = |n: &String| kinds.iter().position(|k| k.name == *n);
+        let at_db: HashMap<&str, usize> = dbs.iter().enumerate().map(|(i, d): (usize, &DbRow)| (d.name.as_str(), i)).collect();
+        let at_kind: HashMap<&str, usize> = kinds.iter().enumerate().map(|(i, k)| (k.name.as_str(), i)).collect();
+        let db_at = |n: &String| at_db.get(n.as_str()).copied();
+        let kind_at = |n: &String| at_kind.get(n.as_str()).copied();
         let entry = |e: &Entry| Some(EntryRow { db: db_at(&e.database)?, reads: kind_at(&e.reads)?, writes: kind_at(&e.writes)?, cfg: e.clone() });
         let node = |m: &Member| NodeRow {
             addr: m.addr,
@@ -169,6 +174,7 @@
     fn db(
         &self,
         n: &str,
+        mine: Vec<usize>,
         ix: &dyn Fn(&str) -> Option<usize>,
         servers: &mut [ServerRow],
         count: u32,
@@ -179,7 +185,6 @@
         let cfg = self.cfg.databases.get(n);
         let d = cfg.unwrap_or(&none);
         let b = st.dbs.get(n).filter(|_| cfg.is_some()).unwrap_or(&blank);
-        let mine: Vec<usize> = db_servers(self.cfg, st, n).iter().filter_map(|s| ix(&s.name)).collect();
         let fences = b.fencers.contains(&self.me);
         let merged = d.homes.len() == 1;
         let need = if merged { 3 } else { 2 };
--- a/tenet/src/trip.rs
+++ b/tenet/src/trip.rs
@@ -181,12 +181,12 @@
         s.busy = false;
         s.last = now;
         if let Ok(d) = r {
-            if t.load.writes || t.load.act == Act::Commit {
+            if t.load.writes || t.load.act.commits() {
                 s.mark = s.mark.max(d.pos);
             }
         }
         match (&t.load.act, r) {
-            (Act::Begin, Ok(d)) => {
+            (Act::Begin | Act::First, Ok(d)) => {
                 let via = match t.gos.last().map(|g| g.to) {
                     Some(To::Gateway(g)) => g,
                     _ => 0,
@@ -211,7 +211,7 @@
     }
 
     fn answer(&self, t: &Trip, done: Done) -> Answer {
-        let (id, step, leaving) = (t.load.id.clone(), t.load.act == Act::Step, self.leaving.is_some());
+        let (id, step, leaving) = (t.load.id.clone(), matches!(t.load.act, Act::Step | Act::First), self.leaving.is_some());
         Answer::Ran(Box::new(Ran { id, done, tries: t.gos.len(), step, leaving }))
     }
 }
--- a/tenet/src/view.rs
+++ b/tenet/src/view.rs
@@ -81,14 +81,20 @@
         let seat = |id: NodeId| v.chain.iter().any(|s| s.id == id);
         let votes = |id: NodeId| v.voters.iter().any(|s| s.id == id);
         let room = v.voters.iter().any(|s| self.missing(s.id, now, c));
+        if v.voters.len() + 2 <= VOTERS_MOST && self.joiners(c).len() >= 2 {
+            return Some("two more disks can vote".into());
+        }
         let join = c.live().filter(|s| s.disk && s.view > 0 && !s.stopping).find(|s| !seat(s.id) && (votes(s.id) || room));
         let me_out = !seat(self.me.id) && !c.me.stopping;
         join.map(|s| format!("{:x} can join the chain", s.id)).or(me_out.then(|| "this disk can join the chain".into()))
     }
 
-    pub(crate) fn missing(&self, id: NodeId, now: Time, c: &Colleagues) -> bool {
+    /// Its disk is gone for all that is known, so that another may take its vote.
+    pub fn missing(&self, id: NodeId, now: Time, c: &Colleagues) -> bool {
         let unseen = now > self.born + VOTER_REPLACE && !c.all.contains_key(&id);
-        id != self.me.id && (unseen || c.quiet(id, now).is_some_and(|q| q > VOTER_REPLACE))
+        let at = self.d.view.voters.iter().find(|s| s.id == id).map(|s| s.addr);
+        let reborn = c.live().any(|s| s.disk && s.id != id && Some(s.addr) == at);
+        id != self.me.id && (reborn || unseen || c.quiet(id, now).is_some_and(|q| q > VOTER_REPLACE))
     }
 
     fn drive(&mut self, now: Time, c: &Colleagues, out: &mut Out) {
--- a/tenet/src/waits.rs
+++ b/tenet/src/waits.rs
@@ -2,7 +2,6 @@
 use crate::front::*;
 use crate::job::*;
 use crate::kind::{Kind, Reject};
-use crate::wire::Act;
 
 impl Front {
     pub(crate) fn discard(&mut self, now: Time, server: usize, conn: u64, out: &mut FrontOut) {
@@ -16,7 +15,7 @@
             self.discard(now, s, c.id, out);
         }
         let txn = self.jobs[j].load.txn;
-        if matches!(self.jobs[j].load.act, Act::Step | Act::Commit | Act::Rollback) {
+        if self.jobs[j].load.act.inside() {
             self.txns.remove(&txn);
         }
         self.pump(now, s, out);
@@ -31,7 +30,7 @@
         let Some(t) = self.t.clone() else { return };
         let job = &self.jobs[j];
         let fenced = matches!(job.owner, Owner::Carry(..));
-        let sent = job.load.writes || job.load.act == Act::Commit;
+        let sent = job.load.writes || job.load.act.commits();
         let unknown = |w: &str| Err(Reject::new(Kind::Unknown, w));
         match job.step {
             Step::Acks if !self.still(now, job.db, job.epoch) => {
--- a/tenet/src/wire.rs
+++ b/tenet/src/wire.rs
@@ -55,6 +55,20 @@
     Commit,
     Rollback,
     Pos,
+    /// Begins, and runs the first statement.
+    First,
+    /// Begins and commits, with nothing between.
+    Whole,
+}
+
+impl Act {
+    pub fn inside(&self) -> bool {
+        matches!(self, Act::Step | Act::Commit | Act::Rollback)
+    }
+
+    pub fn commits(&self) -> bool {
+        matches!(self, Act::Commit | Act::Whole)
+    }
 }
 
 #[derive(Clone, PartialEq, Debug, Readable, Writable)]
