Let a request wait for its database's first gateways, and fence where the leader says it stands

Cause: before the first placement a request has no gateway and was refused at once, though the node says it is ready; then fencing stood in the first home and moved as the primary was adopted. Ruled out: the harness, the configuration (in force within 5 ms). Now it looks again each 40 ms while its patience lasts, and fencing begins where the one server that says it leads stands.

--- a/tenet/src/bounds.rs
+++ b/tenet/src/bounds.rs
@@ -30,6 +30,8 @@
 pub const GUARD_SPARE: Time = 250;
 pub const GUARD_SETTLED: Time = 250;
 pub const SHUN: Time = 1000;
+/// How soon a request for which no gateway was known looks again.
+pub const NO_GATEWAY: Time = 40;
 pub const PEER_ASK: Time = 100;
 pub const PEER_SILENT: Time = 320;
 pub const PEER_LOST: Time = 600;
--- a/tenet/src/collect.rs
+++ b/tenet/src/collect.rs
@@ -152,7 +152,7 @@
         let barred = db.primary.is_some_and(|p| !row.sel.matches(&t.servers[p].labels));
         if barred {
             plan.gateways.clear();
-            plan.none = Kind::NoPrimary;
+            (plan.none, plan.patience) = (Kind::NoPrimary, now);
         }
         self.set_off(now, call, sid, load, plan, bound, out);
         Ok(())
--- a/tenet/src/ledger.rs
+++ b/tenet/src/ledger.rs
@@ -102,7 +102,8 @@
         return Move::Send { to: To::Replica(*r), look_up: false };
     }
     if p.gateways.is_empty() {
-        return give(p, gos, p.none);
+        let waits = p.none == Kind::NoPrimary && !doubt && now < p.patience;
+        return if waits { Move::Wait((now + NO_GATEWAY).min(p.patience)) } else { give(p, gos, p.none) };
     }
     let n = passed;
     let to = To::Gateway(p.gateways[n % p.gateways.len()]);
--- a/tenet/src/place.rs
+++ b/tenet/src/place.rs
@@ -1,6 +1,7 @@
 use crate::base::*;
 use crate::config::Config;
 use crate::state::*;
+use crate::table::db_servers;
 
 pub struct Seats {
     pub fencers: Vec<NodeId>,
@@ -22,7 +23,10 @@
     let cfg = c.databases.get(name)?;
     let blank = Db::default();
     let db = st.dbs.get(name).unwrap_or(&blank);
+    let told = || db_servers(c, st, name).into_iter().filter(|s| s.leads).map(|s| &s.name).collect::<Vec<_>>();
     let at = db.primary.as_ref().or(db.target.as_ref()).or(db.old.as_ref());
+    let lone = at.is_none().then(told).filter(|v| v.len() == 1).map(|v| v[0]);
+    let at = at.or(lone);
     let region = |s: &String| st.servers.get(s).and_then(|s| c.region(&s.domain));
     let home = at.and_then(region).unwrap_or(&cfg.homes[0]);
     let members: Vec<&Member> = st.members.values().filter(|m| !m.disk && fit(m)).collect();
--- a/tenet/src/trip.rs
+++ b/tenet/src/trip.rs
@@ -2,6 +2,7 @@
 use crate::front::*;
 use crate::kind::{Kind, Reject};
 use crate::ledger::{self, End, Go, Move, Plan, To};
+use crate::route;
 use crate::session::*;
 use crate::wire::*;
 
@@ -36,7 +37,18 @@
         self.trip_next(now, i, out);
     }
 
+    /// A request taken in before its database had gateways gets those of now.
+    fn trip_gateways(&mut self, i: usize) {
+        let (Some(t), Some(x)) = (self.t.clone(), self.trips.get(i)) else { return };
+        if x.plan.gateways.is_empty() && x.plan.none == Kind::NoPrimary && x.plan.patience > x.born {
+            let d = t.db_ix.get(&x.load.db).map(|d| &t.dbs[*d]);
+            let v = d.map(|d| route::gateways(&t, d, &x.load, self.turn, &self.peers.silent));
+            self.trips[i].plan.gateways = v.unwrap_or_default();
+        }
+    }
+
     pub(crate) fn trip_next(&mut self, now: Time, i: usize, out: &mut FrontOut) {
+        self.trip_gateways(i);
         let t = &mut self.trips[i];
         match ledger::next(&t.plan, &t.gos, now) {
             Move::Send { to, look_up } => {
