Send large packets deflated, and none twice while it is on its way

Cause: a configuration of 53 KB went to 90 followers uncompressed and again at each of their asks (80 ms) over links of 2 Mbit/s. Ruled out: connections (307 files).

--- a/medium/src/line.rs
+++ b/medium/src/line.rs
@@ -19,6 +19,25 @@
 const DEFLATED: u8 = 1;
 const BATCH: usize = 64 << 10;
 const STEP: usize = 4096;
+const ALONE: usize = 4096;
+const ALONE_BIT: u32 = 1 << 31;
+
+/// A packet with its length before it; a large one deflated, which the length's top bit tells.
+pub fn framed(b: Vec<u8>) -> Vec<u8> {
+    let mut v = Vec::with_capacity(b.len() + 4);
+    match b.len() < ALONE {
+        true => v.extend((b.len() as u32).to_le_bytes()),
+        false => v.extend([0; 4]),
+    }
+    if b.len() < ALONE {
+        v.extend(b);
+        return v;
+    }
+    deflate(&mut Compress::new(Compression::fast(), false), &b, &mut v);
+    let n = (v.len() - 4) as u32 | ALONE_BIT;
+    v[..4].copy_from_slice(&n.to_le_bytes());
+    v
+}
 
 fn deflate(z: &mut Compress, plain: &[u8], out: &mut Vec<u8>) {
     let mut at = 0;
@@ -70,7 +89,6 @@
         }
         while let Some((at, b)) = next.take() {
             if at.elapsed() <= OLD {
-                plain.extend((b.len() as u32).to_le_bytes());
                 plain.extend(b);
             }
             if plain.len() < BATCH {
@@ -96,12 +114,20 @@
 fn packets(buf: &mut Vec<u8>, sink: &Sink) -> Result<(), String> {
     let mut at = 0;
     while let Some(h) = buf.get(at..at + 4) {
-        let n = u32::from_le_bytes([h[0], h[1], h[2], h[3]]) as usize;
+        let n = u32::from_le_bytes([h[0], h[1], h[2], h[3]]);
+        let (alone, n) = (n & ALONE_BIT != 0, (n & !ALONE_BIT) as usize);
         if n > LARGE {
             return Err(format!("announced {n} bytes"));
         }
         let Some(b) = buf.get(at + 4..at + 4 + n) else { break };
-        sink(decode(b)?);
+        match alone {
+            true => {
+                let mut whole = Vec::new();
+                inflate(&mut Decompress::new(false), b, &mut whole)?;
+                sink(decode(&whole)?);
+            }
+            false => sink(decode(b)?),
+        }
         at += 4 + n;
     }
     buf.drain(..at);
--- a/medium/src/net.rs
+++ b/medium/src/net.rs
@@ -1,7 +1,7 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use crate::line::{hear, write, Letter, LARGE};
+use crate::line::{framed, hear, write, Letter, LARGE};
 use std::time::{Duration, Instant};
 use tenet::base::Addr;
 use tenet::wire::{by_line, decode, encode, Packet};
@@ -44,6 +44,7 @@
             log::error!("net: a packet of {} bytes is too large to send", b.len());
             return;
         }
+        let b = framed(b);
         let mut g = self.lines.lock().unwrap_or_else(|e| e.into_inner());
         let line = g.entry(to).or_insert_with(|| self.line(to));
         if let Err(mpsc::error::TrySendError::Closed(b)) = line.try_send((Instant::now(), b)) {
--- a/tenet/src/bounds.rs
+++ b/tenet/src/bounds.rs
@@ -5,6 +5,8 @@
 pub const REFRESH: Time = 250;
 pub const REFRESH_LATE: Time = 400;
 pub const REFRESH_DOUBT: Time = 600;
+/// How long a large answer to a follower may be on its way before it is sent again.
+pub const LARGE_AGAIN: Time = 600;
 pub const REFRESH_AGAIN: Time = 80;
 pub const BYTES_ACK: Time = 200;
 pub const BYTES_LIFE: Time = 500;
--- a/tenet/src/chain.rs
+++ b/tenet/src/chain.rs
@@ -35,6 +35,8 @@
     pub(crate) tick_at: Time,
     pub(crate) born: Time,
     pub(crate) subs: BTreeMap<Addr, Time>,
+    /// What a follower was last given that was large: its last mark, and until when it is on its way.
+    pub(crate) under_way: BTreeMap<Addr, (Mark, Time)>,
     pub(crate) found: bool,
     pub(crate) copies: usize,
 }
@@ -60,6 +62,7 @@
             tick_at: 0,
             born: now,
             subs: BTreeMap::new(),
+            under_way: BTreeMap::new(),
             found: true,
             copies: 2,
         }
--- a/tenet/src/serve.rs
+++ b/tenet/src/serve.rs
@@ -97,6 +97,15 @@
             Changes::Entries(v) => v.last().map_or(have, |e| e.mark),
             Changes::Frame(s) => s.mark,
         };
+        let large = part.large();
+        let busy = self.under_way.get(&addr).is_some_and(|(m, t)| *m >= have && now < *t);
+        if large && busy {
+            return;
+        }
+        if large {
+            self.under_way.retain(|_, (_, t)| now < *t);
+            self.under_way.insert(addr, (have, now + LARGE_AGAIN));
+        }
         let seq = if have == self.synced { seq } else { 0 };
         out.send.push((addr, Msg::Fresh { seq, have, part, view }));
     }
--- a/tenet/src/wire.rs
+++ b/tenet/src/wire.rs
@@ -40,6 +40,16 @@
     Frame(State),
 }
 
+impl Changes {
+    /// Too much to send twice while it is on its way.
+    pub fn large(&self) -> bool {
+        match self {
+            Changes::Frame(_) => true,
+            Changes::Entries(v) => v.iter().any(|e| matches!(&e.ask.op, Op::Config { .. } | Op::Publish { .. })),
+        }
+    }
+}
+
 #[derive(Clone, PartialEq, Debug, Default, Readable, Writable)]
 pub struct SetUp {
     pub user: String,
