--- a/chance/src/cause.rs
+++ b/chance/src/cause.rs
@@ -23,9 +23,12 @@
         let to = if self.takes(&f) { &mut self.watch.took } else { &mut self.watch.vain };
         *to.entry(name).or_default() += 1;
         match &f {
-            Fault::Stop(_) | Fault::Retire(_) | Fault::Evacuate(_, true) | Fault::Drain(_, true) => self.watch.planned.push(self.now),
+            Fault::Stop(_) | Fault::Retire(_) | Fault::Depart(_) | Fault::Follow(_) | Fault::Evacuate(_, true) | Fault::Drain(_, true) => self.watch.planned.push(self.now),
             Fault::Start(_) | Fault::Configure | Fault::StaleConfigure | Fault::BadConfigure | Fault::Evacuate(..) | Fault::Drain(..) | Fault::Relabel(_) | Fault::Wire(..) => (),
-            _ => self.watch.unplanned = true,
+            f => {
+                self.watch.unplanned = true;
+                self.watch.rough |= !matches!(f, Fault::Platform(_) | Fault::LoseAnswers(_));
+            }
         }
         match f {
             Fault::Kill(i) => self.kill(i),
@@ -56,7 +59,7 @@
             }
             Fault::KillDomain(d) => {
                 self.in_domain(&d).into_iter().for_each(|i| self.kill(i));
-                (0..self.world.servers.len()).filter(|s| self.world.servers[*s].domain == d).collect::<Vec<_>>().into_iter().for_each(|s| self.world.crash(s));
+                (0..self.world.servers.len()).filter(|s| self.world.servers[*s].domain == d).collect::<Vec<_>>().into_iter().for_each(|s| self.crash(s));
             }
             Fault::StartDomain(d) => {
                 self.in_domain(&d).into_iter().for_each(|i| self.boot(i));
@@ -72,11 +75,11 @@
                 self.lost_servers.clear();
                 self.lost_node = None;
             }
-            Fault::Crash(n) => self.server(&n).into_iter().for_each(|s| self.world.crash(s)),
+            Fault::Crash(n) => self.server(&n).into_iter().for_each(|s| self.crash(s)),
             Fault::CrashTarget(db) => {
                 let c = self.nodes.iter().filter_map(|n| n.control.as_ref()).max_by_key(|c| c.state().mark);
                 let t = c.and_then(|c| c.state().dbs.get(&db)).and_then(|d| d.target.clone());
-                t.and_then(|t| self.world.ix(&t)).into_iter().for_each(|s| self.world.crash(s));
+                t.and_then(|t| self.world.ix(&t)).into_iter().for_each(|s| self.crash(s));
             }
             Fault::Restart(n) => self.server(&n).into_iter().for_each(|s| self.restart(s)),
             Fault::Replace(n) => self.server(&n).into_iter().for_each(|s| {
@@ -88,8 +91,13 @@
                     self.world.servers[s].leaving = true;
                     let name = self.world.servers[s].name.clone();
                     self.history.off.push(Off { server: name, since: self.now, until: u64::MAX, bound: 7000 });
+                    if self.termed.is_some() {
+                        self.at(self.now + 9000, Ev::Fault(Fault::Depart(s)));
+                    }
                 }
             }
+            Fault::Depart(s) => self.departs(s),
+            Fault::Follow(s) => self.follows(s),
             Fault::Stall(n, on) => self.server(&n).into_iter().for_each(|s| self.world.servers[s].stalled = on),
             Fault::LoseAnswers(p) => self.lose = p,
             Fault::Platform(m) => self.mood = m,
--- a/chance/src/client.rs
+++ b/chance/src/client.rs
@@ -129,7 +129,10 @@
     pub fn node_died(&mut self, n: usize) {
         let v: Vec<u64> = self.calls.iter().filter(|(_, x)| x.1 == n).map(|(k, _)| *k).collect();
         for call in v {
-            self.at(self.now + 1, Ev::Reply { call, res: HttpRes::Lost });
+            match self.termed.is_some() {
+                true => self.at(self.now + 1, Ev::Said { call, r: None }),
+                false => self.at(self.now + 1, Ev::Reply { call, res: HttpRes::Lost }),
+            }
         }
     }
 
--- a/chance/src/fault.rs
+++ b/chance/src/fault.rs
@@ -19,6 +19,8 @@
     Restart(String),
     Replace(String),
     Retire(String),
+    Depart(usize),
+    Follow(usize),
     Stall(String, bool),
     LoseAnswers(u64),
     Platform(Mood),
--- a/chance/src/main.rs
+++ b/chance/src/main.rs
@@ -1,7 +1,10 @@
 use bpaf::{construct, long, Parser};
 use chance::fault::Plant;
+use chance::days::{day, run_day, TERMED};
 use chance::runs::run_with;
 use chance::scripts::{find, ALL};
+use guise::termed::Flaw;
+use std::time::{Duration, Instant};
 
 struct Args {
     script: Option<String>,
@@ -18,7 +21,7 @@
 
 fn main() {
     let script = long("script").help("One script by name; all when left out").argument("NAME").optional();
-    let place = long("place").help("alumni or thessaly; both when left out").argument("NAME").optional();
+    let place = long("place").help("alumni, thessaly or termed; all when left out").argument("NAME").optional();
     let from = long("from").help("First seed").argument("SEED").fallback(1);
     let seeds = long("seeds").help("How many seeds").argument("N").fallback(10);
     let tell = long("tell").help("Print the reasons whose text holds WORD").argument("WORD").optional();
@@ -30,18 +33,21 @@
         .descr("chance: runs the real machines under virtual time and seeded failures. Exit 1 when a fault is found; each failing run prints its replay line.")
         .version(env!("CARGO_PKG_VERSION"))
         .run();
-    if let Some(n) = a.script.as_ref().filter(|n| find(n).is_none()) {
-        eprintln!("no script '{n}'; there are {}", ALL.iter().map(|s| s.name).collect::<Vec<_>>().join(", "));
+    if let Some(n) = a.script.as_ref().filter(|n| find(n).is_none() && day(n).is_none()) {
+        eprintln!("no script '{n}'; there are {}", ALL.iter().chain(TERMED).map(|s| s.name).collect::<Vec<_>>().join(", "));
         std::process::exit(2);
     }
     let places: Vec<&str> = ["alumni", "thessaly"].into_iter().filter(|p| a.place.as_ref().is_none_or(|x| x == p)).collect();
-    let list: Vec<_> = ALL.iter().filter(|s| a.script.as_ref().is_none_or(|n| n == s.name)).collect();
+    let wanted = |s: &&chance::scripts::Script| a.script.as_ref().is_none_or(|n| n == s.name);
+    let termed = a.place.as_ref().is_none_or(|p| p == "termed");
+    let own = ALL.iter().filter(wanted).flat_map(|s| places.iter().map(move |p| (s, *p)));
+    let days = TERMED.iter().filter(wanted).filter(|_| termed).map(|s| (s, "termed"));
     let mut work = Vec::new();
-    for s in &list {
-        for p in &places {
-            (a.from..a.from + a.seeds).for_each(|seed| work.push((*s, *p, seed)));
-        }
+    for (s, p) in own.chain(days) {
+        (a.from..a.from + a.seeds).for_each(|seed| work.push((s, p, seed)));
     }
+    let told = std::sync::Mutex::new(Instant::now());
+    let (done, cut) = (std::sync::atomic::AtomicUsize::new(0), std::sync::atomic::AtomicUsize::new(0));
     let met: std::sync::Mutex<Met> = Default::default();
     let next = std::sync::atomic::AtomicUsize::new(0);
     let bad = std::sync::atomic::AtomicUsize::new(0);
@@ -51,8 +57,13 @@
             t.spawn(|| loop {
                 let i = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
                 let Some((s, p, seed)) = work.get(i) else { return };
-                let sim = run_with(s, p, *seed, if a.old_sockets { Plant::OldSockets } else { Plant::None }, a.nodes);
+                let sim = match *p {
+                    "termed" => run_day(s, *seed, Flaw::None),
+                    p => run_with(s, p, *seed, if a.old_sockets { Plant::OldSockets } else { Plant::None }, a.nodes),
+                };
                 let f = sim.faults();
+                let lost = sim.judged().lost.len();
+                cut.fetch_add(lost, std::sync::atomic::Ordering::Relaxed);
                 let mut text = String::new();
                 if s.name == "pairs" {
                     let [x, y] = chance::pairs::drawn(*seed);
@@ -67,7 +78,10 @@
                     f.iter().take(60).for_each(|x| text += &format!("  {x}\n"));
                     text += &format!("  replay: chance --script {} --place {p} --from {seed} --seeds 1\n", s.name);
                 }
-                if a.times {
+                if let (true, Some(x)) = (a.times, sim.termed.as_ref()) {
+                    text += &format!("{} {p} {seed}: {:?}\n  {} statements, {} commits, {lost} acknowledged ones cut back, longest time a service took no commit {} ms\n",
+                        s.name, sim.history.kinds, x.fleet.runs.len(), x.fleet.kept.len(), x.gap);
+                } else if a.times {
                     text += &format!("{} {p} {seed}: {:?}\n  worst wait for a success {} ms, slowest adoption {} ms, back {} ms after a loss, {} ms after a heal at the slowest node, syncs {}, messages {:?}\n", s.name, sim.history.kinds,
                         sim.clients.iter().map(|c| c.worst).max().unwrap_or(0), sim.watch.slowest_adopt, sim.watch.back_after, sim.watch.healed.values().max().unwrap_or(&0), sim.nodes.iter().map(|n| n.syncs).sum::<u64>(), sim.messages);
                 }
@@ -88,6 +102,12 @@
                     v.iter().filter(|s| s.text.contains(w.as_str())).for_each(|s| text += &format!("  {} mark {} {}\n", s.at.saturating_sub(1_000_000), s.mark, s.text));
                 }
                 print!("{text}");
+                let n = done.fetch_add(1, std::sync::atomic::Ordering::Relaxed) + 1;
+                let mut at = told.lock().unwrap_or_else(|e| e.into_inner());
+                if at.elapsed() > Duration::from_secs(5) {
+                    *at = Instant::now();
+                    eprintln!("{n} of {} runs, {} with faults, last {} {p} {seed}", work.len(), bad.load(std::sync::atomic::Ordering::Relaxed), s.name);
+                }
             });
         }
     });
@@ -98,6 +118,9 @@
         println!("pairs met {} of {}, each {} to {} times", met.len(), n * (n - 1) / 2, met.values().min().unwrap_or(&0), met.values().max().unwrap_or(&0));
         took.iter().for_each(|(k, (t, v))| println!("  {k:<16} took effect {t:>6}  in vain {v:>5}"));
     }
+    if termed {
+        println!("{} acknowledged commits cut back by unplanned promotions", cut.into_inner());
+    }
     println!("{} runs, {bad} with faults", work.len());
     std::process::exit((bad > 0) as i32);
 }
--- a/chance/src/outside.rs
+++ b/chance/src/outside.rs
@@ -66,6 +66,10 @@
             if !self.world.servers[s].up || up.is_empty() {
                 continue;
             }
+            if self.termed.is_some() {
+                self.announce_one(s);
+                continue;
+            }
             let j = up[self.roll(up.len() as u64) as usize];
             let w = &self.world.servers[s];
             let op = Op::Announce {
--- a/chance/src/planned.rs
+++ b/chance/src/planned.rs
@@ -61,10 +61,22 @@
     }
 
     pub(crate) fn restart(&mut self, s: usize) {
-        self.world.restart(self.now, s);
+        match self.termed.as_mut() {
+            Some(t) => {
+                t.fleet.servers[s].up = true;
+                let w = &mut self.world.servers[s];
+                (w.up, w.leaving, w.stalled) = (true, false, false);
+            }
+            None => self.world.restart(self.now, s),
+        }
         self.stays(s);
     }
 
+    pub(crate) fn crash(&mut self, s: usize) {
+        self.world.crash(s);
+        self.termed.iter_mut().for_each(|t| t.fleet.crash(s));
+    }
+
     pub(crate) fn stays(&mut self, s: usize) {
         let (n, now) = (self.world.servers[s].name.clone(), self.now);
         self.history.off.iter_mut().filter(|o| o.server == n && o.bound == 7000).for_each(|o| o.until = o.until.min(now));
--- a/chance/src/runs.rs
+++ b/chance/src/runs.rs
@@ -35,10 +35,10 @@
 }
 
 impl Sim {
-    fn at_rest(&mut self, end: Time) {
+    pub(crate) fn at_rest(&mut self, end: Time) {
         let before = end.saturating_sub(4000);
         for d in self.cfg.databases.keys() {
-            let served = self.history.events.iter().any(|e| {
+            let served = self.served_since(d, before) || self.history.events.iter().any(|e| {
                 e.end > before && e.out == guise::check::Out::Kept && e.class == guise::mix::Class::Write && e.key.starts_with(d.as_str())
             });
             let off = |n: &String| self.history.off.iter().any(|o| o.server == *n && o.until > end);
@@ -50,7 +50,7 @@
             }
         }
         let loss = self.watch.loss_at;
-        for d in self.cfg.databases.keys().filter(|_| loss > 0) {
+        for d in self.cfg.databases.keys().filter(|_| loss > 0 && self.termed.is_none()) {
             let back = self.history.events.iter().filter(|e| {
                 e.start > loss && e.out == guise::check::Out::Kept && e.class == guise::mix::Class::Write && e.key.starts_with(d.as_str())
             });
--- a/chance/src/step.rs
+++ b/chance/src/step.rs
@@ -5,6 +5,7 @@
 use tenet::base::*;
 use tenet::control::*;
 use tenet::front::*;
+use tenet::query::Query;
 use crate::wires::End;
 use tenet::wire::Packet;
 
@@ -37,13 +38,25 @@
                 self.front(i, life, FrontIn::Back { token, res: BackRes::Lost });
             }
             Ev::Drain(i, life) => self.draining(i, life),
+            Ev::Client(c, turn) if self.termed.is_some() => self.patron(c, turn),
             Ev::Client(c, turn) => self.client(c, turn),
             Ev::Reply { call, res } => self.reply(call, res),
-            Ev::Promote { node, life, db, server, epoch } => self.promote(node, life, db, server, epoch),
+            Ev::Ask { node, life, token, server, query } => self.asked(node, life, token, server, query),
+            Ev::Said { call, r } => self.said(call, r),
+            Ev::Promote { node, life, db, server, epoch, token, until } if self.termed.is_some() => {
+                match self.nodes[node].local(self.now) < until {
+                    true => self.moved(node, life, (db, server, epoch, token)),
+                    false => self.control(node, life, In::Promoted { db, epoch, server, done: Err(false) }),
+                }
+            }
+            Ev::Promote { node, life, db, server, epoch, .. } => self.promote(node, life, db, server, epoch),
             Ev::World => {
                 self.flush();
                 self.world.apart = self.servers_apart();
-                self.world.tick(self.now);
+                match self.termed.is_some() {
+                    true => self.tick_termed(),
+                    false => self.world.tick(self.now),
+                }
                 self.look();
                 self.at(self.now + 10, Ev::World);
             }
@@ -93,9 +106,10 @@
             let wait = match self.mood {
                 Mood::Slow => 4000,
                 Mood::Quick => 1,
+                _ if self.termed.is_some() => 20 + self.roll(100),
                 _ => 1000,
             };
-            self.at(self.now + wait, Ev::Promote { node: i, life, db: p.db, server: p.server, epoch: p.epoch });
+            self.at(self.now + wait, Ev::Promote { node: i, life, db: p.db, server: p.server, epoch: p.epoch, token: p.token, until: p.not_after });
         }
         let w = self.nodes[i].global(e.wakeup).max(self.now + 1);
         self.nodes[i].wake_c = w;
@@ -116,6 +130,10 @@
             self.post(i, a, Packet { from, addr, cluster: 0, msg });
         }
         for (call, r) in o.response {
+            if self.termed.is_some() {
+                self.at(self.now + 1, Ev::Said { call, r: Some(r) });
+                continue;
+            }
             let res = match r {
                 Ok(v) => HttpRes::Ok(medium::dialect::told(v)),
                 Err(e) => HttpRes::Rejected(e.kind.row().code, format!("{}/{}", e.kind.row().kept, e)),
@@ -149,6 +167,11 @@
         if self.apart(a, d) && self.roll(4) == 0 {
             return self.at(self.now + 400, Ev::Front(i, life, FrontIn::Back { token, res: BackRes::NotSent }));
         }
+        if self.termed.is_some() {
+            let cost = if matches!(b.query, Query::Position { .. }) { 0 } else { 2 };
+            let ev = Ev::Ask { node: i, life, token, server: s, query: b.query };
+            return self.pipe(a, d, Some((i, token)), cost, ev);
+        }
         let (path, body) = medium::dialect::ask(&b.query);
         let cost = match path {
             "/connect" => 20,
--- a/chance/src/watch.rs
+++ b/chance/src/watch.rs
@@ -26,6 +26,7 @@
     pub took: BTreeMap<String, u64>,
     pub planned: Vec<Time>,
     pub unplanned: bool,
+    pub rough: bool,
     pub heal_at: Time,
     pub healed: BTreeMap<usize, Time>,
 }
@@ -47,6 +48,9 @@
     }
 
     pub fn configure(&mut self) {
+        if self.termed.is_some() {
+            return self.publish();
+        }
         let mut c = self.cfg.clone();
         c.timeouts.patience_ms = 2500 + self.watch.accepted.len() as u64;
         let text = serde_json::to_string(&c).unwrap_or_default();
@@ -118,6 +122,9 @@
     }
 
     pub fn faults(&self) -> Vec<String> {
+        if self.termed.is_some() {
+            return self.judged().faults;
+        }
         let mut v = guise::check::check(&self.history, &self.world);
         v.extend(self.watch.faults.clone());
         v
--- a/chance/tests/plants.rs
+++ b/chance/tests/plants.rs
@@ -1,7 +1,9 @@
 #![cfg(plant)]
+use chance::days::{day, run_day};
 use chance::fault::Plant;
 use chance::runs::run;
 use chance::scripts::find;
+use guise::termed::Flaw;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use tenet::plant::{plant, Bug};
 
@@ -31,6 +33,28 @@
     }
 }
 
+fn found_on_terms(lost: &mut Vec<String>, bug: Bug, days: &[&str], rule: &str) {
+    plant(bug);
+    let hit = (1..=12).any(|seed| days.iter().any(|n| run_day(day(n).unwrap(), seed, Flaw::None).faults().iter().any(|f| f.starts_with(rule))));
+    plant(Bug::None);
+    if !hit {
+        lost.push(format!("{bug:?} was never found as {rule} on servers that number their terms"));
+    }
+}
+
+#[test]
+fn each_bug_on_servers_that_number_their_terms_is_found_by_a_run() {
+    let mut lost = Vec::new();
+    found_on_terms(&mut lost, Bug::NoReset, &["calm"], "pinned");
+    found_on_terms(&mut lost, Bug::SendUnchecked, &["domain-cut", "freeze-fencer"], "stale");
+    found_on_terms(&mut lost, Bug::OfflineSkipped, &["domain-cut", "dark"], "stale");
+    found_on_terms(&mut lost, Bug::BoundIgnored, &["calm"], "stale");
+    found_on_terms(&mut lost, Bug::OwnIgnored, &["calm"], "stale");
+    found_on_terms(&mut lost, Bug::LostSentAgain, &["answers-vanish"], "twice");
+    found_on_terms(&mut lost, Bug::NothingTold, &["answers-vanish"], "refused");
+    assert_eq!(lost, Vec::<String>::new());
+}
+
 #[test]
 fn each_bug_planted_in_the_product_is_found_by_a_run() {
     let mut lost = Vec::new();
--- a/guise/src/lib.rs
+++ b/guise/src/lib.rs
@@ -1,6 +1,9 @@
 pub mod store;
 pub mod world;
 pub mod talk;
+pub mod termed;
+pub mod serving;
+pub mod judge;
 pub mod check;
 pub mod mix;
 pub mod procs;
--- a/tenet/src/ledger.rs
+++ b/tenet/src/ledger.rs
@@ -85,7 +85,7 @@
     if p.opens && !p.commit && ran {
         return Move::Give(Kind::Aborted);
     }
-    let doubt = unsure(p, gos);
+    let doubt = unsure(p, gos) && !planted(Bug::LostSentAgain);
     if doubt && !p.looks_up {
         return Move::Give(Kind::Unknown);
     }
--- a/tenet/src/plant.rs
+++ b/tenet/src/plant.rs
@@ -16,6 +16,8 @@
     NothingTold,
     NoReset,
     RuleIgnored,
+    BoundIgnored,
+    LostSentAgain,
 }
 
 #[cfg(plant)]
