Tell nothing of servers a node has ceased to poll

Cause: where servers guard reads only fencing nodes poll; once the roles moved, the former ones went on reporting their last sight, reach and all, every 150 ms. A target that died after its promotion was accepted was then never rejected, for somebody still saw it, and the database stayed at 'promoting'. Ruled out: the platform's answer (409, taken as such) and the pilot's turn (the same head all along). Sights end 1.5 s after the last poll or answer; a rejection asks only for sights told within that time.

--- a/tenet/src/pilot.rs
+++ b/tenet/src/pilot.rs
@@ -226,7 +226,7 @@
             }
             self.asks.insert(db.into(), (epoch, Ask3::Wait(now + PROMOTE_AGAIN)));
             let sure = self.chosen.get(db) == Some(&epoch) && self.unknown.get(db) != Some(&epoch);
-            let gone = sure && !unknown && self.seen.iter().all(|((_, s), x)| s != server || !x.s.reach);
+            let gone = sure && !unknown && self.seen.iter().all(|((_, s), x)| s != server || !x.s.reach || now >= x.at + SIGHT_STALE);
             return gone.then(|| Op::Rejected { db: db.into(), epoch, server: server.into() });
         }
         Some(Op::Promoted { db: db.into(), epoch, server: server.into() })
--- a/tenet/src/polls.rs
+++ b/tenet/src/polls.rs
@@ -80,7 +80,8 @@
     }
 
     fn sights(&self, now: Time, t: &Table) -> Vec<Sight> {
-        let mine = |i: &usize| t.dbs.iter().any(|d| d.servers.contains(i)) && self.polled[*i] > 0;
+        let late = |i: usize| now >= self.polled[i].max(self.known[i].heard) + SIGHT_STALE;
+        let mine = |i: &usize| t.dbs.iter().any(|d| d.servers.contains(i)) && self.polled[*i] > 0 && !late(*i);
         (0..t.servers.len())
             .filter(mine)
             .map(|i| {
