--- a/chance/src/days.rs
+++ b/chance/src/days.rs
@@ -112,8 +112,19 @@
         let n = format!("{}-{}", db(s), 1 + s.roll(2));
         vec![(11_000, Stall(n.clone(), true)), (20_000, Stall(n, false))]
     } },
+    Script { name: "pairs", end: 56_000, faults: two },
 ];
 
+/// Two days at once, the second up to 8 s later.
+fn two(s: &mut Sim) -> Vec<(Time, Fault)> {
+    let n = TERMED.len() as u64 - 1;
+    let (a, b, late) = (s.roll(n) as usize, s.roll(n) as usize, s.roll(8000));
+    let mut v = (TERMED[a].faults)(s);
+    v.extend((TERMED[b].faults)(s).into_iter().map(|(t, f)| (t + late, f)));
+    v.extend([(44_000, Heal), (44_000, ThawAll), (44_000, Platform(Mood::Good))]);
+    v
+}
+
 pub fn day(n: &str) -> Option<&'static Script> {
     TERMED.iter().find(|s| s.name == n)
 }
--- a/chance/tests/termed.rs
+++ b/chance/tests/termed.rs
@@ -28,6 +28,12 @@
     assert_eq!(sweep(work), Vec::<String>::new());
 }
 
+#[test]
+fn days_that_once_failed_stay_mended() {
+    let work = [105, 106, 111].into_iter().map(|seed| ("target-dies", seed)).collect();
+    assert_eq!(sweep(work), Vec::<String>::new());
+}
+
 #[test]
 fn a_planned_change_cuts_back_nothing_that_was_acknowledged() {
     for (name, seed) in [("retire", 3), ("retire", 4), ("evacuate", 3), ("retire-platform", 3)] {
