Give up a promotion nobody has the answer of, once it can't take effect any more

Only for servers with terms, 8 s after the last unanswered call or the new head's begin, and only when the platform refuses and nobody reaches the target.

--- a/tenet/src/bounds.rs
+++ b/tenet/src/bounds.rs
@@ -70,6 +70,8 @@
 pub const PILOT_FIRST: Time = 500;
 /// How long an accepted promotion may take before it is asked for again.
 pub const LEADS_WITHIN: Time = 2500;
+/// How long a promotion whose answer nobody has may still take effect, on servers with terms.
+pub const UNKNOWN_OVER: Time = 8000;
 pub const PROMOTE_AGAIN: Time = 500;
 pub const SIGHT_KEPT: Time = 5000;
 pub const VIEW_MOST: Time = 2500;
--- a/tenet/src/pilot.rs
+++ b/tenet/src/pilot.rs
@@ -37,7 +37,7 @@
     pub(crate) learned: BTreeMap<String, (Mark, Time)>,
     pub(crate) placed: BTreeMap<String, (Vec<NodeId>, Time)>,
     pub(crate) asks: BTreeMap<String, (Mark, Ask3)>,
-    pub(crate) unknown: BTreeMap<String, Mark>,
+    pub(crate) unknown: BTreeMap<String, (Mark, Time)>,
     pub(crate) chosen: BTreeMap<String, Mark>,
     pub(crate) member_at: BTreeMap<NodeId, (Mark, Time)>,
     pub(crate) join_at: BTreeMap<(String, String), (Mark, Time)>,
@@ -215,17 +215,19 @@
         self.seen.get(&(f, p.name.clone())).is_some_and(|x| k.now < x.at + SIGHT_STALE && x.at.saturating_sub(x.s.age) > at && x.s.reach && !x.s.leads)
     }
 
-    pub fn promoted(&mut self, now: Time, db: &str, epoch: Mark, server: &str, done: Result<bool, bool>) -> Option<Op> {
+    pub fn promoted(&mut self, now: Time, db: &str, epoch: Mark, server: &str, terms: bool, done: Result<bool, bool>) -> Option<Op> {
         if done == Ok(false) {
             self.asks.insert(db.into(), (epoch, Ask3::Accepted(now)));
             return None;
         }
         if let Err(unknown) = done {
             if unknown {
-                self.unknown.insert(db.into(), epoch);
+                self.unknown.insert(db.into(), (epoch, now));
             }
             self.asks.insert(db.into(), (epoch, Ask3::Wait(now + PROMOTE_AGAIN)));
-            let sure = self.chosen.get(db) == Some(&epoch) && self.unknown.get(db) != Some(&epoch);
+            let mine = self.chosen.get(db) == Some(&epoch);
+            let open = self.unknown.get(db).filter(|u| u.0 == epoch).map(|u| u.1).or(self.began.filter(|_| !mine));
+            let sure = open.is_none_or(|t| terms && now > t + UNKNOWN_OVER);
             let gone = sure && !unknown && self.seen.iter().all(|((_, s), x)| s != server || !x.s.reach || now >= x.at + SIGHT_STALE);
             return gone.then(|| Op::Rejected { db: db.into(), epoch, server: server.into() });
         }
