Found the fleet by the processes named for it, else by the three with a disk

Failing test: chance's thessaly runs, nothing ever founded. Cause: seeds may be any three processes in the product; founding had been bound to them. Ruled out: gossip (all knew all). Now founders are named by whoever starts the process (the platform names its seeds, at the first start alone).

--- a/chance/src/node.rs
+++ b/chance/src/node.rs
@@ -75,6 +75,7 @@
             disk: self.disk,
             seeds,
             found: true,
+            founders: vec![],
             copies: 2,
             durable,
             seed: mix(seed ^ mix(self.i as u64 * 1000 + self.life as u64)),
--- a/chance/src/patron.rs
+++ b/chance/src/patron.rs
@@ -153,7 +153,8 @@
                 let steps = 1 + self.roll(5);
                 self.now = Now::Begin { steps };
                 let id = Some(self.id());
-                Next::Send(Req::Begin { session, kind: None, id, budget: None }, None)
+                let lazy = self.roll(2) == 0;
+                Next::Send(Req::Begin { session, kind: None, id, lazy, budget: None }, None)
             }
             x => {
                 let (r, a) = self.statement(x < 60, 0);
--- a/chance/src/slopes/scene.rs
+++ b/chance/src/slopes/scene.rs
@@ -112,6 +112,7 @@
         let d = Durable { id: s.id, pledge: self.view().chain, view: self.view(), whole: 1, state: st.clone(), ..Durable::default() };
         Start {
             found: true,
+            founders: vec![],
             copies: 2,
             addr: s.addr,
             http: s.addr,
--- a/medium/src/run.rs
+++ b/medium/src/run.rs
@@ -104,6 +104,7 @@
         domain: p.domain.clone(),
         disk,
         found: p.found,
+        founders: p.founders.iter().map(|s| (*s).into()).collect(),
         copies: p.copies,
         seeds: p.seeds.iter().map(|s| (*s).into()).collect(),
         durable,
--- a/medium/src/settings.rs
+++ b/medium/src/settings.rs
@@ -25,6 +25,8 @@
     pub platform: Option<SocketAddr>,
     /// The fleet may be founded now.
     pub found: bool,
+    /// Addresses of the processes that found it; empty: the three with a disk.
+    pub founders: Vec<SocketAddr>,
     /// Synced copies that an acknowledged change needs.
     pub copies: usize,
 }
@@ -108,7 +110,7 @@
         return Err(eyre!("settings.{f}: name one address, the others must be able to reach it"));
     }
     let platform = s.platform.as_deref().map(|p| addr("platform", p)).transpose()?;
-    Ok(Place { listen, http, domain: s.domain, seeds, data: s.data, platform, found: true, copies: 2 })
+    Ok(Place { listen, http, domain: s.domain, seeds, data: s.data, platform, found: true, founders: Vec::new(), copies: 2 })
 }
 
 #[cfg(test)]
--- a/tenet/src/chain.rs
+++ b/tenet/src/chain.rs
@@ -38,6 +38,7 @@
     /// What a follower was last given that was large: its last mark, and until when it is on its way.
     pub(crate) under_way: BTreeMap<Addr, (Mark, Time)>,
     pub(crate) found: bool,
+    pub(crate) founders: Vec<Addr>,
     pub(crate) copies: usize,
 }
 
@@ -64,12 +65,13 @@
             subs: BTreeMap::new(),
             under_way: BTreeMap::new(),
             found: true,
+            founders: Vec::new(),
             copies: 2,
         }
     }
 
-    pub fn with(self, found: bool, copies: usize) -> Self {
-        Chain { found, copies, ..self }
+    pub fn with(self, found: bool, founders: Vec<Addr>, copies: usize) -> Self {
+        Chain { found, founders, copies, ..self }
     }
 
     pub fn keep(&mut self, r: Rec, out: &mut Out) -> Option<Verdict> {
--- a/tenet/src/control.rs
+++ b/tenet/src/control.rs
@@ -69,7 +69,7 @@
             http: s.http,
             wall: s.wall.saturating_sub(now),
             c: Colleagues::new(sum, s.seeds, s.wire),
-            chain: s.disk.then(|| Chain::new(me, d, now).with(s.found, s.copies)),
+            chain: s.disk.then(|| Chain::new(me, d, now).with(s.found, s.founders, s.copies)),
             f: Follow::new(view),
             watch: Watch::default(),
             pending: BTreeMap::new(),
--- a/tenet/src/effect.rs
+++ b/tenet/src/effect.rs
@@ -46,6 +46,8 @@
     pub seeds: Vec<Addr>,
     /// The fleet may be founded now: it starts for the first time.
     pub found: bool,
+    /// Who founds it; empty: the three processes with a disk.
+    pub founders: Vec<Addr>,
     /// Synced copies that an acknowledged change needs.
     pub copies: usize,
     pub durable: Option<Durable>,
--- a/tenet/src/found.rs
+++ b/tenet/src/found.rs
@@ -54,12 +54,13 @@
             out.send.push((*a, Msg::ViewAsk));
             return;
         }
-        let seed = |s: &Seat| c.seeds.contains(&s.addr);
+        let named = |s: &Seat| self.founders.is_empty() || self.founders.contains(&s.addr);
+        let need = if self.founders.is_empty() { 3 } else { self.founders.len() };
         let mut set: Vec<Seat> = c.live().filter(|s| s.disk).map(|s| Seat { id: s.id, addr: s.addr }).collect();
         set.push(self.me);
-        set.retain(seed);
+        set.retain(named);
         set.sort();
-        let all = set.len() == c.seeds.len() && set.len() >= self.copies && seed(&self.me);
+        let all = set.len() == need && set.len() >= self.copies && named(&self.me);
         if self.d.pledge.is_empty() && self.found && all && now > 1000 {
             self.keep(Rec::Pledge(set), out);
         }
