Run a transaction's first statement on one connection only

Cause: a lease that ended between the run of a deferred begin's first statement and its answer gave not-current, and it was run again elsewhere. Ruled out: the ledger (it gives up on lost, aborted, unknown). Now that answer is aborted.

--- a/tenet/src/job.rs
+++ b/tenet/src/job.rs
@@ -82,7 +82,7 @@
             .and_then(|t| t.db_ix.get(&load.db).map(|i| (*i, t.dbs[*i].epoch)))
             .unwrap_or((0, 0));
         let j = self.jobs.insert(Job::new(now, owner, load, server, db, epoch));
-        self.job_take(now, j, out);
+        self.job_take(now, j, out)
     }
 
     pub(crate) fn job_take(&mut self, now: Time, j: usize, out: &mut FrontOut) {
@@ -93,8 +93,7 @@
             if held >= rules.queue as usize {
                 return self.job_end(now, j, Err(Reject::new(Kind::Busy, "too many wait for a silent primary")), out);
             }
-            self.jobs[j].step = Step::Held;
-            return;
+            return self.jobs[j].step = Step::Held;
         }
         let job = &mut self.jobs[j];
         let setup = setup_digest(&job.load.setup);
@@ -216,7 +215,11 @@
         let fenced = matches!(job.owner, Owner::Carry(..));
         let mut r = r;
         if fenced && r.is_ok() && !self.still(now, job.db, job.epoch) {
-            let k = if job.load.writes || job.load.act.commits() { Kind::Unknown } else { Kind::NotCurrent };
+            let k = match job.load.act {
+                _ if job.load.writes || job.load.act.commits() => Kind::Unknown,
+                Act::First => Kind::Aborted,
+                _ => Kind::NotCurrent,
+            };
             r = Err(Reject::new(k, "the permit ended before success could be told"));
         }
         let server = self.t.as_ref().map_or(String::new(), |t| t.servers[job.server].name.clone());
