Give each try to begin a transaction a key of its own

Cause: a begin was sent to a gateway that froze, given up after 600 ms of silence and sent again; at thaw the first one arrived late and replaced the open transaction's connection at the fencing node. Ruled out: failover (none took place) and acknowledgement. Now a late begin opens a transaction nobody commits.

--- a/tenet/src/trip.rs
+++ b/tenet/src/trip.rs
@@ -49,9 +49,13 @@
 
     pub(crate) fn trip_next(&mut self, now: Time, i: usize, out: &mut FrontOut) {
         self.trip_gateways(i);
+        let key = self.ids.take();
         let t = &mut self.trips[i];
         match ledger::next(&t.plan, &t.gos, now) {
             Move::Send { to, look_up } => {
+                if matches!(t.load.act, Act::Begin | Act::First | Act::Whole) {
+                    t.load.txn = key;
+                }
                 t.gos.push(Go { to, at: now, end: End::Open, end_at: now });
                 let budget = t.plan.deadline - now;
                 let mut load = Load { look_up, budget, ..t.load.clone() };
