--- a/tenet/src/bounds.rs
+++ b/tenet/src/bounds.rs
@@ -56,10 +56,13 @@
 pub const PROBE_INDIRECT: Time = 350;
 pub const SUSPICION: Time = 1200;
 pub const FORGET: Time = 60_000;
+pub const SEEDS_FIRST: Time = 50;
 pub const SEEDS_AGAIN: Time = 1000;
 pub const CATCH_UP: Time = 5000;
 /// How long a choice among replicas waits for those not yet seen since the old primary went offline.
 pub const HEIR_LOOK: Time = 700;
+/// How long a replica must have been silent not to be waited for.
+pub const DARK: Time = 600;
 pub const HEIR_WAIT: Time = 3000;
 pub const CLOSE_EXTRA: Time = 500;
 pub const NEAR_AGE: Time = 400;
--- a/tenet/src/colleagues.rs
+++ b/tenet/src/colleagues.rs
@@ -44,6 +44,7 @@
     pub(crate) seq: u32,
     pub(crate) next: Time,
     pub(crate) seeds_next: Time,
+    pub(crate) seeds_wait: Time,
     pub stories: Vec<(String, String)>,
 }
 
@@ -64,6 +65,7 @@
             seq: 0,
             next: 0,
             seeds_next: 0,
+            seeds_wait: 0,
             stories: Vec::new(),
         }
     }
--- a/tenet/src/failover.rs
+++ b/tenet/src/failover.rs
@@ -5,6 +5,12 @@
 use crate::table::{db_servers, server_off};
 
 impl Watch {
+    /// Those who asked it lately got no answer.
+    fn dark(&self, k: &Sky, server: &str) -> bool {
+        let mut v = self.seen.iter().filter(|((_, s), x)| s == server && k.now < x.at + SIGHT_STALE).peekable();
+        v.peek().is_some() && v.all(|(_, x)| !x.s.reach && x.s.age >= DARK)
+    }
+
     pub(crate) fn all_clean(&self, k: &Sky, n: &str, d: &Db) -> bool {
         let old = self.placed.get(n).is_some_and(|e| k.now > e.1 + FULL);
         let said = |f: &NodeId| self.clean.get(&(*f, n.to_string())) == Some(&d.since);
@@ -39,7 +45,8 @@
             true => d.heirs.keys().filter(|h| k.st.heir(d, h)).collect(),
             false => all.iter().map(|s| &s.name).filter(|s| d.old.as_ref() != Some(*s)).collect(),
         };
-        let unseen = heirs.iter().any(|h| k.st.servers.get(*h).is_some_and(|s| server_off(k.st, s).is_none() && self.sight(k, h, s.life, since).is_none()));
+        let awaited = |h: &&&String| k.st.servers.get(**h).is_some_and(|s| server_off(k.st, s).is_none() && self.sight(k, h, s.life, since).is_none());
+        let unseen = heirs.iter().filter(awaited).any(|h| !self.dark(k, h));
         if !confirms && unseen && k.now < at + HEIR_LOOK {
             return;
         }
--- a/tenet/src/probe.rs
+++ b/tenet/src/probe.rs
@@ -13,7 +13,8 @@
     pub fn tick(&mut self, now: Time, send: &mut Vec<(Addr, Msg)>) -> Time {
         self.expire(now, send);
         if now >= self.seeds_next {
-            self.seeds_next = now + SEEDS_AGAIN;
+            self.seeds_wait = (self.seeds_wait * 2).clamp(SEEDS_FIRST, SEEDS_AGAIN);
+            self.seeds_next = now + self.seeds_wait;
             for a in self.seeds.clone() {
                 let known = self.all.values().any(|c| c.s.addr == a && c.s.status == ALIVE);
                 if a != self.me.addr && !known {
