Choose no primary before every replica that may hold an acknowledged commit was seen

Now the choice waits until too few replicas are unseen to hide a commit. Test: place.rs, where one replica holds each commit.

--- a/tenet/src/entry.rs
+++ b/tenet/src/entry.rs
@@ -39,11 +39,13 @@
     pub keeps_state: bool,
     /// A commit is acknowledged when every heir holds it; else when the primary has it.
     pub confirms: bool,
+    /// Replicas that hold a commit before the primary acknowledges it.
+    pub synced: u32,
 }
 
 impl Default for Abilities {
     fn default() -> Self {
-        Abilities { outcomes: true, guards: false, keeps_state: true, confirms: true }
+        Abilities { outcomes: true, guards: false, keeps_state: true, confirms: true, synced: 0 }
     }
 }
 
--- a/tenet/src/failover.rs
+++ b/tenet/src/failover.rs
@@ -39,7 +39,8 @@
         let since = at;
         let old = d.old.as_ref().and_then(|o| k.st.servers.get(o));
         let old_seen = old.and_then(|o| self.sight(k, &o.name, o.life, since)).filter(|x| x.leads).map(|x| x.pos);
-        let confirms = k.cfg.databases.get(n).is_none_or(|d| d.can.confirms);
+        let can = k.cfg.databases.get(n).map(|d| d.can).unwrap_or_default();
+        let confirms = can.confirms;
         let all = db_servers(k.cfg, k.st, n);
         let heirs: Vec<&String> = match confirms {
             true => d.heirs.keys().filter(|h| k.st.heir(d, h)).collect(),
@@ -47,7 +48,9 @@
         };
         let awaited = |h: &&&String| k.st.servers.get(**h).is_some_and(|s| server_off(k.st, s).is_none() && self.sight(k, h, s.life, since).is_none());
         let unseen = heirs.iter().filter(awaited).any(|h| !self.dark(k, h));
-        if !confirms && unseen && k.now < at + HEIR_LOOK {
+        let held = heirs.iter().filter(|h| k.st.servers.get(**h).is_some_and(|s| self.sight(k, h, s.life, since).is_some())).count();
+        let short = can.synced > 0 && held + (can.synced as usize) < heirs.len() + 1;
+        if !confirms && (short || unseen && k.now < at + HEIR_LOOK) {
             return;
         }
         let mut best: Vec<(bool, u64, &String)> = heirs
--- a/tenet/tests/place.rs
+++ b/tenet/tests/place.rs
@@ -217,3 +217,25 @@
     p.heard(7);
     assert!(p.silent.is_empty() && p.tick(5000).0.is_empty());
 }
+
+#[test]
+fn where_one_replica_holds_each_commit_both_are_seen_before_one_is_chosen() {
+    let text = ALUMNI.replacen("\"cap\":", "\"can\": {\"confirms\": false, \"synced\": 1}, \"cap\":", 9);
+    let c = Arc::new(Config::parse(&text).unwrap_or_else(|e| panic!("{e:?}")));
+    let (_, mut s, epoch) = fleet();
+    put(&mut s, Op::Offline { db: "members".into(), epoch, why: String::new() });
+    let me = Summary { id: 1, addr: Addr::NONE, http: Addr::NONE, domain: DOMAINS[1].into(), disk: true, life: 1, status: 0, view: 1, mark: 1, allows: true, stopping: false };
+    let peers = Colleagues::new(me, vec![], 2);
+    let sight = |n: &str, life, pos| Sight { server: n.into(), life, age: 0, reach: true, pos, follows: "a".into(), leads: false, link: true };
+    let choose = |w: &mut Watch, now, v: Vec<Sight>| {
+        w.sights(now, 2, v);
+        let (ops, _) = w.tick(&Sky { now, me: 1, st: &s, cfg: &c, c: &peers });
+        ops.into_iter().find_map(|o| if let Op::Target { server, .. } = o { Some(server) } else { None })
+    };
+    let mut w = Watch::default();
+    choose(&mut w, 1000, vec![]);
+    let late = 1000 + 3 * FULL + HEIR_LOOK;
+    assert_eq!(choose(&mut w, late, vec![sight("b", 11, 7)]), None);
+    assert_eq!(choose(&mut w, late + 60_000, vec![sight("b", 11, 7)]), None);
+    assert_eq!(choose(&mut w, late + 60_100, vec![sight("b", 11, 7), sight("c", 12, 9)]), Some("c".into()));
+}
