Ask for a primary's position only where reads wanted it of late

Cause: each of 84 nodes asked for each of 30 databases' position four times a second, over links of 2 Mbit/s. Ruled out: memory (36 MB now), founding (five voters in 1.5 s).

--- a/tenet/src/bounds.rs
+++ b/tenet/src/bounds.rs
@@ -43,6 +43,8 @@
 pub const FENCE_POLL: Time = 100;
 pub const READ_POLL: Time = 250;
 pub const ACK_POLL: Time = 15;
+/// How long after a read a node goes on asking for its database's position.
+pub const POS_WANTED: Time = 600;
 pub const POS_ASK: Time = 250;
 pub const POLL_LIMIT: Time = 400;
 pub const CLOCK_KEPT: Time = 10_000;
--- a/tenet/src/collect.rs
+++ b/tenet/src/collect.rs
@@ -144,6 +144,7 @@
         let own = if row.cfg.fresh.own_changes && !planted(Bug::OwnIgnored) { mark } else { 0 };
         let mut plan = self.plan(now, &t, sid, &load, budget);
         if let Some(b) = bound {
+            self.wanted[db] = now;
             let after = if planted(Bug::BoundIgnored) { Some(1) } else { self.guard(now, &t, db, b) };
             load.after = after.map_or(0, |p| p.max(own));
             plan.replicas = self.replicas(now, &t, sid, row, &load, b, own);
--- a/tenet/src/front.rs
+++ b/tenet/src/front.rs
@@ -72,6 +72,8 @@
     pub(crate) off_at: Vec<Time>,
     pub(crate) standings: Vec<Standing>,
     pub(crate) asked: Vec<Time>,
+    /// When a read last wanted the primary's position of each database.
+    pub(crate) wanted: Vec<Time>,
     pub(crate) traces: Traces,
     pub(crate) turn: u64,
     pub(crate) served: u64,
@@ -108,6 +110,7 @@
             off_at: Vec::new(),
             standings: Vec::new(),
             asked: Vec::new(),
+            wanted: Vec::new(),
             traces: Traces::default(),
             turn: mix(seed),
             served: 0,
@@ -208,6 +211,7 @@
             self.marks.push(Marks::default());
             self.closing_at.push((0, 0));
             self.asked.push(0);
+            self.wanted.push(0);
         }
         for (i, s) in t.servers.iter().enumerate() {
             if self.pools[i].life != s.life {
--- a/tenet/src/polls.rs
+++ b/tenet/src/polls.rs
@@ -104,7 +104,8 @@
         for (i, d) in t.dbs.iter().enumerate() {
             let known = (d.fences || d.can.guards) && now < self.marks[i].newest() + POS_ASK;
             let due = now >= self.asked[i] + POS_ASK && !known && t.db_ix.contains_key(&d.name);
-            if !due || d.gateways.is_empty() || !self.allows(now) {
+            let idle = d.can.guards && now > self.wanted[i] + POS_WANTED;
+            if idle || !due || d.gateways.is_empty() || !self.allows(now) {
                 continue;
             }
             self.asked[i] = now;
