Read a body that is too large to its end, so that its connection stays of use

Failing test: guise doors, 1 of 24 runs under load, a request answered by nothing. Cause: the new HTTP server closed the connection of an oversized body with bytes unread, and the next request went over it. Ruled out: the daemons (logs). Seen once and not explained: in one run under load no primary was adopted for 20 s; 48 further runs of that test passed it.

--- a/medium/src/http.rs
+++ b/medium/src/http.rs
@@ -15,6 +15,8 @@
 use volo_http::response::Response;
 
 const HEADERS: Duration = Duration::from_secs(10);
+/// A body up to this many bytes is read, also to reject it, so that its connection stays of use.
+const READ_LIMIT: usize = 4 * BODY_LIMIT;
 
 async fn told_to_stop() {
     let (Ok(mut t), Ok(mut i)) = (signal(SignalKind::terminate()), signal(SignalKind::interrupt())) else {
@@ -33,7 +35,7 @@
 {
     let (head, body) = r.into_parts();
     let query = head.uri.query().unwrap_or("").to_string();
-    match Limited::new(body, BODY_LIMIT + 1).collect().await {
+    match Limited::new(body, READ_LIMIT).collect().await {
         Ok(b) => h(head.method.to_string(), head.uri.path().to_string(), query, b.to_bytes().to_vec()).await,
         Err(e) => response(Err(Reject::new(Kind::TooLarge, e.to_string()))),
     }
