Count evacuations of one zone that overlap

Now the platform's orders are counted, a repeat within 5.2 s (one acknowledgement's time) counts once; the product's own evacuate and return are as they were.

--- a/tenet/src/apply.rs
+++ b/tenet/src/apply.rs
@@ -29,6 +29,7 @@
                 }
                 Ok(m)
             }
+            Op::Hold { domain, on } => Ok(self.hold(a.at, domain, *on)),
             Op::Drain { server, on } => {
                 self.servers.get(server).ok_or_else(|| Reject::new(Kind::UnknownName, server.clone()))?;
                 let was = self.drained.contains_key(server);
@@ -223,7 +224,7 @@
                     v.is_empty().then_some(()).ok_or(v)
                 })
                 .map_err(|e| Reject::new(Kind::BadConfig, e.join("; "))),
-            Op::Evacuate { domain, .. } => Config::parse(&self.cfg)
+            Op::Evacuate { domain, .. } | Op::Hold { domain, .. } => Config::parse(&self.cfg)
                 .ok()
                 .and_then(|c| c.domains.get(domain).map(|_| ()))
                 .ok_or_else(|| Reject::new(Kind::UnknownName, format!("no domain '{domain}'"))),
--- a/tenet/src/bounds.rs
+++ b/tenet/src/bounds.rs
@@ -12,6 +12,8 @@
 pub const BYTES_LIFE: Time = 500;
 pub const LINE_ACK: Time = 600;
 pub const LINE_OLD: Time = 600;
+/// How long an order without an id may come again, as the platform's operators send it.
+pub const REPEATS: Time = 5200;
 pub const LEAVING_SERVES: Time = 3000;
 pub const TAIL_PERMIT: Time = 600;
 pub const TAIL_DRIFT: Time = 60;
--- a/tenet/src/publish.rs
+++ b/tenet/src/publish.rs
@@ -1,6 +1,7 @@
 use crate::base::*;
 use crate::apply::{stale, Res};
 use crate::state::*;
+use crate::base::REPEATS;
 
 impl State {
     pub(crate) fn config(&mut self, at: u64, base: Mark, text: &str) -> Res {
@@ -26,6 +27,28 @@
         Ok(self.mark)
     }
 
+    pub(crate) fn hold(&mut self, at: u64, domain: &str, on: bool) -> Mark {
+        let m = self.mark;
+        let h = self.holds.entry(domain.into()).or_default();
+        let again = at < if on { h.on } else { h.off } + REPEATS;
+        match on {
+            true if h.n > 0 && again => (),
+            true => (h.n, h.on) = (h.n + 1, at),
+            false if h.n == 0 || again => (),
+            false => (h.n, h.off) = (h.n - 1, at),
+        }
+        let held = h.n > 0;
+        if held != self.evacuated.contains_key(domain) {
+            match held {
+                true => self.evacuated.insert(domain.into(), m),
+                false => self.evacuated.remove(domain),
+            };
+            let what = if held { "evacuated" } else { "taken back" };
+            self.tell(at, domain, format!("domain {domain} {what} by an operator"));
+        }
+        m
+    }
+
     pub(crate) fn late(&self, s: &Server) -> bool {
         let gone = self.departed.get(&s.name).is_some_and(|q| s.seq > 0 && s.seq <= *q);
         gone || self.servers.get(&s.name).is_some_and(|o| o.life == s.life && s.seq > 0 && s.seq < o.seq)
--- a/tenet/src/state.rs
+++ b/tenet/src/state.rs
@@ -68,6 +68,14 @@
     pub gateways: Vec<NodeId>,
 }
 
+/// Orders in force for a domain, and when (wall, ms) one was last given and ended.
+#[derive(Clone, Copy, Readable, Writable, Default)]
+pub struct Holds {
+    pub n: u32,
+    pub on: u64,
+    pub off: u64,
+}
+
 #[derive(Clone, Readable, Writable, PartialEq, Debug)]
 pub struct Verdict {
     pub mark: Mark,
@@ -105,6 +113,9 @@
     HeirFull { db: String, epoch: Mark, server: String },
     HeirLeave { db: String, epoch: Mark, server: String, why: String },
     Rejected { db: String, epoch: Mark, server: String },
+    /// Evacuations that may overlap: each order is ended by one of its own. Orders without an id that
+    /// come again within `REPEATS` ms are taken as the same one.
+    Hold { domain: String, on: bool },
 }
 
 #[derive(Clone, Readable, Writable, PartialEq, Debug)]
@@ -134,6 +145,7 @@
     pub members: BTreeMap<NodeId, Member>,
     pub servers: BTreeMap<String, Server>,
     pub departed: BTreeMap<String, u64>,
+    pub holds: BTreeMap<String, Holds>,
     pub dbs: BTreeMap<String, Db>,
     pub recent: Vec<(u64, u64, Verdict)>,
     pub stories: Vec<Story>,
--- a/tenet/tests/state.rs
+++ b/tenet/tests/state.rs
@@ -32,3 +32,22 @@
     assert_eq!(s.dbs["d"].heirs.len(), 1);
     assert_eq!(put(&mut s, 30, leave("b")), first);
 }
+
+#[test]
+fn overlapping_evacuations_end_with_the_last_and_repeats_count_once() {
+    let mut s = State::default();
+    let order = |s: &mut State, at, on| {
+        let mark = s.mark + 1;
+        let op = Op::Hold { domain: "d".into(), on };
+        s.apply(&Entry { mark, ask: Ask { id: mark * 31, from: Addr::NONE, at, op } });
+        s.evacuated.contains_key("d")
+    };
+    let t = 1_000_000;
+    assert!(order(&mut s, t, true) && order(&mut s, t + 900, true));
+    assert!(!order(&mut s, t + 8000, false) && !order(&mut s, t + 8900, false));
+    assert!(order(&mut s, t + 14_600, true) && order(&mut s, t + 21_100, true));
+    assert!(order(&mut s, t + 22_700, false), "the second order is still in force");
+    assert!(order(&mut s, t + 28_600, true) && order(&mut s, t + 29_100, false));
+    assert!(!order(&mut s, t + 35_000, false));
+    assert!(!order(&mut s, t + 50_000, false) && order(&mut s, t + 51_000, true));
+}
