Pick new voters from one list, so that none is seated twice

Found on reading: a view that replaced a lost voter and grew by two chose from two copies of the same filter, the second against the old voters, so a newcomer could sit twice. With three disks there are never two to add, so the small sites' views are unchanged. Now joiners() serves both. tenet's tests passed; nothing else was run on it.

--- a/tenet/src/build.rs
+++ b/tenet/src/build.rs
@@ -5,7 +5,7 @@
 use crate::wire::Summary;
 
 impl Chain {
-    /// Disks of this cluster that neither vote nor may replace a lost voter.
+    /// Disks of this cluster that do not vote.
     pub fn joiners(&self, c: &Colleagues) -> Vec<Seat> {
         let votes = |id: NodeId| self.d.view.voters.iter().any(|v| v.id == id);
         let fit = |s: &&Summary| s.disk && s.view > 0 && !s.stopping && !votes(s.id);
@@ -36,22 +36,18 @@
             chain.retain(|s| !go.contains(&s.id));
         }
         let mut voters = v.voters.clone();
-        let new: Vec<Seat> = c
-            .live()
-            .filter(|s| !s.stopping && s.disk && s.view > 0 && !voters.iter().any(|t| t.id == s.id))
-            .map(|s| Seat { id: s.id, addr: s.addr })
-            .collect();
+        let mut new = self.joiners(c);
         let lost = |s: &Seat| s.id != self.me.id
             && !self.agree.promises.contains_key(&s.id)
             && self.missing(s.id, now, c);
-        for s in new {
+        for s in &new {
             if let Some(i) = voters.iter().position(lost) {
-                voters[i] = s;
+                voters[i] = *s;
             }
         }
-        let more = self.joiners(c);
-        if voters.len() + 2 <= VOTERS_MOST && more.len() >= 2 {
-            voters.extend(&more[..2]);
+        new.retain(|s| !voters.iter().any(|t| t.id == s.id));
+        if voters.len() + 2 <= VOTERS_MOST && new.len() >= 2 {
+            voters.extend(&new[..2]);
         }
         let add: Vec<Seat> = voters
             .iter()
--- a/tenet/src/publish.rs
+++ b/tenet/src/publish.rs
@@ -1,7 +1,6 @@
 use crate::base::*;
 use crate::apply::{stale, Res};
 use crate::state::*;
-use crate::base::REPEATS;
 
 impl State {
     pub(crate) fn config(&mut self, at: u64, base: Mark, text: &str) -> Res {
