--- a/accord/src/main.rs
+++ b/accord/src/main.rs
@@ -12,8 +12,15 @@
     let t = std::fs::read_to_string(&p).map_err(|e| eyre::eyre!("{}: {e}", p.display()))?;
     match Config::parse(&t) {
         Ok(c) => {
-            c.warnings(None).iter().for_each(|w| eprintln!("{}: warning: {w}", p.display()));
-            println!("{}: good, {} databases, {} kinds", p.display(), c.databases.len(), c.kinds.len());
+            c.warnings(None)
+                .iter()
+                .for_each(|w| eprintln!("{}: warning: {w}", p.display()));
+            println!(
+                "{}: good, {} databases, {} kinds",
+                p.display(),
+                c.databases.len(),
+                c.kinds.len()
+            );
             Ok(())
         }
         Err(v) => {
@@ -25,7 +32,9 @@
 
 fn main() -> eyre::Result<()> {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    let file = positional("FILE").help("Configuration to check").map(Cmd::Check);
+    let file = positional("FILE")
+        .help("Configuration to check")
+        .map(Cmd::Check);
     let check_cmd = file
         .to_options()
         .descr("Checks a configuration without a running fleet")
--- a/chance/src/cause.rs
+++ b/chance/src/cause.rs
@@ -8,8 +8,14 @@
         let up = |i: &usize| self.nodes[*i].up;
         let server = |n: &str| self.server(n).is_some_and(|s| self.world.servers[s].up);
         match f {
-            Fault::Kill(i) | Fault::Stop(i) | Fault::Wipe(i) | Fault::Freeze(i) | Fault::Move(i, _) => up(i) && !self.nodes[*i].frozen,
-            Fault::Crash(n) | Fault::Retire(n) | Fault::Stall(n, true) | Fault::CutServer(n, _) => server(n),
+            Fault::Kill(i)
+            | Fault::Stop(i)
+            | Fault::Wipe(i)
+            | Fault::Freeze(i)
+            | Fault::Move(i, _) => up(i) && !self.nodes[*i].frozen,
+            Fault::Crash(n) | Fault::Retire(n) | Fault::Stall(n, true) | Fault::CutServer(n, _) => {
+                server(n)
+            }
             Fault::FreezeFencer(d, k) => self.fencer(d, *k).is_some_and(|i| up(&i)),
             Fault::KillHead => self.seat(true).is_some(),
             Fault::KillTail => self.seat(false).is_some(),
@@ -20,11 +26,27 @@
 
     pub fn fault(&mut self, f: Fault) {
         let name = format!("{f:?}").split('(').next().unwrap_or("").to_string();
-        let to = if self.takes(&f) { &mut self.watch.took } else { &mut self.watch.vain };
+        let to = if self.takes(&f) {
+            &mut self.watch.took
+        } else {
+            &mut self.watch.vain
+        };
         *to.entry(name).or_default() += 1;
         match &f {
-            Fault::Stop(_) | Fault::Retire(_) | Fault::Depart(_) | Fault::Follow(_) | Fault::Evacuate(_, true) | Fault::Drain(_, true) => self.watch.planned.push(self.now),
-            Fault::Start(_) | Fault::Configure | Fault::StaleConfigure | Fault::BadConfigure | Fault::Evacuate(..) | Fault::Drain(..) | Fault::Relabel(_) | Fault::Wire(..) => (),
+            Fault::Stop(_)
+            | Fault::Retire(_)
+            | Fault::Depart(_)
+            | Fault::Follow(_)
+            | Fault::Evacuate(_, true)
+            | Fault::Drain(_, true) => self.watch.planned.push(self.now),
+            Fault::Start(_)
+            | Fault::Configure
+            | Fault::StaleConfigure
+            | Fault::BadConfigure
+            | Fault::Evacuate(..)
+            | Fault::Drain(..)
+            | Fault::Relabel(_)
+            | Fault::Wire(..) => (),
             f => {
                 self.watch.unplanned = true;
                 self.watch.rough |= !matches!(f, Fault::Platform(_) | Fault::LoseAnswers(_));
@@ -59,16 +81,25 @@
             }
             Fault::KillDomain(d) => {
                 self.in_domain(&d).into_iter().for_each(|i| self.kill(i));
-                (0..self.world.servers.len()).filter(|s| self.world.servers[*s].domain == d).collect::<Vec<_>>().into_iter().for_each(|s| self.crash(s));
+                (0..self.world.servers.len())
+                    .filter(|s| self.world.servers[*s].domain == d)
+                    .collect::<Vec<_>>()
+                    .into_iter()
+                    .for_each(|s| self.crash(s));
             }
             Fault::StartDomain(d) => {
                 self.in_domain(&d).into_iter().for_each(|i| self.boot(i));
-                let v: Vec<usize> = (0..self.world.servers.len()).filter(|s| self.world.servers[*s].domain == d).collect();
+                let v: Vec<usize> = (0..self.world.servers.len())
+                    .filter(|s| self.world.servers[*s].domain == d)
+                    .collect();
                 v.into_iter().for_each(|s| self.restart(s));
             }
             Fault::Cut(a, b) => self.cuts.push((a, b)),
             Fault::CutNode(i) => self.lost_node = Some(i),
-            Fault::CutServer(n, way) => self.server(&n).into_iter().for_each(|s| self.lost_servers.push((s, way))),
+            Fault::CutServer(n, way) => self
+                .server(&n)
+                .into_iter()
+                .for_each(|s| self.lost_servers.push((s, way))),
             Fault::Heal => {
                 self.watch.heal_at = self.now;
                 self.cuts.clear();
@@ -77,9 +108,17 @@
             }
             Fault::Crash(n) => self.server(&n).into_iter().for_each(|s| self.crash(s)),
             Fault::CrashTarget(db) => {
-                let c = self.nodes.iter().filter_map(|n| n.control.as_ref()).max_by_key(|c| c.state().mark);
-                let t = c.and_then(|c| c.state().dbs.get(&db)).and_then(|d| d.target.clone());
-                t.and_then(|t| self.world.ix(&t)).into_iter().for_each(|s| self.crash(s));
+                let c = self
+                    .nodes
+                    .iter()
+                    .filter_map(|n| n.control.as_ref())
+                    .max_by_key(|c| c.state().mark);
+                let t = c
+                    .and_then(|c| c.state().dbs.get(&db))
+                    .and_then(|d| d.target.clone());
+                t.and_then(|t| self.world.ix(&t))
+                    .into_iter()
+                    .for_each(|s| self.crash(s));
             }
             Fault::Restart(n) => self.server(&n).into_iter().for_each(|s| self.restart(s)),
             Fault::Replace(n) => self.server(&n).into_iter().for_each(|s| {
@@ -90,7 +129,12 @@
                 if let Some(s) = self.server(&n) {
                     self.world.servers[s].leaving = true;
                     let name = self.world.servers[s].name.clone();
-                    self.history.off.push(Off { server: name, since: self.now, until: u64::MAX, bound: 7000 });
+                    self.history.off.push(Off {
+                        server: name,
+                        since: self.now,
+                        until: u64::MAX,
+                        bound: 7000,
+                    });
                     if self.termed.is_some() {
                         self.at(self.now + 9000, Ev::Fault(Fault::Depart(s)));
                     }
@@ -98,7 +142,10 @@
             }
             Fault::Depart(s) => self.departs(s),
             Fault::Follow(s) => self.follows(s),
-            Fault::Stall(n, on) => self.server(&n).into_iter().for_each(|s| self.world.servers[s].stalled = on),
+            Fault::Stall(n, on) => self
+                .server(&n)
+                .into_iter()
+                .for_each(|s| self.world.servers[s].stalled = on),
             Fault::LoseAnswers(p) => self.lose = p,
             Fault::Platform(m) => self.mood = m,
             Fault::Evacuate(d, on) => {
@@ -119,13 +166,19 @@
                     }
                 }
             }
-            Fault::FreezeFencer(db, k) => self.fencer(&db, k).into_iter().for_each(|i| self.nodes[i].frozen = true),
+            Fault::FreezeFencer(db, k) => self
+                .fencer(&db, k)
+                .into_iter()
+                .for_each(|i| self.nodes[i].frozen = true),
             Fault::KillHead => self.seat(true).into_iter().for_each(|i| self.kill(i)),
             Fault::KillTail => self.seat(false).into_iter().for_each(|i| self.kill(i)),
             Fault::Relabel(n) => self.relabel(n),
             Fault::Wire(i, w) => self.nodes[i].wire = w,
             Fault::Rebuild => {
-                let old = |i: &usize| self.world.servers[*i].leads && self.world.leader(&self.world.servers[*i].db) != Some(*i);
+                let old = |i: &usize| {
+                    self.world.servers[*i].leads
+                        && self.world.leader(&self.world.servers[*i].db) != Some(*i)
+                };
                 let v: Vec<usize> = (0..self.world.servers.len()).filter(old).collect();
                 v.into_iter().for_each(|s| self.restart(s));
             }
@@ -135,13 +188,22 @@
 
     fn fencer(&self, db: &str, k: usize) -> Option<usize> {
         let c = self.nodes.iter().filter_map(|n| n.control.as_ref());
-        let id = c.filter_map(|c| c.state().dbs.get(db)).map(|d| d.fencers.clone()).next()?.get(k).copied();
-        self.nodes.iter().position(|n| n.control.as_ref().is_some_and(|c| Some(c.me.id) == id))
+        let id = c
+            .filter_map(|c| c.state().dbs.get(db))
+            .map(|d| d.fencers.clone())
+            .next()?
+            .get(k)
+            .copied();
+        self.nodes
+            .iter()
+            .position(|n| n.control.as_ref().is_some_and(|c| Some(c.me.id) == id))
     }
 
     fn thaw(&mut self, i: usize) {
         let now = self.now;
-        std::mem::take(&mut self.held).into_iter().for_each(|e| self.at(now + 1, e));
+        std::mem::take(&mut self.held)
+            .into_iter()
+            .for_each(|e| self.at(now + 1, e));
         if self.nodes[i].frozen {
             self.nodes[i].frozen = false;
             self.nodes[i].thawed = self.now;
@@ -149,10 +211,21 @@
     }
 
     fn seat(&self, head: bool) -> Option<usize> {
-        let c = self.nodes.iter().filter(|n| n.up && n.disk).filter_map(|n| n.control.as_ref());
+        let c = self
+            .nodes
+            .iter()
+            .filter(|n| n.up && n.disk)
+            .filter_map(|n| n.control.as_ref());
         let v = c.map(|c| c.view()).max_by_key(|v| v.n)?;
-        let s = if head { v.chain.first() } else { v.chain.last() }?.id;
-        self.nodes.iter().position(|n| n.control.as_ref().is_some_and(|c| c.me.id == s))
+        let s = if head {
+            v.chain.first()
+        } else {
+            v.chain.last()
+        }?
+        .id;
+        self.nodes
+            .iter()
+            .position(|n| n.control.as_ref().is_some_and(|c| c.me.id == s))
     }
 
     pub fn server(&self, n: &str) -> Option<usize> {
@@ -160,7 +233,11 @@
     }
 
     fn in_domain(&self, d: &str) -> Vec<usize> {
-        self.nodes.iter().filter(|n| n.domain == d).map(|n| n.i).collect()
+        self.nodes
+            .iter()
+            .filter(|n| n.domain == d)
+            .map(|n| n.i)
+            .collect()
     }
 
     pub(crate) fn kill(&mut self, i: usize) {
@@ -184,13 +261,18 @@
         let k = self.roll(self.nodes.len() as u64) as usize;
         let most = self.nodes.iter().filter(|n| n.up).count() * 2 > self.nodes.len();
         let seeds = match most {
-            true => (0..3).map(|j| self.nodes[(k + j) % self.nodes.len()].addr).collect(),
+            true => (0..3)
+                .map(|j| self.nodes[(k + j) % self.nodes.len()].addr)
+                .collect(),
             false => (0..3).map(node_addr).collect(),
         };
         let (now, seed) = (self.now, self.seed);
         match self.nodes[i].boot(now, seeds, seed) {
             Ok(e) => e.into_iter().for_each(|e| self.effect(i, e)),
-            Err(e) => self.watch.faults.push(format!("disk: node {i} cannot read its own disk: {e}")),
+            Err(e) => self
+                .watch
+                .faults
+                .push(format!("disk: node {i} cannot read its own disk: {e}")),
         }
     }
 }
--- a/chance/src/client.rs
+++ b/chance/src/client.rs
@@ -1,20 +1,37 @@
 use crate::sim::*;
 use guise::mix::{Caller, Class, Do};
+use medium::back::HttpRes;
 use serde_json::Value;
 use tenet::base::*;
 use tenet::config::Config;
-use medium::back::HttpRes;
 use tenet::front::FrontIn;
 use tenet::session::{Req, Want};
 
 pub enum Doing {
     Idle,
     Opening,
-    Run { class: Class, id: String, key: String, value: i64 },
-    Txn { id: String, steps: Vec<Value>, at: usize, key: String, value: i64, begun: bool },
+    Run {
+        class: Class,
+        id: String,
+        key: String,
+        value: i64,
+    },
+    Txn {
+        id: String,
+        steps: Vec<Value>,
+        at: usize,
+        key: String,
+        value: i64,
+        begun: bool,
+    },
     Rolling,
-    Setting { name: String, value: String },
-    Showing { value: String },
+    Setting {
+        name: String,
+        value: String,
+    },
+    Showing {
+        value: String,
+    },
 }
 
 pub struct Client {
@@ -37,7 +54,9 @@
 
 fn tenant(c: &Config, db: &str, i: usize) -> Option<String> {
     let v: Vec<&String> = c.databases[db].tenants.keys().collect();
-    (i % 4 == 1).then(|| v.get(i / 12 % v.len().max(1)).map(|t| t.to_string())).flatten()
+    (i % 4 == 1)
+        .then(|| v.get(i / 12 % v.len().max(1)).map(|t| t.to_string()))
+        .flatten()
 }
 
 impl Client {
@@ -88,23 +107,81 @@
             self.clients[c].doing = Doing::Opening;
             let (db, user) = (self.clients[c].db.clone(), format!("caller-{c}"));
             let tenant = self.clients[c].tenant.clone();
-            return self.send(c, Req::Open { db, user, tenant, settings: vec![] });
+            return self.send(
+                c,
+                Req::Open {
+                    db,
+                    user,
+                    tenant,
+                    settings: vec![],
+                },
+            );
         };
         let kinds = self.kinds.clone();
         match self.clients[c].caller.next(&kinds) {
-            Do::Run { kind, id, body, class, key, value } => {
+            Do::Run {
+                kind,
+                id,
+                body,
+                class,
+                key,
+                value,
+            } => {
                 let name = id.clone().unwrap_or_default();
-                self.clients[c].doing = Doing::Run { class, id: name, key, value };
-                self.send(c, Req::Run { session, kind: Want::Kind(kind), id, body: body.to_string(), prepared: None, budget: None });
+                self.clients[c].doing = Doing::Run {
+                    class,
+                    id: name,
+                    key,
+                    value,
+                };
+                self.send(
+                    c,
+                    Req::Run {
+                        session,
+                        kind: Want::Kind(kind),
+                        id,
+                        body: body.to_string(),
+                        prepared: None,
+                        budget: None,
+                    },
+                );
             }
-            Do::Txn { id, steps, key, value } => {
-                let req = Req::Begin { session, kind: None, id: Some(id.clone()), lazy: false, budget: None };
-                self.clients[c].doing = Doing::Txn { id, steps, at: 0, key, value, begun: false };
+            Do::Txn {
+                id,
+                steps,
+                key,
+                value,
+            } => {
+                let req = Req::Begin {
+                    session,
+                    kind: None,
+                    id: Some(id.clone()),
+                    lazy: false,
+                    budget: None,
+                };
+                self.clients[c].doing = Doing::Txn {
+                    id,
+                    steps,
+                    at: 0,
+                    key,
+                    value,
+                    begun: false,
+                };
                 self.send(c, req);
             }
             Do::Show { name, value } => {
-                self.clients[c].doing = Doing::Setting { name: name.clone(), value: value.clone() };
-                self.send(c, Req::Set { session, name, value });
+                self.clients[c].doing = Doing::Setting {
+                    name: name.clone(),
+                    value: value.clone(),
+                };
+                self.send(
+                    c,
+                    Req::Set {
+                        session,
+                        name,
+                        value,
+                    },
+                );
             }
         }
     }
@@ -121,30 +198,59 @@
         self.calls.insert(call, (c, n, life));
         self.at(self.now + CLIENT_WAIT, Ev::Client(c, turn));
         match up {
-            true => self.at(self.now + 1, Ev::Front(n, life, FrontIn::Call { call, req })),
-            false => self.at(self.now + 1, Ev::Reply { call, res: HttpRes::NotSent }),
+            true => self.at(
+                self.now + 1,
+                Ev::Front(n, life, FrontIn::Call { call, req }),
+            ),
+            false => self.at(
+                self.now + 1,
+                Ev::Reply {
+                    call,
+                    res: HttpRes::NotSent,
+                },
+            ),
         }
     }
 
     pub fn node_died(&mut self, n: usize) {
-        let v: Vec<u64> = self.calls.iter().filter(|(_, x)| x.1 == n).map(|(k, _)| *k).collect();
+        let v: Vec<u64> = self
+            .calls
+            .iter()
+            .filter(|(_, x)| x.1 == n)
+            .map(|(k, _)| *k)
+            .collect();
         for call in v {
             match self.termed.is_some() {
                 true => self.at(self.now + 1, Ev::Said { call, r: None }),
-                false => self.at(self.now + 1, Ev::Reply { call, res: HttpRes::Lost }),
+                false => self.at(
+                    self.now + 1,
+                    Ev::Reply {
+                        call,
+                        res: HttpRes::Lost,
+                    },
+                ),
             }
         }
     }
 
     pub fn reply(&mut self, call: u64, res: HttpRes) {
-        let Some((c, n, _)) = self.calls.remove(&call) else { return };
+        let Some((c, n, _)) = self.calls.remove(&call) else {
+            return;
+        };
         let wait = self.now - self.clients[c].sent;
-        if wait > 6500 && self.nodes[n].thawed < self.clients[c].sent && matches!(res, HttpRes::Rejected(..)) {
-            self.watch.faults.push(format!("held back: caller {c} was rejected by node {n} only after {wait} ms: {res:?}"));
+        if wait > 6500
+            && self.nodes[n].thawed < self.clients[c].sent
+            && matches!(res, HttpRes::Rejected(..))
+        {
+            self.watch.faults.push(format!(
+                "held back: caller {c} was rejected by node {n} only after {wait} ms: {res:?}"
+            ));
         }
         let gone = match &res {
             HttpRes::Rejected(_, w) => w.contains("unknown-session") || w.contains("leaving"),
-            HttpRes::Ok(v) => v["leaving"] == true && !matches!(self.clients[c].doing, Doing::Txn { .. }),
+            HttpRes::Ok(v) => {
+                v["leaving"] == true && !matches!(self.clients[c].doing, Doing::Txn { .. })
+            }
             _ => true,
         };
         let doing = std::mem::replace(&mut self.clients[c].doing, Doing::Idle);
@@ -155,8 +261,20 @@
                 HttpRes::Ok(v) => self.clients[c].session = v["session"].as_u64(),
                 _ => self.move_on(c),
             },
-            Doing::Run { class, id, key, value } => self.record(c, &res, class, id, key, value),
-            Doing::Txn { id, steps, at, key, value, begun } => {
+            Doing::Run {
+                class,
+                id,
+                key,
+                value,
+            } => self.record(c, &res, class, id, key, value),
+            Doing::Txn {
+                id,
+                steps,
+                at,
+                key,
+                value,
+                begun,
+            } => {
                 if !ok {
                     let committing = at > steps.len();
                     self.cut_short(c, begun, &res);
@@ -172,14 +290,32 @@
                     let req = match steps.get(at) {
                         Some(b) => {
                             let (kind, body) = (self.kinds.write[0].clone(), b.to_string());
-                            Req::Run { session, kind: Want::Kind(kind), id: None, body, prepared: None, budget: None }
+                            Req::Run {
+                                session,
+                                kind: Want::Kind(kind),
+                                id: None,
+                                body,
+                                prepared: None,
+                                budget: None,
+                            }
                         }
-                        None => Req::Commit { session, body: String::new(), budget: None },
+                        None => Req::Commit {
+                            session,
+                            body: String::new(),
+                            budget: None,
+                        },
                     };
                     if !begun {
                         self.clients[c].begun = self.now;
                     }
-                    self.clients[c].doing = Doing::Txn { id, steps, at: at + 1, key, value, begun: true };
+                    self.clients[c].doing = Doing::Txn {
+                        id,
+                        steps,
+                        at: at + 1,
+                        key,
+                        value,
+                        begun: true,
+                    };
                     return self.later(c, req);
                 }
             }
@@ -187,7 +323,17 @@
                 self.clients[c].doing = Doing::Showing { value };
                 let kind = self.kinds.current[0].clone();
                 let body = serde_json::json!({"op": "show", "name": name}).to_string();
-                return self.send(c, Req::Run { session, kind: Want::Kind(kind), id: None, body, prepared: None, budget: None });
+                return self.send(
+                    c,
+                    Req::Run {
+                        session,
+                        kind: Want::Kind(kind),
+                        id: None,
+                        body,
+                        prepared: None,
+                        budget: None,
+                    },
+                );
             }
             Doing::Showing { value } => {
                 if let HttpRes::Ok(v) = &res {
--- a/chance/src/main.rs
+++ b/chance/src/main.rs
@@ -1,6 +1,6 @@
 use bpaf::{construct, long, Parser};
-use chance::fault::Plant;
 use chance::days::{day, run_day, TERMED};
+use chance::fault::Plant;
 use chance::runs::run_with;
 use chance::scripts::{find, ALL};
 use guise::termed::Flaw;
@@ -17,37 +17,83 @@
     old_sockets: bool,
 }
 
-type Met = (std::collections::BTreeMap<(usize, usize), u64>, std::collections::BTreeMap<String, (u64, u64)>);
+type Met = (
+    std::collections::BTreeMap<(usize, usize), u64>,
+    std::collections::BTreeMap<String, (u64, u64)>,
+);
 
 fn main() {
-    let script = long("script").help("One script by name; all when left out").argument("NAME").optional();
-    let place = long("place").help("alumni, thessaly or termed; all when left out").argument("NAME").optional();
+    let script = long("script")
+        .help("One script by name; all when left out")
+        .argument("NAME")
+        .optional();
+    let place = long("place")
+        .help("alumni, thessaly or termed; all when left out")
+        .argument("NAME")
+        .optional();
     let from = long("from").help("First seed").argument("SEED").fallback(1);
-    let seeds = long("seeds").help("How many seeds").argument("N").fallback(10);
-    let tell = long("tell").help("Print the reasons whose text holds WORD").argument("WORD").optional();
-    let times = long("times").help("Print what callers met, message counts and syncs").switch();
-    let nodes = long("nodes").help("Processes in all, when not as the deployment sizes them").argument("N").fallback(0);
-    let old_sockets = long("old-sockets").help("Planted: the kernel delivers whatever was handed over, however late").switch();
+    let seeds = long("seeds")
+        .help("How many seeds")
+        .argument("N")
+        .fallback(10);
+    let tell = long("tell")
+        .help("Print the reasons whose text holds WORD")
+        .argument("WORD")
+        .optional();
+    let times = long("times")
+        .help("Print what callers met, message counts and syncs")
+        .switch();
+    let nodes = long("nodes")
+        .help("Processes in all, when not as the deployment sizes them")
+        .argument("N")
+        .fallback(0);
+    let old_sockets = long("old-sockets")
+        .help("Planted: the kernel delivers whatever was handed over, however late")
+        .switch();
     let a = construct!(Args { script, place, from, seeds, tell, times, nodes, old_sockets })
         .to_options()
         .descr("chance: runs the real machines under virtual time and seeded failures. Exit 1 when a fault is found; each failing run prints its replay line.")
         .version(env!("CARGO_PKG_VERSION"))
         .run();
-    if let Some(n) = a.script.as_ref().filter(|n| find(n).is_none() && day(n).is_none()) {
-        eprintln!("no script '{n}'; there are {}", ALL.iter().chain(TERMED).map(|s| s.name).collect::<Vec<_>>().join(", "));
+    if let Some(n) = a
+        .script
+        .as_ref()
+        .filter(|n| find(n).is_none() && day(n).is_none())
+    {
+        eprintln!(
+            "no script '{n}'; there are {}",
+            ALL.iter()
+                .chain(TERMED)
+                .map(|s| s.name)
+                .collect::<Vec<_>>()
+                .join(", ")
+        );
         std::process::exit(2);
     }
-    let places: Vec<&str> = ["alumni", "thessaly"].into_iter().filter(|p| a.place.as_ref().is_none_or(|x| x == p)).collect();
+    let places: Vec<&str> = ["alumni", "thessaly"]
+        .into_iter()
+        .filter(|p| a.place.as_ref().is_none_or(|x| x == p))
+        .collect();
     let wanted = |s: &&chance::scripts::Script| a.script.as_ref().is_none_or(|n| n == s.name);
     let termed = a.place.as_ref().is_none_or(|p| p == "termed");
-    let own = ALL.iter().filter(wanted).flat_map(|s| places.iter().map(move |p| (s, *p)));
-    let days = TERMED.iter().filter(wanted).filter(|_| termed).map(|s| (s, "termed"));
+    let own = ALL
+        .iter()
+        .filter(wanted)
+        .flat_map(|s| places.iter().map(move |p| (s, *p)));
+    let days = TERMED
+        .iter()
+        .filter(wanted)
+        .filter(|_| termed)
+        .map(|s| (s, "termed"));
     let mut work = Vec::new();
     for (s, p) in own.chain(days) {
         (a.from..a.from + a.seeds).for_each(|seed| work.push((s, p, seed)));
     }
     let told = std::sync::Mutex::new(Instant::now());
-    let (done, cut) = (std::sync::atomic::AtomicUsize::new(0), std::sync::atomic::AtomicUsize::new(0));
+    let (done, cut) = (
+        std::sync::atomic::AtomicUsize::new(0),
+        std::sync::atomic::AtomicUsize::new(0),
+    );
     let met: std::sync::Mutex<Met> = Default::default();
     let next = std::sync::atomic::AtomicUsize::new(0);
     let bad = std::sync::atomic::AtomicUsize::new(0);
@@ -115,11 +161,21 @@
     let (met, took) = met.into_inner().unwrap_or_else(|e| e.into_inner());
     if !met.is_empty() {
         let n = chance::pairs::KINDS.len();
-        println!("pairs met {} of {}, each {} to {} times", met.len(), n * (n - 1) / 2, met.values().min().unwrap_or(&0), met.values().max().unwrap_or(&0));
-        took.iter().for_each(|(k, (t, v))| println!("  {k:<16} took effect {t:>6}  in vain {v:>5}"));
+        println!(
+            "pairs met {} of {}, each {} to {} times",
+            met.len(),
+            n * (n - 1) / 2,
+            met.values().min().unwrap_or(&0),
+            met.values().max().unwrap_or(&0)
+        );
+        took.iter()
+            .for_each(|(k, (t, v))| println!("  {k:<16} took effect {t:>6}  in vain {v:>5}"));
     }
     if termed {
-        println!("{} acknowledged commits cut back by unplanned promotions", cut.into_inner());
+        println!(
+            "{} acknowledged commits cut back by unplanned promotions",
+            cut.into_inner()
+        );
     }
     println!("{} runs, {bad} with faults", work.len());
     std::process::exit((bad > 0) as i32);
--- a/chance/src/node.rs
+++ b/chance/src/node.rs
@@ -5,6 +5,10 @@
 use tenet::drain::Drain;
 use tenet::front::Front;
 
+/// The simulated disk took no more bytes.
+#[derive(Debug)]
+pub struct DiskFull;
+
 pub struct Node {
     pub i: usize,
     pub addr: Addr,
@@ -83,17 +87,25 @@
             wire: self.wire,
         };
         let (c, e) = Control::new(start, 1);
-        self.front = (!self.disk).then(|| Front::new(c.me.id, self.addr, mix(seed ^ mix(self.i as u64 * 1000 + self.life as u64) ^ 5)));
+        self.front = (!self.disk).then(|| {
+            Front::new(
+                c.me.id,
+                self.addr,
+                mix(seed ^ mix(self.i as u64 * 1000 + self.life as u64) ^ 5),
+            )
+        });
         self.control = Some(c);
         Ok(Some(e))
     }
 
-    pub fn synced(&mut self, seq: u64) -> Result<bool, ()> {
-        let Some(p) = self.writing.iter().position(|w| w.0 == seq) else { return Ok(false) };
+    pub fn synced(&mut self, seq: u64) -> Result<bool, DiskFull> {
+        let Some(p) = self.writing.iter().position(|w| w.0 == seq) else {
+            return Ok(false);
+        };
         let v: Vec<Rec> = self.writing.drain(..=p).flat_map(|w| w.1).collect();
         let ops = self.ops(&v);
         self.syncs += ops.len() as u64;
-        self.platter.run(ops).then_some(true).ok_or(())
+        self.platter.run(ops).then_some(true).ok_or(DiskFull)
     }
 
     fn ops(&mut self, v: &[Rec]) -> Vec<FileOp> {
@@ -101,7 +113,10 @@
             self.durable.play(r);
         });
         let d = self.durable.clone();
-        self.shelf.as_mut().map(|s| s.keep(v, &d)).unwrap_or_default()
+        self.shelf
+            .as_mut()
+            .map(|s| s.keep(v, &d))
+            .unwrap_or_default()
     }
 
     pub fn crash(&mut self, power: bool, roll: u64) {
@@ -109,7 +124,7 @@
         let mut k = roll;
         let mut coin = || {
             k = mix(k);
-            k % 2 == 0
+            k.is_multiple_of(2)
         };
         if !torn.is_empty() && self.up {
             let ops = self.ops(&torn);
--- a/chance/src/outside.rs
+++ b/chance/src/outside.rs
@@ -10,7 +10,15 @@
 
 impl Sim {
     #[allow(clippy::too_many_arguments)]
-    pub(crate) fn back(&mut self, node: usize, life: u32, token: u64, s: usize, path: &'static str, body: Value) {
+    pub(crate) fn back(
+        &mut self,
+        node: usize,
+        life: u32,
+        token: u64,
+        s: usize,
+        path: &'static str,
+        body: Value,
+    ) {
         if !self.world.servers[s].up {
             return;
         }
@@ -19,7 +27,11 @@
         }
         let mut body = body;
         if self.plant == Plant::BlindRetry && path == "/statement" {
-            body["id"] = Value::String(format!("{}#{}", body["id"].as_str().unwrap_or(""), self.roll(1 << 40)));
+            body["id"] = Value::String(format!(
+                "{}#{}",
+                body["id"].as_str().unwrap_or(""),
+                self.roll(1 << 40)
+            ));
         }
         let mut r = self.world.handle(self.now, s, path, &body);
         if path == "/log" {
@@ -30,7 +42,8 @@
                 }
             }
         }
-        let vanish = self.lose > 0 && matches!(path, "/statement" | "/commit") && self.roll(100) < self.lose;
+        let vanish =
+            self.lose > 0 && matches!(path, "/statement" | "/commit") && self.roll(100) < self.lose;
         if vanish {
             return;
         }
@@ -43,10 +56,23 @@
 
     fn answer(&mut self, node: usize, life: u32, token: u64, s: usize, res: HttpRes, path: &str) {
         let res = medium::dialect::got(path, res);
-        self.pipe(End::Server(s), End::Node(node), None, 0, Ev::Front(node, life, FrontIn::Back { token, res }));
+        self.pipe(
+            End::Server(s),
+            End::Node(node),
+            None,
+            0,
+            Ev::Front(node, life, FrontIn::Back { token, res }),
+        );
     }
 
-    pub(crate) fn promote(&mut self, node: usize, life: u32, db: String, server: String, epoch: Mark) {
+    pub(crate) fn promote(
+        &mut self,
+        node: usize,
+        life: u32,
+        db: String,
+        server: String,
+        epoch: Mark,
+    ) {
         let done = match self.mood {
             Mood::Unreachable => Err(false),
             Mood::Refuses => Err(false),
@@ -54,14 +80,32 @@
                 let _ = self.world.promote(self.now, &server);
                 Err(true)
             }
-            _ => self.world.promote(self.now, &server).map(|_| true).map_err(|_| false),
+            _ => self
+                .world
+                .promote(self.now, &server)
+                .map(|_| true)
+                .map_err(|_| false),
         };
-        self.control(node, life, In::Promoted { db, epoch, server, done });
+        self.control(
+            node,
+            life,
+            In::Promoted {
+                db,
+                epoch,
+                server,
+                done,
+            },
+        );
     }
 
     pub(crate) fn announce(&mut self) {
         self.at(self.now + 500, Ev::Announce);
-        let up: Vec<usize> = self.nodes.iter().filter(|n| n.up && !n.frozen).map(|n| n.i).collect();
+        let up: Vec<usize> = self
+            .nodes
+            .iter()
+            .filter(|n| n.up && !n.frozen)
+            .map(|n| n.i)
+            .collect();
         for s in 0..self.world.servers.len() {
             if !self.world.servers[s].up || up.is_empty() {
                 continue;
@@ -85,7 +129,10 @@
             };
             let life = self.nodes[j].life;
             if !self.apart(End::Server(s), End::Node(j)) {
-                self.at(self.now + 1, Ev::Control(j, life, In::Announce { call: 0, op }));
+                self.at(
+                    self.now + 1,
+                    Ev::Control(j, life, In::Announce { call: 0, op }),
+                );
             }
         }
     }
--- a/chance/src/pairs.rs
+++ b/chance/src/pairs.rs
@@ -1,5 +1,5 @@
-use crate::fault::{Fault::*, Mood};
 use crate::fault::Fault;
+use crate::fault::{Fault::*, Mood};
 use crate::scripts::{apart, db, domain, others};
 use crate::sim::*;
 use tenet::base::*;
@@ -20,12 +20,22 @@
         vec![(t, Crash(d.clone())), (t + 9000, Restart(format!("{d}-0")))]
     }),
     ("retire", |s, t| vec![(t, Retire(db(s)))]),
-    ("silence", |s, t| vec![(t, CutServer(db(s), s.roll(3) as u8)), (t + 1000 + s.roll(6000), Heal)]),
+    ("silence", |s, t| {
+        vec![
+            (t, CutServer(db(s), s.roll(3) as u8)),
+            (t + 1000 + s.roll(6000), Heal),
+        ]
+    }),
     ("stall", |s, t| {
         let n = format!("{}-{}", db(s), 1 + s.roll(2));
         vec![(t, Stall(n.clone(), true)), (t + 7000, Stall(n, false))]
     }),
-    ("freeze-fencer", |s, t| vec![(t, FreezeFencer(db(s), s.roll(2) as usize)), (t + 300 + s.roll(6000), ThawAll)]),
+    ("freeze-fencer", |s, t| {
+        vec![
+            (t, FreezeFencer(db(s), s.roll(2) as usize)),
+            (t + 300 + s.roll(6000), ThawAll),
+        ]
+    }),
     ("freeze", |s, t| {
         let i = node(s);
         vec![(t, Freeze(i)), (t + 300 + s.roll(6000), Thaw(i))]
@@ -57,24 +67,51 @@
     ("two-apart", |s, t| {
         let d = domain(s);
         let o = others(s, &d).remove(0);
-        vec![(t, Cut(d.clone(), o.clone())), (t, Cut(o, d)), (t + 7000, Heal)]
+        vec![
+            (t, Cut(d.clone(), o.clone())),
+            (t, Cut(o, d)),
+            (t + 7000, Heal),
+        ]
+    }),
+    ("answers-vanish", |s, t| {
+        vec![(t, LoseAnswers(5 + s.roll(10))), (t + 5000, LoseAnswers(0))]
     }),
-    ("answers-vanish", |s, t| vec![(t, LoseAnswers(5 + s.roll(10))), (t + 5000, LoseAnswers(0))]),
     ("platform", |s, t| {
-        let m = [Mood::Unreachable, Mood::Refuses, Mood::Slow, Mood::LosesAnswer, Mood::Quick][s.roll(5) as usize];
+        let m = [
+            Mood::Unreachable,
+            Mood::Refuses,
+            Mood::Slow,
+            Mood::LosesAnswer,
+            Mood::Quick,
+        ][s.roll(5) as usize];
         vec![(t, Platform(m)), (t + 8000, Platform(Mood::Good))]
     }),
     ("evacuate", |s, t| {
         let d = domain(s);
-        vec![(t, Evacuate(d.clone(), true)), (t + 9000, Evacuate(d, false))]
+        vec![
+            (t, Evacuate(d.clone(), true)),
+            (t + 9000, Evacuate(d, false)),
+        ]
+    }),
+    ("drain", |s, t| {
+        vec![(t, Drain(format!("{}-0", db(s)), true))]
     }),
-    ("drain", |s, t| vec![(t, Drain(format!("{}-0", db(s)), true))]),
     ("operators", |s, t| {
         let r = s.roll(100);
-        vec![(t, Configure), (t + r, Configure), (t + r, StaleConfigure), (t + 200, BadConfigure), (t + 2000, Configure)]
+        vec![
+            (t, Configure),
+            (t + r, Configure),
+            (t + r, StaleConfigure),
+            (t + 200, BadConfigure),
+            (t + 2000, Configure),
+        ]
+    }),
+    ("head", |_, t| {
+        [vec![(t, KillHead)], starts(t + 5000)].concat()
+    }),
+    ("tail", |_, t| {
+        [vec![(t, KillTail)], starts(t + 5000)].concat()
     }),
-    ("head", |_, t| [vec![(t, KillHead)], starts(t + 5000)].concat()),
-    ("tail", |_, t| [vec![(t, KillTail)], starts(t + 5000)].concat()),
     ("new-disk", |s, t| {
         let i = s.roll(3) as usize;
         vec![(t, Wipe(i)), (t + 100 + s.roll(3000), Start(i))]
@@ -82,7 +119,12 @@
     ("moved", |s, t| vec![(t, Move(node(s), s.roll(9)))]),
     ("full-disk", |s, t| {
         let i = s.roll(3) as usize;
-        vec![(t, FullDisk(i, true)), (t + 300, Configure), (t + 6000, FullDisk(i, false)), (t + 6500, Start(i))]
+        vec![
+            (t, FullDisk(i, true)),
+            (t + 300, Configure),
+            (t + 6000, FullDisk(i, false)),
+            (t + 6500, Start(i)),
+        ]
     }),
     ("replace", |s, t| {
         let n = format!("{}-{}", db(s), 1 + s.roll(2));
--- a/chance/src/patron.rs
+++ b/chance/src/patron.rs
@@ -33,14 +33,20 @@
     Prepare(String, String),
     Release(String),
     Single(String),
-    Begin { steps: u64 },
-    Step { id: String, left: u64, txn: u64 },
+    Begin {
+        steps: u64,
+    },
+    Step {
+        id: String,
+        left: u64,
+        txn: u64,
+    },
     Commit(String),
     Rolling,
 }
 
 pub enum Next {
-    Send(Req, Option<Asks>),
+    Send(Box<Req>, Option<Asks>),
     Rest,
 }
 
@@ -57,11 +63,21 @@
 /// Whether an error of this kind promises that nothing of the try is kept.
 pub fn promises(k: Kind) -> bool {
     use Kind::*;
-    matches!(k, Aborted | Busy | NotCurrent | NoPrimary | NoHome | NoCopies | Leaving | Starting | TooLate)
+    matches!(
+        k,
+        Aborted | Busy | NotCurrent | NoPrimary | NoHome | NoCopies | Leaving | Starting | TooLate
+    )
 }
 
 impl Patron {
-    pub fn new(n: usize, entry: &str, service: &str, reads: Class, node: usize, seed: u64) -> Patron {
+    pub fn new(
+        n: usize,
+        entry: &str,
+        service: &str,
+        reads: Class,
+        node: usize,
+        seed: u64,
+    ) -> Patron {
         let pause = if n % 12 == 11 { 12_000 } else { 220 };
         Patron {
             n,
@@ -101,18 +117,51 @@
     fn statement(&mut self, writes: bool, txn: u64) -> (Req, Asks) {
         let (id, key) = (self.id(), self.key());
         let shape = if writes { "STORE" } else { "FETCH" };
-        let names: Vec<(String, String)> = self.names.iter().filter(|n| n.1.starts_with(shape)).map(|(a, b)| (a.clone(), b.clone())).collect();
-        let value = if writes { format!(" v{}", id) } else { String::new() };
-        let named = if self.roll(3) == 0 { names.first().cloned() } else { None };
+        let names: Vec<(String, String)> = self
+            .names
+            .iter()
+            .filter(|n| n.1.starts_with(shape))
+            .map(|(a, b)| (a.clone(), b.clone()))
+            .collect();
+        let value = if writes {
+            format!(" v{}", id)
+        } else {
+            String::new()
+        };
+        let named = if self.roll(3) == 0 {
+            names.first().cloned()
+        } else {
+            None
+        };
         let text = match &named {
             Some((n, _)) => format!("EXECUTE {n} {key}{value}"),
             None => format!("{shape} {key}{value}"),
         };
         let session = self.session.unwrap_or(0);
-        let (kind, body) = (if writes { Want::Writes } else { Want::Reads }, format!("{id} {text}"));
-        let req = Req::Run { session, kind, id: Some(id.clone()), body, prepared: None, budget: None };
+        let (kind, body) = (
+            if writes { Want::Writes } else { Want::Reads },
+            format!("{id} {text}"),
+        );
+        let req = Req::Run {
+            session,
+            kind,
+            id: Some(id.clone()),
+            body,
+            prepared: None,
+            budget: None,
+        };
         let class = if writes { Class::Write } else { self.reads };
-        (req, Asks { id, text, txn, class, commits: writes && txn == 0, shape: named.map(|n| n.1) })
+        (
+            req,
+            Asks {
+                id,
+                text,
+                txn,
+                class,
+                commits: writes && txn == 0,
+                shape: named.map(|n| n.1),
+            },
+        )
     }
 
     fn set_up(&mut self) -> Option<Req> {
@@ -122,12 +171,24 @@
             0..=4 => {
                 let (name, value) = (format!("o{}", self.roll(3)), format!("{}", self.roll(1000)));
                 self.now = Now::Option(name.clone(), value.clone());
-                Req::Set { session, name, value }
+                Req::Set {
+                    session,
+                    name,
+                    value,
+                }
             }
             5..=7 => {
-                let text = format!("{} q{}", if self.roll(2) == 0 { "FETCH" } else { "STORE" }, self.roll(100));
+                let text = format!(
+                    "{} q{}",
+                    if self.roll(2) == 0 { "FETCH" } else { "STORE" },
+                    self.roll(100)
+                );
                 self.now = Now::Prepare(name.clone(), text.clone());
-                Req::Prepare { session, name, text }
+                Req::Prepare {
+                    session,
+                    name,
+                    text,
+                }
             }
             _ if self.names.contains_key(&name) => {
                 self.now = Now::Release(name.clone());
@@ -138,15 +199,21 @@
     }
 
     /// What an idle client does next.
-    pub fn next(&mut self) -> Next {
+    pub fn next_move(&mut self) -> Next {
         let Some(session) = self.session else {
             self.now = Now::Opening;
             (self.options, self.names) = Default::default();
-            return Next::Send(Req::Enter { entry: self.entry.clone(), user: String::new() }, None);
+            return Next::Send(
+                Box::new(Req::Enter {
+                    entry: self.entry.clone(),
+                    user: String::new(),
+                }),
+                None,
+            );
         };
         match self.roll(100) {
             0..=11 => match self.set_up() {
-                Some(r) => Next::Send(r, None),
+                Some(r) => Next::Send(Box::new(r), None),
                 None => Next::Rest,
             },
             12..=31 => {
@@ -154,12 +221,21 @@
                 self.now = Now::Begin { steps };
                 let id = Some(self.id());
                 let lazy = self.roll(2) == 0;
-                Next::Send(Req::Begin { session, kind: None, id, lazy, budget: None }, None)
+                Next::Send(
+                    Box::new(Req::Begin {
+                        session,
+                        kind: None,
+                        id,
+                        lazy,
+                        budget: None,
+                    }),
+                    None,
+                )
             }
             x => {
                 let (r, a) = self.statement(x < 60, 0);
                 self.now = Now::Single(a.id.clone());
-                Next::Send(r, Some(a))
+                Next::Send(Box::new(r), Some(a))
             }
         }
     }
@@ -168,18 +244,36 @@
         let session = self.session.unwrap_or(0);
         if left == 0 && self.roll(6) == 0 {
             self.now = Now::Rolling;
-            return Next::Send(Req::Rollback { session }, None);
+            return Next::Send(Box::new(Req::Rollback { session }), None);
         }
         if left == 0 {
             let id = self.id();
             self.now = Now::Commit(id.clone());
-            let a = Asks { id: id.clone(), text: "COMMIT".into(), txn, class: Class::Write, commits: true, shape: None };
-            return Next::Send(Req::Commit { session, body: format!("{id} COMMIT"), budget: None }, Some(a));
+            let a = Asks {
+                id: id.clone(),
+                text: "COMMIT".into(),
+                txn,
+                class: Class::Write,
+                commits: true,
+                shape: None,
+            };
+            return Next::Send(
+                Box::new(Req::Commit {
+                    session,
+                    body: format!("{id} COMMIT"),
+                    budget: None,
+                }),
+                Some(a),
+            );
         }
         let writes = self.roll(2) == 0;
         let (r, a) = self.statement(writes, txn);
-        self.now = Now::Step { id: a.id.clone(), left: left - 1, txn };
-        Next::Send(r, Some(a))
+        self.now = Now::Step {
+            id: a.id.clone(),
+            left: left - 1,
+            txn,
+        };
+        Next::Send(Box::new(r), Some(a))
     }
 
     /// Takes an answer. `None`: the connection broke or nothing came.
@@ -188,8 +282,13 @@
         let ok = matches!(r, Some(Ok(_)));
         let gone = match r {
             None => true,
-            Some(Ok(Answer::Ran(x))) => x.leaving && !matches!(now, Now::Begin { .. } | Now::Step { .. }),
-            Some(Err(e)) => matches!(e.kind, Kind::UnknownSession | Kind::Leaving | Kind::Starting),
+            Some(Ok(Answer::Ran(x))) => {
+                x.leaving && !matches!(now, Now::Begin { .. } | Now::Step { .. })
+            }
+            Some(Err(e)) => matches!(
+                e.kind,
+                Kind::UnknownSession | Kind::Leaving | Kind::Starting
+            ),
             _ => false,
         };
         let end = match now {
@@ -199,15 +298,29 @@
                 }
                 !ok
             }
-            Now::Option(n, v) if ok => self.options.insert(n, v).is_some() && false,
-            Now::Prepare(n, t) if ok => self.names.insert(n, t).is_some() && false,
-            Now::Release(n) if ok => self.names.remove(&n).is_none() && false,
+            Now::Option(n, v) if ok => {
+                self.options.insert(n, v);
+                false
+            }
+            Now::Prepare(n, t) if ok => {
+                self.names.insert(n, t);
+                false
+            }
+            Now::Release(n) if ok => {
+                self.names.remove(&n);
+                false
+            }
             Now::Option(..) | Now::Prepare(..) | Now::Release(..) => true,
             Now::Begin { steps } if ok => return self.step(steps, self.begun),
             Now::Step { left, txn, .. } if ok => return self.step(left, txn),
             Now::Step { .. } if !gone => {
                 self.now = Now::Rolling;
-                return Next::Send(Req::Rollback { session: self.session.unwrap_or(0) }, None);
+                return Next::Send(
+                    Box::new(Req::Rollback {
+                        session: self.session.unwrap_or(0),
+                    }),
+                    None,
+                );
             }
             _ => false,
         };
--- a/chance/src/planned.rs
+++ b/chance/src/planned.rs
@@ -3,19 +3,37 @@
 use guise::check::Off;
 use guise::mix::Class;
 use serde_json::Value;
-use tenet::rules::{Labelled, Rule};
-use tenet::state::Op;
 use tenet::control::In;
 use tenet::drain::Drain;
 use tenet::front::FrontIn;
+use tenet::rules::{Labelled, Rule};
+use tenet::state::Op;
 
 impl Sim {
     pub(crate) fn relabel(&mut self, server: String) {
         let mut c = self.cfg.clone();
-        let class = c.kinds.values().find_map(|k| k.labels.get("class").cloned()).unwrap_or_default();
-        c.servers.insert(server.clone(), Labelled { labels: [("tier".to_string(), "spare".to_string())].into() });
-        c.rules.push(Rule { name: "spare".into(), kinds: format!("class={class}"), rank: 1, servers: Some("tier!=spare".into()), fresh: None });
-        let (text, base) = (serde_json::to_string(&c).unwrap_or_default(), self.watch.config_base);
+        let class = c
+            .kinds
+            .values()
+            .find_map(|k| k.labels.get("class").cloned())
+            .unwrap_or_default();
+        c.servers.insert(
+            server.clone(),
+            Labelled {
+                labels: [("tier".to_string(), "spare".to_string())].into(),
+            },
+        );
+        c.rules.push(Rule {
+            name: "spare".into(),
+            kinds: format!("class={class}"),
+            rank: 1,
+            servers: Some("tier!=spare".into()),
+            fresh: None,
+        });
+        let (text, base) = (
+            serde_json::to_string(&c).unwrap_or_default(),
+            self.watch.config_base,
+        );
         let k = self.operator(Op::Config { base, text });
         self.watch.config_calls.push(k);
         self.watch.spared = Some((k, server, u64::MAX));
@@ -25,39 +43,71 @@
         let Class::Within(b) = class else { return };
         let server = v["server"].as_str().unwrap_or("").to_string();
         self.watch.read_at.push((start, server.clone()));
-        let Some((_, s, at)) = self.watch.spared.clone() else { return };
+        let Some((_, s, at)) = self.watch.spared.clone() else {
+            return;
+        };
         if server == s && start > at.saturating_add(3000) {
-            self.watch.faults.push(format!("labels: a read went to {s} at {start}, its labels were changed at {at}"));
+            self.watch.faults.push(format!(
+                "labels: a read went to {s} at {start}, its labels were changed at {at}"
+            ));
         }
         let i = self.clients[c].node;
         let local = self.nodes[i].local(self.now);
-        let told = self.nodes[i].front.as_ref().map(|f| f.verdicts(local)["servers"][&server]["reads"].clone());
-        let mine = told.as_ref().and_then(|r| r.as_object()).and_then(|m| m.values().find(|k| k["bound_ms"] == b));
-        let stale = mine.and_then(|k| k["why"].as_str()).is_some_and(|w| w.contains("ago"));
+        let told = self.nodes[i]
+            .front
+            .as_ref()
+            .map(|f| f.verdicts(local)["servers"][&server]["reads"].clone());
+        let mine = told
+            .as_ref()
+            .and_then(|r| r.as_object())
+            .and_then(|m| m.values().find(|k| k["bound_ms"] == b));
+        let stale = mine
+            .and_then(|k| k["why"].as_str())
+            .is_some_and(|w| w.contains("ago"));
         self.watch.agreed += 1;
         if start > at.saturating_add(3000) && mine.is_none_or(|k| k["may"] != true && !stale) {
-            self.watch.faults.push(format!("verdict: a read went to {server}, node {i} says {mine:?}"));
+            self.watch.faults.push(format!(
+                "verdict: a read went to {server}, node {i} says {mine:?}"
+            ));
         }
     }
 
     pub(crate) fn evacuate(&mut self, domain: String, on: bool) {
         if !on {
             let (d, now) = (domain.clone(), self.now);
-            let mine = |s: &str| self.world.ix(s).is_some_and(|i| self.world.servers[i].domain == d);
-            self.history.off.iter_mut().filter(|o| o.bound == 5000 && mine(&o.server)).for_each(|o| o.until = o.until.min(now));
+            let mine = |s: &str| {
+                self.world
+                    .ix(s)
+                    .is_some_and(|i| self.world.servers[i].domain == d)
+            };
+            self.history
+                .off
+                .iter_mut()
+                .filter(|o| o.bound == 5000 && mine(&o.server))
+                .for_each(|o| o.until = o.until.min(now));
         }
-        let call = self.operator(Op::Evacuate { domain: domain.clone(), on });
+        let call = self.operator(Op::Evacuate {
+            domain: domain.clone(),
+            on,
+        });
         self.watch.evac_calls.insert(call, (domain, on));
     }
 
     pub(crate) fn evacuation_told(&mut self, call: u64, accepted: bool) {
-        let Some((d, on)) = self.watch.evac_calls.remove(&call) else { return };
+        let Some((d, on)) = self.watch.evac_calls.remove(&call) else {
+            return;
+        };
         let since = self.now;
         if !accepted {
             return self.at(since + 200, Ev::Fault(Fault::Evacuate(d, on)));
         }
         let gone = self.world.servers.iter().filter(|s| on && s.domain == d);
-        self.history.off.extend(gone.map(|s| Off { server: s.name.clone(), since, until: u64::MAX, bound: 5000 }));
+        self.history.off.extend(gone.map(|s| Off {
+            server: s.name.clone(),
+            since,
+            until: u64::MAX,
+            bound: 5000,
+        }));
     }
 
     pub(crate) fn restart(&mut self, s: usize) {
@@ -79,7 +129,11 @@
 
     pub(crate) fn stays(&mut self, s: usize) {
         let (n, now) = (self.world.servers[s].name.clone(), self.now);
-        self.history.off.iter_mut().filter(|o| o.server == n && o.bound == 7000).for_each(|o| o.until = o.until.min(now));
+        self.history
+            .off
+            .iter_mut()
+            .filter(|o| o.server == n && o.bound == 7000)
+            .for_each(|o| o.until = o.until.min(now));
     }
 
     pub(crate) fn stop(&mut self, i: usize) {
@@ -102,15 +156,27 @@
         if n.frozen {
             return self.at(self.now + 50, Ev::Drain(i, life));
         }
-        let busy = self.calls.values().filter(|c| c.1 == i && c.2 == life).count();
+        let busy = self
+            .calls
+            .values()
+            .filter(|c| c.1 == i && c.2 == life)
+            .count();
         let f = n.front.as_ref();
-        let (empty, drained) = (f.is_none_or(|f| f.empty()), f.is_none_or(|f| f.drained()) && n.control.as_ref().is_none_or(|c| c.left()));
-        let done = n.drain.as_ref().is_some_and(|d| d.done(n.local(self.now), empty, drained, busy));
+        let (empty, drained) = (
+            f.is_none_or(|f| f.empty()),
+            f.is_none_or(|f| f.drained()) && n.control.as_ref().is_none_or(|c| c.left()),
+        );
+        let done = n
+            .drain
+            .as_ref()
+            .is_some_and(|d| d.done(n.local(self.now), empty, drained, busy));
         if !done {
             return self.at(self.now + 50, Ev::Drain(i, life));
         }
         if busy > 0 && self.nodes[i].thawed + 5000 < self.now {
-            self.watch.faults.push(format!("cut: the planned stop of node {i} cut off {busy} answers"));
+            self.watch.faults.push(format!(
+                "cut: the planned stop of node {i} cut off {busy} answers"
+            ));
         }
         self.kill(i);
     }
--- a/chance/src/platter.rs
+++ b/chance/src/platter.rs
@@ -21,7 +21,14 @@
 
 pub fn micros(p: &Platter, op: &FileOp) -> Vec<Micro> {
     let (name, bytes, whole) = match op {
-        FileOp::Settle => return p.files.keys().map(|n| Micro::Sync(n)).chain([Micro::SyncDir]).collect(),
+        FileOp::Settle => {
+            return p
+                .files
+                .keys()
+                .map(|n| Micro::Sync(n))
+                .chain([Micro::SyncDir])
+                .collect()
+        }
         FileOp::Append { name, bytes } => (*name, bytes, false),
         FileOp::Replace { name, bytes } => (*name, bytes, true),
     };
@@ -32,7 +39,12 @@
         true => (),
     }
     let n = bytes.len() / 2;
-    v.extend([&bytes[..n], &bytes[n..]].into_iter().filter(|b| !b.is_empty()).map(|b| Micro::Write(name, b.to_vec())));
+    v.extend(
+        [&bytes[..n], &bytes[n..]]
+            .into_iter()
+            .filter(|b| !b.is_empty())
+            .map(|b| Micro::Write(name, b.to_vec())),
+    );
     v.push(Micro::Sync(name));
     if whole {
         v.push(Micro::SyncDir);
@@ -65,7 +77,8 @@
             Micro::Sync(n) => {
                 let data = self.files.get(n).cloned().unwrap_or_default();
                 self.kept.insert(n, data);
-                self.loose.retain(|l| !matches!(l, Micro::Write(x, _) | Micro::Cut(x) if x == n));
+                self.loose
+                    .retain(|l| !matches!(l, Micro::Write(x, _) | Micro::Cut(x) if x == n));
             }
             Micro::SyncDir => {
                 for l in &self.loose {
@@ -81,7 +94,8 @@
     }
 
     pub fn run(&mut self, ops: Vec<FileOp>) -> bool {
-        ops.iter().all(|o| micros(self, o).into_iter().all(|m| self.act(m)))
+        ops.iter()
+            .all(|o| micros(self, o).into_iter().all(|m| self.act(m)))
     }
 
     pub fn crash(&mut self, power: bool, keep: &mut dyn FnMut() -> bool) {
@@ -117,6 +131,9 @@
     }
 
     pub fn wipe(&mut self) {
-        *self = Platter { full: self.full, ..Platter::default() };
+        *self = Platter {
+            full: self.full,
+            ..Platter::default()
+        };
     }
 }
--- a/chance/src/sim.rs
+++ b/chance/src/sim.rs
@@ -6,13 +6,13 @@
 use guise::check::History;
 use guise::mix::Kinds;
 use guise::world::{Shape, World};
+use medium::back::HttpRes;
 use serde_json::Value;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use tenet::base::*;
 use tenet::config::Config;
 use tenet::effect::In;
-use medium::back::HttpRes;
 use tenet::front::FrontIn;
 
 pub enum Ev {
@@ -20,15 +20,42 @@
     Front(usize, u32, FrontIn),
     WakeC(usize, u32, Time),
     WakeF(usize, u32, Time),
-    Back { node: usize, life: u32, token: u64, server: usize, path: &'static str, body: Value },
+    Back {
+        node: usize,
+        life: u32,
+        token: u64,
+        server: usize,
+        path: &'static str,
+        body: Value,
+    },
     Lost(usize, u32, u64),
     Drain(usize, u32),
     Client(usize, u64),
-    Reply { call: u64, res: HttpRes },
+    Reply {
+        call: u64,
+        res: HttpRes,
+    },
     Synced(usize, u32, u64),
-    Promote { node: usize, life: u32, db: String, server: String, epoch: Mark, token: Mark, until: Time },
-    Ask { node: usize, life: u32, token: u64, server: usize, query: tenet::query::Query },
-    Said { call: u64, r: crate::terms::Said },
+    Promote {
+        node: usize,
+        life: u32,
+        db: String,
+        server: String,
+        epoch: Mark,
+        token: Mark,
+        until: Time,
+    },
+    Ask {
+        node: usize,
+        life: u32,
+        token: u64,
+        server: usize,
+        query: tenet::query::Query,
+    },
+    Said {
+        call: u64,
+        r: crate::terms::Said,
+    },
     World,
     Announce,
     Fault(Fault),
@@ -95,7 +122,13 @@
 fn drift(seed: u64, i: u64) -> i64 {
     let r = mix(seed ^ mix(i));
     match seed % 3 {
-        0 => if r % 2 == 0 { DRIFT } else { -DRIFT },
+        0 => {
+            if r.is_multiple_of(2) {
+                DRIFT
+            } else {
+                -DRIFT
+            }
+        }
         _ => (r % (2 * DRIFT as u64 + 1)) as i64 - DRIFT,
     }
 }
@@ -217,10 +250,22 @@
 
     pub fn hold_sends(&mut self, i: usize) {
         let mine = |e: &Ev| match e {
-            Ev::Back { node, path, body, .. } => *node == i && *path == "/statement" && body["write"] == true && body["id"].is_string(),
+            Ev::Back {
+                node, path, body, ..
+            } => {
+                *node == i
+                    && *path == "/statement"
+                    && body["write"] == true
+                    && body["id"].is_string()
+            }
             _ => false,
         };
-        let keys: Vec<(Time, u64)> = self.evs.iter().filter(|(_, e)| mine(e)).map(|(k, _)| *k).collect();
+        let keys: Vec<(Time, u64)> = self
+            .evs
+            .iter()
+            .filter(|(_, e)| mine(e))
+            .map(|(k, _)| *k)
+            .collect();
         for k in keys {
             self.held.extend(self.evs.remove(&k));
         }
@@ -239,6 +284,9 @@
             let (a, b) = (End::Server(i), End::Server(j));
             i != j && (self.apart(a, b) || self.apart(b, a))
         };
-        (0..n).flat_map(|i| (0..n).map(move |j| (i, j))).filter(|(i, j)| far(*i, *j)).collect()
+        (0..n)
+            .flat_map(|i| (0..n).map(move |j| (i, j)))
+            .filter(|(i, j)| far(*i, *j))
+            .collect()
     }
 }
--- a/chance/src/slopes/bench.rs
+++ b/chance/src/slopes/bench.rs
@@ -15,7 +15,16 @@
 pub fn table(sc: &Scene, st: &State, i: usize, old: Option<&Table>) -> Table {
     let cfg = sc.config();
     let domain = st.members[&seat(i).id].domain.clone();
-    Maker { me: seat(i).id, domain: &domain, now: 1, cfg: &cfg, st, alive: &|_| true, old }.make()
+    Maker {
+        me: seat(i).id,
+        domain: &domain,
+        now: 1,
+        cfg: &cfg,
+        st,
+        alive: &|_| true,
+        old,
+    }
+    .make()
 }
 
 /// One `Table` from scratch, then one over the old.
@@ -35,11 +44,26 @@
 }
 
 pub fn pilot(sc: &Scene, st: &State) -> Pilot {
-    let (mut c, mut send) = (Colleagues::new(sc.summary(0, st.mark), Vec::new(), 2), Vec::new());
+    let (mut c, mut send) = (
+        Colleagues::new(sc.summary(0, st.mark), Vec::new(), 2),
+        Vec::new(),
+    );
     let news = (1..sc.all()).map(|i| sc.summary(i, st.mark)).collect();
-    c.take(1, seat(1).id, seat(1).addr, &Msg::ProbeAck { seq: 0, news }, &mut send);
+    c.take(
+        1,
+        seat(1).id,
+        seat(1).addr,
+        &Msg::ProbeAck { seq: 0, news },
+        &mut send,
+    );
     let (mut w, cfg) = (Watch::default(), sc.config());
-    let at = |now: Time| Sky { now, me: seat(0).id, st, cfg: &cfg, c: &c };
+    let at = |now: Time| Sky {
+        now,
+        me: seat(0).id,
+        st,
+        cfg: &cfg,
+        c: &c,
+    };
     (0..3).for_each(|k| drop(w.tick(&at(1 + k * 2000))));
     let (r, quiet) = timed(|| w.tick(&at(7000)));
     let mut ops = r.0.len();
@@ -52,7 +76,13 @@
     }
     let (r, told) = timed(|| w.tick(&at(7050)));
     ops += r.0.len();
-    Pilot { quiet, told, sight: last, sights, ops }
+    Pilot {
+        quiet,
+        told,
+        sight: last,
+        sights,
+        ops,
+    }
 }
 
 /// One collect node with idle sessions and no answers from servers: per virtual second after warming up.
@@ -78,12 +108,31 @@
     for k in 0..sessions {
         let db = t.dbs[k % t.dbs.len()].name.clone();
         let settings = vec![("timezone".to_string(), "Europe/Zurich".to_string())];
-        let req = Req::Open { db, user: format!("u{}", k % 50), tenant: None, settings };
-        let o = f.poll(11, FrontIn::Call { call: k as u64 + 1, req });
+        let req = Req::Open {
+            db,
+            user: format!("u{}", k % 50),
+            tenant: None,
+            settings,
+        };
+        let o = f.poll(
+            11,
+            FrontIn::Call {
+                call: k as u64 + 1,
+                req,
+            },
+        );
         opened += o.response.iter().filter(|r| r.1.is_ok()).count();
     }
     let memory = resident().saturating_sub(before);
-    let mut r = Idle { sessions: opened, memory, busy: Duration::ZERO, calls: 0, sends: 0, sights: 0, worst: Duration::ZERO };
+    let mut r = Idle {
+        sessions: opened,
+        memory,
+        busy: Duration::ZERO,
+        calls: 0,
+        sends: 0,
+        sights: 0,
+        worst: Duration::ZERO,
+    };
     let mut now = 20;
     while now < 1000 + secs * 1000 {
         let (o, d) = timed(|| f.poll(now, FrontIn::Wakeup));
--- a/chance/src/slopes/change.rs
+++ b/chance/src/slopes/change.rs
@@ -28,10 +28,23 @@
     f.forced.iter_mut().for_each(|t| *t = 0);
     f.reset();
     let at = f.now;
-    f.poll(VOTERS, In::Ask { call: 1, id: None, op: Op::Config { base, text } });
+    f.poll(
+        VOTERS,
+        In::Ask {
+            call: 1,
+            id: None,
+            op: Op::Config { base, text },
+        },
+    );
     f.run(at + wait);
-    let real: Vec<usize> = (VOTERS..f.nodes.len()).filter(|i| matches!(f.nodes[*i], Node::Real(_))).collect();
-    let took: Vec<f64> = real.iter().filter(|i| f.forced[**i] > 0).map(|i| (f.forced[*i] - at) as f64).collect();
+    let real: Vec<usize> = (VOTERS..f.nodes.len())
+        .filter(|i| matches!(f.nodes[*i], Node::Real(_)))
+        .collect();
+    let took: Vec<f64> = real
+        .iter()
+        .filter(|i| f.forced[**i] > 0)
+        .map(|i| (f.forced[*i] - at) as f64)
+        .collect();
     let bytes = |i: usize, k: &str| f.tally[i].got.get(k).map_or(0, |v| v.1);
     Change {
         text: size,
@@ -54,19 +67,37 @@
 
 pub fn joined(sc: &Scene, st: &State) -> Joined {
     let s = seat(2);
-    let msg = Msg::Fresh { seq: 1, have: st.mark, part: Changes::Frame(st.clone()), view: sc.view() };
-    let p = Packet { from: s.id, addr: s.addr, cluster: 7, msg };
+    let msg = Msg::Fresh {
+        seq: 1,
+        have: st.mark,
+        part: Changes::Frame(Box::new(st.clone())),
+        view: sc.view(),
+    };
+    let p = Packet {
+        from: s.id,
+        addr: s.addr,
+        cluster: 7,
+        msg,
+    };
     let (b, write) = timed(|| encode(&p));
     let (_, read) = timed(|| decode(&b).is_ok());
     let (_, parse) = timed(|| Config::parse(&st.cfg).is_ok());
-    Joined { frame: b.len(), text: st.cfg.len(), write, read, parse }
+    Joined {
+        frame: b.len(),
+        text: st.cfg.len(),
+        write,
+        read,
+        parse,
+    }
 }
 
 /// Ten followers die at once: ms until the head's table has each as not alive, and how many it never had.
 pub fn loss(f: &mut Fleet, wait: Time) -> (Vec<f64>, usize) {
     let at = f.now;
     let n = f.nodes.len() - VOTERS;
-    let v: Vec<usize> = (0..LOST.min(n / 3)).map(|k| VOTERS + k * n / LOST.min(n / 3)).collect();
+    let v: Vec<usize> = (0..LOST.min(n / 3))
+        .map(|k| VOTERS + k * n / LOST.min(n / 3))
+        .collect();
     for i in &v {
         f.nodes[*i] = Node::Dead;
         f.victims.push(seat(*i).id);
--- a/chance/src/slopes/fleet.rs
+++ b/chance/src/slopes/fleet.rs
@@ -69,7 +69,15 @@
                 f.nodes.push(Node::Real(Box::new(c)));
                 f.effect(i, e);
                 let o = seat((i + 1) % VOTERS);
-                let p = Packet { from: o.id, addr: o.addr, cluster: 7, msg: Msg::ProbeAck { seq: 0, news: news.clone() } };
+                let p = Packet {
+                    from: o.id,
+                    addr: o.addr,
+                    cluster: 7,
+                    msg: Msg::ProbeAck {
+                        seq: 0,
+                        news: news.clone(),
+                    },
+                };
                 f.at(2, Ev::Bytes(i, "start", encode(&p)));
             } else {
                 f.nodes.push(Node::Hollow(Hollow::new(i, st.mark)));
@@ -112,7 +120,9 @@
             }
             Ev::Hollow(i) => {
                 self.at(self.now + 50, Ev::Hollow(i));
-                let Node::Hollow(h) = &mut self.nodes[i] else { return };
+                let Node::Hollow(h) = &mut self.nodes[i] else {
+                    return;
+                };
                 let v = h.tick(self.now, &self.sc);
                 v.into_iter().for_each(|(a, m)| self.post(i, a, m));
             }
@@ -135,7 +145,9 @@
     }
 
     pub fn poll(&mut self, i: usize, x: In) {
-        let Node::Real(c) = &mut self.nodes[i] else { return };
+        let Node::Real(c) = &mut self.nodes[i] else {
+            return;
+        };
         let (t, was) = (Instant::now(), c.state().cfg_mark);
         let e = c.poll(self.now, x);
         let d = t.elapsed();
@@ -167,7 +179,16 @@
 
     fn post(&mut self, i: usize, to: Addr, msg: Msg) {
         let s = seat(i);
-        self.packet(i, to, &Packet { from: s.id, addr: s.addr, cluster: 7, msg });
+        self.packet(
+            i,
+            to,
+            &Packet {
+                from: s.id,
+                addr: s.addr,
+                cluster: 7,
+                msg,
+            },
+        );
     }
 
     fn packet(&mut self, i: usize, to: Addr, p: &Packet) {
@@ -189,7 +210,12 @@
     pub fn roles(&self, st: &State) -> BTreeMap<&'static str, (usize, Tally)> {
         let fences = |i: usize| st.dbs.values().any(|d| d.fencers.contains(&seat(i).id));
         let mut m: BTreeMap<&'static str, (usize, Tally)> = BTreeMap::new();
-        for (i, t) in self.tally.iter().enumerate().filter(|(i, _)| matches!(self.nodes[*i], Node::Real(_))) {
+        for (i, t) in self
+            .tally
+            .iter()
+            .enumerate()
+            .filter(|(i, _)| matches!(self.nodes[*i], Node::Real(_)))
+        {
             let r = match i {
                 0 => "head",
                 1 => "middle",
@@ -209,7 +235,9 @@
             Node::Real(c) => Some(c.state()),
             _ => None,
         });
-        c.fold((usize::MAX, 0), |a, s| (a.0.min(s.members.len()), a.1.max(s.mark as usize)))
+        c.fold((usize::MAX, 0), |a, s| {
+            (a.0.min(s.members.len()), a.1.max(s.mark as usize))
+        })
     }
 }
 
--- a/chance/src/slopes/hollow.rs
+++ b/chance/src/slopes/hollow.rs
@@ -16,14 +16,23 @@
 
 impl Hollow {
     pub fn new(i: usize, have: Mark) -> Self {
-        Hollow { i, have, seq: 0, turn: mix(i as u64), ask_at: 0 }
+        Hollow {
+            i,
+            have,
+            seq: 0,
+            turn: mix(i as u64),
+            ask_at: 0,
+        }
     }
 
     fn news(&mut self, sc: &Scene) -> Vec<tenet::wire::Summary> {
         let n = sc.all();
         self.turn = self.turn.wrapping_add(GOSSIP as u64);
         let others = (0..GOSSIP.min(n - 1)).map(|k| (self.turn as usize % n + k) % n);
-        std::iter::once(self.i).chain(others).map(|i| sc.summary(i, self.have)).collect()
+        std::iter::once(self.i)
+            .chain(others)
+            .map(|i| sc.summary(i, self.have))
+            .collect()
     }
 
     /// Due each 200 ms; the tail is asked each 250 ms.
@@ -32,14 +41,27 @@
         if now >= self.ask_at {
             self.ask_at = now.max(self.ask_at + REFRESH);
             self.seq += 1;
-            v.push((seat(VOTERS - 1).addr, Msg::Refresh { seq: self.seq as u64, have: self.have, cluster: 7 }));
+            v.push((
+                seat(VOTERS - 1).addr,
+                Msg::Refresh {
+                    seq: self.seq as u64,
+                    have: self.have,
+                    cluster: 7,
+                },
+            ));
         }
         if now % PROBE_ROUND < 50 {
             for _ in 0..2 {
                 self.seq += 1;
                 let news = self.news(sc);
                 let to = mix(self.seq as u64 ^ mix(self.i as u64)) as usize % sc.all();
-                v.push((seat(to).addr, Msg::Probe { seq: self.seq, news }));
+                v.push((
+                    seat(to).addr,
+                    Msg::Probe {
+                        seq: self.seq,
+                        news,
+                    },
+                ));
             }
         }
         v
@@ -47,7 +69,13 @@
 
     pub fn take(&mut self, from: Addr, m: &Msg, sc: &Scene) -> Option<(Addr, Msg)> {
         match m {
-            Msg::Probe { seq, .. } => Some((from, Msg::ProbeAck { seq: *seq, news: self.news(sc) })),
+            Msg::Probe { seq, .. } => Some((
+                from,
+                Msg::ProbeAck {
+                    seq: *seq,
+                    news: self.news(sc),
+                },
+            )),
             Msg::Nudge { mark } if *mark > self.have => {
                 self.ask_at = 0;
                 None
--- a/chance/src/slopes/report.rs
+++ b/chance/src/slopes/report.rs
@@ -12,7 +12,10 @@
 
 impl Series {
     pub fn new(unit: &'static str) -> Self {
-        Series { unit, all: BTreeMap::new() }
+        Series {
+            unit,
+            all: BTreeMap::new(),
+        }
     }
 
     pub fn add(&mut self, x: usize, y: f64) {
@@ -22,13 +25,27 @@
     /// Medians with least and most, the line through the medians and the power of growth.
     pub fn text(&self, name: &str) -> String {
         let mut s = format!("{name} [{}]", self.unit);
-        let mids: Vec<(f64, f64)> = self.all.iter().map(|(x, v)| (*x as f64, spread(v).mid)).collect();
+        let mids: Vec<(f64, f64)> = self
+            .all
+            .iter()
+            .map(|(x, v)| (*x as f64, spread(v).mid))
+            .collect();
         for (x, v) in &self.all {
             let p = spread(v);
-            s += &format!("\n  {x:>7}: {} ({} .. {}; {} runs)", short(p.mid), short(p.low), short(p.high), v.len());
+            s += &format!(
+                "\n  {x:>7}: {} ({} .. {}; {} runs)",
+                short(p.mid),
+                short(p.low),
+                short(p.high),
+                v.len()
+            );
         }
         if let (Some(l), Some(k)) = (line(&mids), power(&mids)) {
-            s += &format!("\n  line {} + {} x, grows as x^{k:.2}", short(l.base), short(l.slope));
+            s += &format!(
+                "\n  line {} + {} x, grows as x^{k:.2}",
+                short(l.base),
+                short(l.slope)
+            );
         }
         s
     }
@@ -64,7 +81,10 @@
         short(share(t.poll, k)), short(share(t.codec, k)), short(ms(t.worst)), per(t.polls)
     );
     for (way, m) in [("out", &t.sent), ("in", &t.got)] {
-        let v: Vec<String> = m.iter().map(|(k, (n, b))| format!("{k} {}/{}", per(*n), per(*b))).collect();
+        let v: Vec<String> = m
+            .iter()
+            .map(|(k, (n, b))| format!("{k} {}/{}", per(*n), per(*b)))
+            .collect();
         s += &format!("\n    {way}: {}", v.join(", "));
     }
     s
--- a/chance/src/slopes/scene.rs
+++ b/chance/src/slopes/scene.rs
@@ -42,7 +42,10 @@
 }
 
 pub fn seat(i: usize) -> Seat {
-    Seat { id: mix(seed(i)) | 1, addr: addr(1, i) }
+    Seat {
+        id: mix(seed(i)) | 1,
+        addr: addr(1, i),
+    }
 }
 
 fn seed(i: usize) -> u64 {
@@ -56,11 +59,15 @@
 
     /// The configuration text; `turn` changes one number in it.
     pub fn text(&self, turn: u32) -> String {
-        let map = |n: usize, f: &dyn Fn(usize) -> (String, Value)| (0..n).map(f).collect::<Map<_, _>>();
+        let map =
+            |n: usize, f: &dyn Fn(usize) -> (String, Value)| (0..n).map(f).collect::<Map<_, _>>();
         let domains = map(ZONES, &|z| (zone(z), json!({ "region": region(z) })));
         let dbs = map(self.dbs, &|d| {
             let homes: Vec<String> = (0..3).map(|h| region(d + h)).collect();
-            (name(d), json!({ "servers": format!("db={}", name(d)), "homes": homes, "cap": 80 }))
+            (
+                name(d),
+                json!({ "servers": format!("db={}", name(d)), "homes": homes, "cap": 80 }),
+            )
         });
         let rules: Vec<Value> = (0..self.routes)
             .map(|r| json!({ "name": format!("r{r:05}"), "kinds": "name=read", "rank": r, "servers": format!("tier=t{r}") }))
@@ -77,10 +84,24 @@
         let text = self.text(0);
         let cfg = Config::parse(&text).unwrap_or_else(|e| panic!("{}", e.join("; ")));
         let mark = 10_000;
-        let mut st = State { cluster: 7, mark, cfg_mark: 5, cfg: text, ..State::default() };
+        let mut st = State {
+            cluster: 7,
+            mark,
+            cfg_mark: 5,
+            cfg: text,
+            ..State::default()
+        };
         for i in 0..self.all() {
             let s = seat(i);
-            let m = Member { id: s.id, addr: s.addr, http: s.addr, domain: zone(i), disk: i < VOTERS, phase: "full".into(), at: 5 };
+            let m = Member {
+                id: s.id,
+                addr: s.addr,
+                http: s.addr,
+                domain: zone(i),
+                disk: i < VOTERS,
+                phase: "full".into(),
+                at: 5,
+            };
             st.members.insert(s.id, m);
         }
         for d in 0..self.dbs {
@@ -89,27 +110,79 @@
                 let s = format!("{n}-{h}");
                 let labels = BTreeMap::from([("db".to_string(), n.clone())]);
                 let at = addr(2, d * 3 + h);
-                st.servers.insert(s.clone(), Server { name: s, addr: at, domain: zone((d + h) % REGIONS), labels, life: 9, leads: h == 0, terms: false, seq: 0, leaving: false });
+                st.servers.insert(
+                    s.clone(),
+                    Server {
+                        name: s,
+                        addr: at,
+                        domain: zone((d + h) % REGIONS),
+                        labels,
+                        life: 9,
+                        leads: h == 0,
+                        terms: false,
+                        seq: 0,
+                        leaving: false,
+                    },
+                );
             }
             let heirs = (1..3).map(|h| (format!("{n}-{h}"), 9)).collect();
-            let db = Db { epoch: 5, since: 5, phase: "steady".into(), primary: Some(format!("{n}-0")), heirs, ..Db::default() };
+            let db = Db {
+                epoch: 5,
+                since: 5,
+                phase: "steady".into(),
+                primary: Some(format!("{n}-0")),
+                heirs,
+                ..Db::default()
+            };
             st.dbs.insert(n.clone(), db);
             let p = place(&cfg, &st, &n, &|_| true, &|_| true, &|_| true);
-            st.dbs.entry(n).and_modify(|b| p.into_iter().for_each(|p| (b.fencers, b.gateways) = (p.fencers, p.gateways)));
+            st.dbs.entry(n).and_modify(|b| {
+                p.into_iter()
+                    .for_each(|p| (b.fencers, b.gateways) = (p.fencers, p.gateways))
+            });
         }
-        st.recent = (0..2048).map(|i| (mix(i), i, Verdict { mark: i, reject: None })).collect();
-        (0..600).for_each(|i| st.tell(1_000_000, "configuration", format!("configuration {i} accepted over {i}")));
+        st.recent = (0..2048)
+            .map(|i| {
+                (
+                    mix(i),
+                    i,
+                    Verdict {
+                        mark: i,
+                        reject: None,
+                    },
+                )
+            })
+            .collect();
+        (0..600).for_each(|i| {
+            st.tell(
+                1_000_000,
+                "configuration",
+                format!("configuration {i} accepted over {i}"),
+            )
+        });
         st
     }
 
     pub fn view(&self) -> View {
         let v: Vec<Seat> = (0..VOTERS).map(seat).collect();
-        View { n: 1, cluster: 7, voters: v.clone(), chain: v }
+        View {
+            n: 1,
+            cluster: 7,
+            voters: v.clone(),
+            chain: v,
+        }
     }
 
     pub fn start(&self, i: usize, st: &State) -> Start {
         let s = seat(i);
-        let d = Durable { id: s.id, pledge: self.view().chain, view: self.view(), whole: 1, state: st.clone(), ..Durable::default() };
+        let d = Durable {
+            id: s.id,
+            pledge: self.view().chain,
+            view: self.view(),
+            whole: 1,
+            state: st.clone(),
+            ..Durable::default()
+        };
         Start {
             found: true,
             founders: vec![],
@@ -147,17 +220,28 @@
     pub fn sights(&self, i: usize, st: &State) -> Vec<Sight> {
         let me = seat(i).id;
         let sees = |n: &String, d: &Db| d.primary.as_ref() != Some(n) || d.fencers.contains(&me);
-        let of = |s: &Server| s.labels.get("db").and_then(|n| st.dbs.get(n)).filter(|d| sees(&s.name, d));
-        let tell = |s: &Server| of(s).map(|d| Sight {
-            server: s.name.clone(),
-            life: s.life,
-            age: 20,
-            reach: true,
-            pos: 1000,
-            follows: if s.leads { String::new() } else { d.primary.clone().unwrap_or_default() },
-            leads: s.leads,
-            link: !s.leads,
-        });
+        let of = |s: &Server| {
+            s.labels
+                .get("db")
+                .and_then(|n| st.dbs.get(n))
+                .filter(|d| sees(&s.name, d))
+        };
+        let tell = |s: &Server| {
+            of(s).map(|d| Sight {
+                server: s.name.clone(),
+                life: s.life,
+                age: 20,
+                reach: true,
+                pos: 1000,
+                follows: if s.leads {
+                    String::new()
+                } else {
+                    d.primary.clone().unwrap_or_default()
+                },
+                leads: s.leads,
+                link: !s.leads,
+            })
+        };
         st.servers.values().filter_map(tell).collect()
     }
 
--- a/chance/src/slopes/tally.rs
+++ b/chance/src/slopes/tally.rs
@@ -56,8 +56,12 @@
     }
 
     pub fn join(&mut self, o: &Tally) {
-        o.sent.iter().for_each(|(k, v)| add(&mut self.sent, k, v.0, v.1));
-        o.got.iter().for_each(|(k, v)| add(&mut self.got, k, v.0, v.1));
+        o.sent
+            .iter()
+            .for_each(|(k, v)| add(&mut self.sent, k, v.0, v.1));
+        o.got
+            .iter()
+            .for_each(|(k, v)| add(&mut self.got, k, v.0, v.1));
         self.polls += o.polls;
         self.poll += o.poll;
         self.codec += o.codec;
@@ -73,5 +77,9 @@
 /// Resident set in bytes, from /proc/self/statm with pages of 4096; 0 where there is none.
 pub fn resident() -> u64 {
     let s = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
-    s.split_whitespace().nth(1).and_then(|w| w.parse::<u64>().ok()).unwrap_or(0) * 4096
+    s.split_whitespace()
+        .nth(1)
+        .and_then(|w| w.parse::<u64>().ok())
+        .unwrap_or(0)
+        * 4096
 }
--- a/chance/src/step.rs
+++ b/chance/src/step.rs
@@ -1,12 +1,13 @@
 use crate::fault::*;
+use crate::node::DiskFull;
 use crate::sim::*;
+use crate::wires::End;
 use guise::check::Out;
 use medium::back::HttpRes;
 use tenet::base::*;
 use tenet::control::*;
 use tenet::front::*;
 use tenet::query::Query;
-use crate::wires::End;
 use tenet::wire::Packet;
 
 impl Sim {
@@ -15,7 +16,9 @@
             Ev::Control(i, life, x) => self.control(i, life, x),
             Ev::Front(i, life, x) => self.front(i, life, x),
             Ev::WakeC(i, life, t) if self.nodes[i].wake_c == t => self.control(i, life, In::Wakeup),
-            Ev::WakeF(i, life, t) if self.nodes[i].wake_f == t => self.front(i, life, FrontIn::Wakeup),
+            Ev::WakeF(i, life, t) if self.nodes[i].wake_f == t => {
+                self.front(i, life, FrontIn::Wakeup)
+            }
             Ev::WakeC(..) | Ev::WakeF(..) => (),
             Ev::Synced(i, life, seq) => {
                 let n = &mut self.nodes[i];
@@ -28,28 +31,70 @@
                     false => match n.synced(seq) {
                         Ok(true) => self.control(i, life, In::Synced(seq)),
                         Ok(false) => (),
-                        Err(()) => self.kill_with(i, false),
+                        Err(DiskFull) => self.kill_with(i, false),
                     },
                 }
             }
-            Ev::Back { node, life, token, server, path, body } => self.back(node, life, token, server, path, body),
+            Ev::Back {
+                node,
+                life,
+                token,
+                server,
+                path,
+                body,
+            } => self.back(node, life, token, server, path, body),
             Ev::Lost(i, life, token) => {
                 self.given_up(i, token);
-                self.front(i, life, FrontIn::Back { token, res: BackRes::Lost });
+                self.front(
+                    i,
+                    life,
+                    FrontIn::Back {
+                        token,
+                        res: BackRes::Lost,
+                    },
+                );
             }
             Ev::Drain(i, life) => self.draining(i, life),
             Ev::Client(c, turn) if self.termed.is_some() => self.patron(c, turn),
             Ev::Client(c, turn) => self.client(c, turn),
             Ev::Reply { call, res } => self.reply(call, res),
-            Ev::Ask { node, life, token, server, query } => self.asked(node, life, token, server, query),
+            Ev::Ask {
+                node,
+                life,
+                token,
+                server,
+                query,
+            } => self.asked(node, life, token, server, query),
             Ev::Said { call, r } => self.said(call, r),
-            Ev::Promote { node, life, db, server, epoch, token, until } if self.termed.is_some() => {
-                match self.nodes[node].local(self.now) < until {
-                    true => self.moved(node, life, (db, server, epoch, token)),
-                    false => self.control(node, life, In::Promoted { db, epoch, server, done: Err(false) }),
-                }
-            }
-            Ev::Promote { node, life, db, server, epoch, .. } => self.promote(node, life, db, server, epoch),
+            Ev::Promote {
+                node,
+                life,
+                db,
+                server,
+                epoch,
+                token,
+                until,
+            } if self.termed.is_some() => match self.nodes[node].local(self.now) < until {
+                true => self.moved(node, life, (db, server, epoch, token)),
+                false => self.control(
+                    node,
+                    life,
+                    In::Promoted {
+                        db,
+                        epoch,
+                        server,
+                        done: Err(false),
+                    },
+                ),
+            },
+            Ev::Promote {
+                node,
+                life,
+                db,
+                server,
+                epoch,
+                ..
+            } => self.promote(node, life, db, server, epoch),
             Ev::World => {
                 self.flush();
                 self.world.apart = self.servers_apart();
@@ -84,7 +129,9 @@
     pub fn effect(&mut self, i: usize, e: Effect) {
         let life = self.nodes[i].life;
         let now = self.now;
-        self.nodes[i].logs.extend(e.log.into_iter().map(|t| (now, t)));
+        self.nodes[i]
+            .logs
+            .extend(e.log.into_iter().map(|t| (now, t)));
         for (to, p) in e.send {
             self.post(i, to, p);
         }
@@ -99,7 +146,11 @@
             self.operator_told(call, r);
         }
         if let Some((t, until)) = e.news {
-            let until = if self.plant == Plant::PermitForever { Time::MAX / 2 } else { until };
+            let until = if self.plant == Plant::PermitForever {
+                Time::MAX / 2
+            } else {
+                until
+            };
             self.front(i, life, FrontIn::Table(t, until));
         }
         for p in e.promote {
@@ -109,7 +160,18 @@
                 _ if self.termed.is_some() => 20 + self.roll(100),
                 _ => 1000,
             };
-            self.at(self.now + wait, Ev::Promote { node: i, life, db: p.db, server: p.server, epoch: p.epoch, token: p.token, until: p.not_after });
+            self.at(
+                self.now + wait,
+                Ev::Promote {
+                    node: i,
+                    life,
+                    db: p.db,
+                    server: p.server,
+                    epoch: p.epoch,
+                    token: p.token,
+                    until: p.not_after,
+                },
+            );
         }
         let w = self.nodes[i].global(e.wakeup).max(self.now + 1);
         self.nodes[i].wake_c = w;
@@ -123,11 +185,22 @@
             Some(false) => (),
         }
         let local = self.nodes[i].local(self.now);
-        let Some(f) = self.nodes[i].front.as_mut() else { return };
+        let Some(f) = self.nodes[i].front.as_mut() else {
+            return;
+        };
         let o = f.poll(local, x);
         let (from, addr) = (f.me, f.addr);
         for (a, msg) in o.send {
-            self.post(i, a, Packet { from, addr, cluster: 0, msg });
+            self.post(
+                i,
+                a,
+                Packet {
+                    from,
+                    addr,
+                    cluster: 0,
+                    msg,
+                },
+            );
         }
         for (call, r) in o.response {
             if self.termed.is_some() {
@@ -136,7 +209,9 @@
             }
             let res = match r {
                 Ok(v) => HttpRes::Ok(medium::dialect::told(v)),
-                Err(e) => HttpRes::Rejected(e.kind.row().code, format!("{}/{}", e.kind.row().kept, e)),
+                Err(e) => {
+                    HttpRes::Rejected(e.kind.row().code, format!("{}/{}", e.kind.row().kept, e))
+                }
             };
             self.at(self.now + 1, Ev::Reply { call, res });
         }
@@ -159,17 +234,47 @@
         let local = self.nodes[i].local(self.now);
         let s = (0..self.world.servers.len()).find(|s| server_addr(*s) == b.to);
         let (Some(s), true) = (s, local < b.not_after) else {
-            return self.at(self.now + 1, Ev::Front(i, life, FrontIn::Back { token, res: BackRes::NotSent }));
+            return self.at(
+                self.now + 1,
+                Ev::Front(
+                    i,
+                    life,
+                    FrontIn::Back {
+                        token,
+                        res: BackRes::NotSent,
+                    },
+                ),
+            );
         };
         let lost = self.now + b.timeout;
         self.at(lost, Ev::Lost(i, life, token));
         let (a, d) = (End::Node(i), End::Server(s));
         if self.apart(a, d) && self.roll(4) == 0 {
-            return self.at(self.now + 400, Ev::Front(i, life, FrontIn::Back { token, res: BackRes::NotSent }));
+            return self.at(
+                self.now + 400,
+                Ev::Front(
+                    i,
+                    life,
+                    FrontIn::Back {
+                        token,
+                        res: BackRes::NotSent,
+                    },
+                ),
+            );
         }
         if self.termed.is_some() {
-            let cost = if matches!(b.query, Query::Position { .. }) { 0 } else { 2 };
-            let ev = Ev::Ask { node: i, life, token, server: s, query: b.query };
+            let cost = if matches!(b.query, Query::Position { .. }) {
+                0
+            } else {
+                2
+            };
+            let ev = Ev::Ask {
+                node: i,
+                life,
+                token,
+                server: s,
+                query: b.query,
+            };
             return self.pipe(a, d, Some((i, token)), cost, ev);
         }
         let (path, body) = medium::dialect::ask(&b.query);
@@ -178,7 +283,14 @@
             "/statement" | "/commit" => 2,
             _ => 0,
         };
-        let ev = Ev::Back { node: i, life, token, server: s, path, body };
+        let ev = Ev::Back {
+            node: i,
+            life,
+            token,
+            server: s,
+            path,
+            body,
+        };
         self.pipe(a, d, Some((i, token)), cost, ev);
     }
 
--- a/chance/src/terms.rs
+++ b/chance/src/terms.rs
@@ -32,12 +32,29 @@
 
 impl Sim {
     pub fn new_termed(seed: u64, flaw: Flaw) -> Sim {
-        let setup = Setup { text: text(600), nodes: 9, sessions: 0, seed, pause: 250, sync_ms: 4, region_ms: 8 };
+        let setup = Setup {
+            text: text(600),
+            nodes: 9,
+            sessions: 0,
+            seed,
+            pause: 250,
+            sync_ms: 4,
+            region_ms: 8,
+        };
         let mut s = Sim::new(&setup);
-        let names = s.world.servers.iter().map(|x| (x.name.clone(), x.db.clone(), x.cap)).collect();
+        let names = s
+            .world
+            .servers
+            .iter()
+            .map(|x| (x.name.clone(), x.db.clone(), x.cap))
+            .collect();
         let mut fleet = Fleet::new(names, seed);
         fleet.flaw = flaw;
-        let kinds = [("current", Class::Current), ("bounded", Class::Within(BOUNDS[0])), ("owned", Class::Own(BOUNDS[1]))];
+        let kinds = [
+            ("current", Class::Current),
+            ("bounded", Class::Within(BOUNDS[0])),
+            ("owned", Class::Own(BOUNDS[1])),
+        ];
         let one = |i: usize| {
             let (db, (k, c)) = (SERVICES[i % 3], kinds[i / 3 % 3]);
             Patron::new(i, &format!("{db}-{k}"), db, c, 3 + (i / 9 + i) % 6, seed)
@@ -47,7 +64,17 @@
             let at = 7000 + s.roll(1000);
             s.at(at, Ev::Client(c, 0));
         }
-        s.termed = Some(Box::new(Termed { fleet, patrons, book: Book::default(), seqs: 0, txns: 0, served: Default::default(), gap: 0, versions: 0, starts: Default::default() }));
+        s.termed = Some(Box::new(Termed {
+            fleet,
+            patrons,
+            book: Book::default(),
+            seqs: 0,
+            txns: 0,
+            served: Default::default(),
+            gap: 0,
+            versions: 0,
+            starts: Default::default(),
+        }));
         s
     }
 
@@ -58,12 +85,20 @@
     pub(crate) fn tick_termed(&mut self) {
         let apart = self.servers_apart();
         let now = self.now;
-        let Some(t) = self.termed.as_mut() else { return };
+        let Some(t) = self.termed.as_mut() else {
+            return;
+        };
         for (i, s) in t.fleet.servers.iter_mut().enumerate() {
             s.stalled = self.world.servers[i].stalled;
         }
         t.fleet.tick(now, &|i, j| !apart.contains(&(i, j)));
-        let v: Vec<(usize, bool)> = t.fleet.servers.iter().enumerate().map(|(i, s)| (i, s.leads)).collect();
+        let v: Vec<(usize, bool)> = t
+            .fleet
+            .servers
+            .iter()
+            .enumerate()
+            .map(|(i, s)| (i, s.leads))
+            .collect();
         for (i, leads) in v {
             let s = &mut self.world.servers[i];
             if s.leads != leads {
@@ -78,7 +113,12 @@
     }
 
     pub(crate) fn announce_one(&mut self, s: usize) {
-        let up: Vec<usize> = self.nodes.iter().filter(|n| n.up && !n.frozen).map(|n| n.i).collect();
+        let up: Vec<usize> = self
+            .nodes
+            .iter()
+            .filter(|n| n.up && !n.frozen)
+            .map(|n| n.i)
+            .collect();
         if up.is_empty() || !self.world.servers[s].up {
             return;
         }
@@ -90,21 +130,45 @@
         let w = &self.world.servers[s];
         let labels = [("db".to_string(), w.db.clone())].into();
         let (domain, leaving) = (w.domain.clone(), w.leaving);
-        let op = Op::Announce { server, addr: server_addr(s), domain, labels, life, leads, leaving, terms: true, seq };
+        let op = Op::Announce {
+            server,
+            addr: server_addr(s),
+            domain,
+            labels,
+            life,
+            leads,
+            leaving,
+            terms: true,
+            seq,
+        };
         let life = self.nodes[j].life;
-        self.pipe(End::Server(s), End::Node(j), None, 1, Ev::Control(j, life, In::Announce { call: 0, op }));
+        self.pipe(
+            End::Server(s),
+            End::Node(j),
+            None,
+            1,
+            Ev::Control(j, life, In::Announce { call: 0, op }),
+        );
     }
 
     pub(crate) fn asked(&mut self, node: usize, life: u32, token: u64, s: usize, query: Query) {
         let now = self.now;
-        let lose = self.lose > 0 && matches!(query, Query::Run { .. } | Query::Commit { .. }) && self.roll(100) < self.lose;
+        let lose = self.lose > 0
+            && matches!(query, Query::Run { .. } | Query::Commit { .. })
+            && self.roll(100) < self.lose;
         let f = &mut self.termed().fleet;
         if !f.servers[s].up {
             return;
         }
         let res = f.handle(now, s, &query);
         if !lose {
-            self.pipe(End::Server(s), End::Node(node), None, 0, Ev::Front(node, life, FrontIn::Back { token, res }));
+            self.pipe(
+                End::Server(s),
+                End::Node(node),
+                None,
+                0,
+                Ev::Front(node, life, FrontIn::Back { token, res }),
+            );
         }
     }
 
@@ -115,10 +179,23 @@
             Mood::Unreachable | Mood::Refuses => Err(false),
             _ => {
                 let r = self.termed().fleet.accept(now, &server, token);
-                if matches!(mood, Mood::LosesAnswer | Mood::Slow) { Err(true) } else { r }
+                if matches!(mood, Mood::LosesAnswer | Mood::Slow) {
+                    Err(true)
+                } else {
+                    r
+                }
             }
         };
-        self.control(node, life, In::Promoted { db, epoch, server, done });
+        self.control(
+            node,
+            life,
+            In::Promoted {
+                db,
+                epoch,
+                server,
+                done,
+            },
+        );
     }
 
     pub(crate) fn patron(&mut self, c: usize, turn: u64) {
@@ -132,7 +209,7 @@
             return self.said(call, None);
         }
         if !stop {
-            let n = p.next();
+            let n = p.next_move();
             self.go(c, n);
         }
     }
@@ -152,7 +229,7 @@
                 self.at(now + wait, Ev::Client(c, turn));
             }
             Next::Send(req, a) => {
-                if let Req::Begin { .. } = req {
+                if let Req::Begin { .. } = *req {
                     t.txns += 1;
                     p.begun = t.txns;
                     t.starts.insert(t.txns, now);
@@ -160,7 +237,7 @@
                 if let Some(a) = a {
                     note(t, c, a, now);
                 }
-                self.send_patron(c, req);
+                self.send_patron(c, *req);
             }
         }
     }
@@ -177,13 +254,18 @@
         self.calls.insert(call, (c, node, life));
         self.at(self.now + 4000, Ev::Client(c, turn));
         match up {
-            true => self.at(self.now + 1, Ev::Front(node, life, FrontIn::Call { call, req })),
+            true => self.at(
+                self.now + 1,
+                Ev::Front(node, life, FrontIn::Call { call, req }),
+            ),
             false => self.at(self.now + 1, Ev::Said { call, r: None }),
         }
     }
 
     pub(crate) fn said(&mut self, call: u64, r: Said) {
-        let Some((c, ..)) = self.calls.remove(&call) else { return };
+        let Some((c, ..)) = self.calls.remove(&call) else {
+            return;
+        };
         let now = self.now;
         let t = self.termed();
         let p = &mut t.patrons[c];
@@ -206,13 +288,16 @@
                 Some(Ok(Answer::Ran(x))) => x.done.body.clone(),
                 _ => String::new(),
             };
-            if out == Out::Kept {
-                if t.book.asked.get(&id).is_some_and(|a| a.commits) {
-                    let was = t.served.insert(p.service.clone(), now).unwrap_or(now);
-                    t.gap = t.gap.max(now - was);
-                }
+            if out == Out::Kept && t.book.asked.get(&id).is_some_and(|a| a.commits) {
+                let was = t.served.insert(p.service.clone(), now).unwrap_or(now);
+                t.gap = t.gap.max(now - was);
             }
-            t.book.told.push(Told { id, end: now, out, body });
+            t.book.told.push(Told {
+                id,
+                end: now,
+                out,
+                body,
+            });
         }
         let was = p.session;
         let n = p.told(&r);
@@ -222,7 +307,17 @@
             let life = self.nodes[node].life;
             self.next_call += 1;
             let call = self.next_call;
-            self.at(now + 1, Ev::Front(node, life, FrontIn::Call { call, req: Req::Close { session } }));
+            self.at(
+                now + 1,
+                Ev::Front(
+                    node,
+                    life,
+                    FrontIn::Call {
+                        call,
+                        req: Req::Close { session },
+                    },
+                ),
+            );
         }
         self.go(c, n);
     }
@@ -231,7 +326,16 @@
 fn note(t: &mut Termed, c: usize, a: Asks, now: u64) {
     let p = &t.patrons[c];
     let start = t.starts.get(&a.txn).copied().unwrap_or(now);
-    let x = Asked { start, session: p.session.unwrap_or(0), service: p.service.clone(), txn: a.txn, text: a.text, class: a.class,
-        commits: a.commits, shape: a.shape, options: p.options.clone() };
+    let x = Asked {
+        start,
+        session: p.session.unwrap_or(0),
+        service: p.service.clone(),
+        txn: a.txn,
+        text: a.text,
+        class: a.class,
+        commits: a.commits,
+        shape: a.shape,
+        options: p.options.clone(),
+    };
     t.book.asked.insert(a.id, x);
 }
--- a/chance/src/told.rs
+++ b/chance/src/told.rs
@@ -6,11 +6,15 @@
 
 impl Sim {
     pub(crate) fn served_since(&self, db: &str, t: Time) -> bool {
-        self.termed.as_ref().is_some_and(|x| x.served.get(db).is_some_and(|at| *at > t))
+        self.termed
+            .as_ref()
+            .is_some_and(|x| x.served.get(db).is_some_and(|at| *at > t))
     }
 
     pub(crate) fn publish(&mut self) {
-        let Some(t) = self.termed.as_mut() else { return };
+        let Some(t) = self.termed.as_mut() else {
+            return;
+        };
         t.versions += 3;
         let (version, text) = (t.versions, crate::days::text(600 + t.versions));
         let k = self.operator(Op::Publish { version, text });
@@ -19,7 +23,9 @@
 
     /// A leaving server ends; its log passes to a new one at its address.
     pub(crate) fn departs(&mut self, s: usize) {
-        let Some(t) = self.termed.as_ref().filter(|t| t.fleet.servers[s].up) else { return };
+        let Some(t) = self.termed.as_ref().filter(|t| t.fleet.servers[s].up) else {
+            return;
+        };
         let server = t.fleet.servers[s].name.clone();
         self.crash(s);
         self.operator(Op::Depart { server, seq: 0 });
@@ -27,7 +33,9 @@
     }
 
     pub(crate) fn follows(&mut self, s: usize) {
-        let Some(t) = self.termed.as_mut() else { return };
+        let Some(t) = self.termed.as_mut() else {
+            return;
+        };
         t.fleet.servers[s].name.push('x');
         self.world.servers[s].name.push('x');
         self.restart(s);
@@ -35,15 +43,23 @@
 
     /// Faults, and what was acknowledged and cut back by a promotion.
     pub fn judged(&self) -> Found {
-        let Some(t) = self.termed.as_ref() else { return Found::default() };
+        let Some(t) = self.termed.as_ref() else {
+            return Found::default();
+        };
         let mut v = judge(&t.book, &t.fleet, !self.watch.rough);
         for o in &self.history.off {
             let late = |r: &&guise::termed::Run| {
-                t.fleet.servers[r.server].name == o.server && r.txn.is_none() && r.at > o.since + o.bound && r.at < o.until
+                t.fleet.servers[r.server].name == o.server
+                    && r.txn.is_none()
+                    && r.at > o.since + o.bound
+                    && r.at < o.until
             };
             let n = t.fleet.runs.iter().filter(late).count();
             if n > 0 {
-                v.faults.push(format!("leaving: {} got {n} statements more than {} ms after {}", o.server, o.bound, o.since));
+                v.faults.push(format!(
+                    "leaving: {} got {n} statements more than {} ms after {}",
+                    o.server, o.bound, o.since
+                ));
             }
         }
         v.faults.extend(self.watch.faults.clone());
--- a/chance/src/watch.rs
+++ b/chance/src/watch.rs
@@ -35,7 +35,12 @@
 
 impl Sim {
     pub fn operator(&mut self, op: Op) -> u64 {
-        let up: Vec<usize> = self.nodes.iter().filter(|n| n.up && !n.frozen).map(|n| n.i).collect();
+        let up: Vec<usize> = self
+            .nodes
+            .iter()
+            .filter(|n| n.up && !n.frozen)
+            .map(|n| n.i)
+            .collect();
         self.next_call += 1;
         let call = self.next_call;
         if up.is_empty() {
@@ -43,7 +48,10 @@
         }
         let i = up[self.roll(up.len() as u64) as usize];
         let life = self.nodes[i].life;
-        self.at(self.now + 1, Ev::Control(i, life, In::Ask { call, id: None, op }));
+        self.at(
+            self.now + 1,
+            Ev::Control(i, life, In::Ask { call, id: None, op }),
+        );
         call
     }
 
@@ -68,7 +76,10 @@
 
     pub fn bad_configure(&mut self) {
         let base = self.watch.config_base;
-        let k = self.operator(Op::Config { base, text: BAD.into() });
+        let k = self.operator(Op::Config {
+            base,
+            text: BAD.into(),
+        });
         self.watch.bad_sent.push(k);
     }
 
@@ -78,22 +89,36 @@
         }
         let ok = matches!(&r, Reply::Verdict(v) if v.reject.is_none());
         self.evacuation_told(call, ok);
-        let (bad, stale) = (self.watch.bad_sent.contains(&call), self.watch.stale_sent.contains(&call));
+        let (bad, stale) = (
+            self.watch.bad_sent.contains(&call),
+            self.watch.stale_sent.contains(&call),
+        );
         match r {
             Reply::Verdict(Verdict { reject: None, .. }) if bad || stale => {
-                self.watch.faults.push(format!("configuration: one that is {} was accepted", if bad { "bad" } else { "stale" }));
+                self.watch.faults.push(format!(
+                    "configuration: one that is {} was accepted",
+                    if bad { "bad" } else { "stale" }
+                ));
             }
             Reply::Verdict(Verdict { mark, reject: None }) => {
                 self.watch.accepted.push((self.now, mark));
                 let now = self.now;
-                self.watch.spared.iter_mut().filter(|s| s.0 == call).for_each(|s| s.2 = now);
+                self.watch
+                    .spared
+                    .iter_mut()
+                    .filter(|s| s.0 == call)
+                    .for_each(|s| s.2 = now);
                 if self.watch.config_calls.contains(&call) {
                     self.watch.config_base = self.watch.config_base.max(mark);
                     self.watch.config_marks.push(mark);
                 }
             }
-            Reply::Verdict(Verdict { reject: Some(r), .. }) if bad && r.kind != Kind::BadConfig => {
-                self.watch.faults.push(format!("configuration: a bad one was answered with {r}"));
+            Reply::Verdict(Verdict {
+                reject: Some(r), ..
+            }) if bad && r.kind != Kind::BadConfig => {
+                self.watch
+                    .faults
+                    .push(format!("configuration: a bad one was answered with {r}"));
             }
             _ => (),
         }
@@ -103,15 +128,23 @@
         let now = self.now;
         for n in self.nodes.iter_mut().filter(|n| n.up && !n.frozen) {
             let local = n.local(now);
-            let Some(f) = n.front.as_ref().filter(|f| f.allows(local)) else { continue };
+            let Some(f) = n.front.as_ref().filter(|f| f.allows(local)) else {
+                continue;
+            };
             let Some(t) = f.t.as_ref() else { continue };
             if t.mark < n.mark {
-                self.watch.faults.push(format!("mark: node {} fell from {} to {}", n.i, n.mark, t.mark));
+                self.watch.faults.push(format!(
+                    "mark: node {} fell from {} to {}",
+                    n.i, n.mark, t.mark
+                ));
             }
             n.mark = t.mark;
             for (at, m) in &self.watch.accepted {
                 if t.mark < *m && now > at + 3000 {
-                    self.watch.faults.push(format!("configuration: node {} serves at {} without mark {m} of {at}", n.i, now));
+                    self.watch.faults.push(format!(
+                        "configuration: node {} serves at {} without mark {m} of {at}",
+                        n.i, now
+                    ));
                 }
                 if t.mark < *m {
                     self.watch.slowest_adopt = self.watch.slowest_adopt.max(now - at);
--- a/chance/src/wires.rs
+++ b/chance/src/wires.rs
@@ -2,8 +2,8 @@
 use crate::sim::*;
 use std::collections::VecDeque;
 use tenet::base::*;
-use tenet::front::FrontIn;
 use tenet::control::In;
+use tenet::front::FrontIn;
 use tenet::wire::{by_line, Msg, Packet};
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
@@ -48,8 +48,16 @@
 
     pub fn apart(&self, a: End, b: End) -> bool {
         let gone = |e: End| matches!(e, End::Node(i) if self.lost_node == Some(i));
-        let cut = |e: End, way: u8| self.lost_servers.iter().any(|(s, w)| e == End::Server(*s) && (*w == 0 || *w == way));
-        gone(a) || gone(b) || cut(b, 1) || cut(a, 2) || self.cut(self.domain_of(a), self.domain_of(b))
+        let cut = |e: End, way: u8| {
+            self.lost_servers
+                .iter()
+                .any(|(s, w)| e == End::Server(*s) && (*w == 0 || *w == way))
+        };
+        gone(a)
+            || gone(b)
+            || cut(b, 1)
+            || cut(a, 2)
+            || self.cut(self.domain_of(a), self.domain_of(b))
     }
 
     pub fn travel(&mut self, a: End, b: End) -> Time {
@@ -70,7 +78,13 @@
     pub fn pipe(&mut self, from: End, to: End, call: Option<(usize, u64)>, more: Time, ev: Ev) {
         let t = self.now + self.travel(from, to) + more;
         match self.apart(from, to) {
-            true => self.kernel.push(Held { from, to, sent: self.now, call, ev }),
+            true => self.kernel.push(Held {
+                from,
+                to,
+                sent: self.now,
+                call,
+                ev,
+            }),
             false => self.at(t, ev),
         }
     }
@@ -90,11 +104,19 @@
     }
 
     pub fn flush(&mut self) {
-        let life = if self.old_sockets() { KERNEL } else { BYTES_LIFE };
+        let life = if self.old_sockets() {
+            KERNEL
+        } else {
+            BYTES_LIFE
+        };
         let now = self.now;
         let mut rest = Vec::new();
         for h in std::mem::take(&mut self.kernel) {
-            let limit = if matches!(h.from, End::Node(_)) { life } else { KERNEL };
+            let limit = if matches!(h.from, End::Node(_)) {
+                life
+            } else {
+                KERNEL
+            };
             if now >= h.sent + limit {
                 continue;
             }
@@ -107,7 +129,12 @@
             }
         }
         self.kernel.append(&mut rest);
-        let keys: Vec<(usize, usize)> = self.wires.iter().filter(|(_, w)| !w.queue.is_empty()).map(|(k, _)| *k).collect();
+        let keys: Vec<(usize, usize)> = self
+            .wires
+            .iter()
+            .filter(|(_, w)| !w.queue.is_empty())
+            .map(|(k, _)| *k)
+            .collect();
         for (i, j) in keys {
             self.flush_wire(i, j);
         }
@@ -116,7 +143,9 @@
     fn flush_wire(&mut self, i: usize, j: usize) {
         let (old, now) = (self.old_sockets(), self.now);
         let free = !self.apart(End::Node(i), End::Node(j));
-        let Some(w) = self.wires.get_mut(&(i, j)) else { return };
+        let Some(w) = self.wires.get_mut(&(i, j)) else {
+            return;
+        };
         let sent = w.queue.front().map_or(now, |q| q.0);
         if !old && now >= sent + LINE_ACK + RTO {
             w.queue.clear();
@@ -156,22 +185,58 @@
 
     pub fn post(&mut self, i: usize, to: Addr, p: Packet) {
         let k = match p.msg {
-            Msg::Probe { .. } | Msg::ProbeAck { .. } | Msg::ProbeFor { .. } | Msg::ProbeOf { .. } | Msg::Speaks { .. } => "gossip",
+            Msg::Probe { .. }
+            | Msg::ProbeAck { .. }
+            | Msg::ProbeFor { .. }
+            | Msg::ProbeOf { .. }
+            | Msg::Speaks { .. } => "gossip",
             Msg::Carry { .. } | Msg::Carried { .. } | Msg::Echo { .. } => "traffic",
-            Msg::Append { .. } | Msg::Have { .. } | Msg::Propose { .. } | Msg::Outcome { .. } => "chain",
+            Msg::Append { .. } | Msg::Have { .. } | Msg::Propose { .. } | Msg::Outcome { .. } => {
+                "chain"
+            }
             Msg::Sights { .. } => "sights",
             _ => "permits",
         };
         let size = tenet::wire::encode(&p).len();
         let m = self.messages.entry(k).or_default();
         *m = (m.0 + 1, m.1 + size as u64);
-        let Some(j) = self.nodes.iter().position(|n| n.addr == to && n.up) else { return };
+        let Some(j) = self.nodes.iter().position(|n| n.addr == to && n.up) else {
+            return;
+        };
         let life = self.nodes[j].life;
         let stream = by_line(&p, size);
         let make = |p: Packet| match p.msg {
-            Msg::Carry { go, to, by, load } => Ev::Front(j, life, FrontIn::Carry { from: p.from, addr: p.addr, go, to, by, load }),
-            Msg::Echo { reply } => Ev::Front(j, life, FrontIn::Echo { from: p.from, addr: p.addr, reply }),
-            Msg::Carried { go, clock, done } => Ev::Front(j, life, FrontIn::Carried { from: p.from, go, clock, done }),
+            Msg::Carry { go, to, by, load } => Ev::Front(
+                j,
+                life,
+                FrontIn::Carry {
+                    from: p.from,
+                    addr: p.addr,
+                    go,
+                    to,
+                    by,
+                    load,
+                },
+            ),
+            Msg::Echo { reply } => Ev::Front(
+                j,
+                life,
+                FrontIn::Echo {
+                    from: p.from,
+                    addr: p.addr,
+                    reply,
+                },
+            ),
+            Msg::Carried { go, clock, done } => Ev::Front(
+                j,
+                life,
+                FrontIn::Carried {
+                    from: p.from,
+                    go,
+                    clock,
+                    done,
+                },
+            ),
             _ => Ev::Control(j, life, In::Packet(p)),
         };
         if stream {
--- a/chance/tests/plants.rs
+++ b/chance/tests/plants.rs
@@ -20,8 +20,16 @@
                         return;
                     }
                     let place = ["alumni", "thessaly"][(i / n % 2) as usize];
-                    let s = run(find(scripts[(i % n) as usize]).unwrap(), place, 1 + i / n / 2, Plant::None);
-                    if s.faults().iter().any(|f| rules.iter().any(|r| f.starts_with(r))) {
+                    let s = run(
+                        find(scripts[(i % n) as usize]).unwrap(),
+                        place,
+                        1 + i / n / 2,
+                        Plant::None,
+                    );
+                    if s.faults()
+                        .iter()
+                        .any(|f| rules.iter().any(|r| f.starts_with(r)))
+                    {
                         hit.fetch_add(1, Relaxed);
                     }
                 }
@@ -35,10 +43,19 @@
 
 fn found_on_terms(lost: &mut Vec<String>, bug: Bug, days: &[&str], rule: &str) {
     plant(bug);
-    let hit = (1..=12).any(|seed| days.iter().any(|n| run_day(day(n).unwrap(), seed, Flaw::None).faults().iter().any(|f| f.starts_with(rule))));
+    let hit = (1..=12).any(|seed| {
+        days.iter().any(|n| {
+            run_day(day(n).unwrap(), seed, Flaw::None)
+                .faults()
+                .iter()
+                .any(|f| f.starts_with(rule))
+        })
+    });
     plant(Bug::None);
     if !hit {
-        lost.push(format!("{bug:?} was never found as {rule} on servers that number their terms"));
+        lost.push(format!(
+            "{bug:?} was never found as {rule} on servers that number their terms"
+        ));
     }
 }
 
@@ -46,7 +63,12 @@
 fn each_bug_on_servers_that_number_their_terms_is_found_by_a_run() {
     let mut lost = Vec::new();
     found_on_terms(&mut lost, Bug::NoReset, &["calm"], "pinned");
-    found_on_terms(&mut lost, Bug::SendUnchecked, &["domain-cut", "freeze-fencer"], "stale");
+    found_on_terms(
+        &mut lost,
+        Bug::SendUnchecked,
+        &["domain-cut", "freeze-fencer"],
+        "stale",
+    );
     found_on_terms(&mut lost, Bug::BoundIgnored, &["calm"], "stale");
     found_on_terms(&mut lost, Bug::OwnIgnored, &["calm"], "stale");
     found_on_terms(&mut lost, Bug::LostSentAgain, &["answers-vanish"], "twice");
@@ -57,19 +79,44 @@
 #[test]
 fn each_bug_planted_in_the_product_is_found_by_a_run() {
     let mut lost = Vec::new();
-    found(&mut lost, Bug::SendUnchecked, &["domain-cut", "freeze-fencer"], &["two servers"]);
-    found(&mut lost, Bug::OfflineSkipped, &["thaw-in-permit"], &["two servers"]);
+    found(
+        &mut lost,
+        Bug::SendUnchecked,
+        &["domain-cut", "freeze-fencer"],
+        &["two servers"],
+    );
+    found(
+        &mut lost,
+        Bug::OfflineSkipped,
+        &["thaw-in-permit"],
+        &["two servers"],
+    );
     found(&mut lost, Bug::AgeIgnored, &["replica-stall"], &["behind"]);
-    found(&mut lost, Bug::OwnIgnored, &["replica-stall", "deaf-replica"], &["own"]);
+    found(
+        &mut lost,
+        Bug::OwnIgnored,
+        &["replica-stall", "deaf-replica"],
+        &["own"],
+    );
     found(&mut lost, Bug::EvacuatedServes, &["evacuate"], &["leaving"]);
     found(&mut lost, Bug::LeavingServes, &["retire"], &["leaving"]);
     found(&mut lost, Bug::BadTaken, &["operators"], &["configuration"]);
-    found(&mut lost, Bug::HomesIgnored, &["calm", "evacuate"], &["homes"]);
+    found(
+        &mut lost,
+        Bug::HomesIgnored,
+        &["calm", "evacuate"],
+        &["homes"],
+    );
     found(&mut lost, Bug::StopAtOnce, &["stops"], &["cut"]);
     found(&mut lost, Bug::TxnCut, &["retire"], &["cut"]);
     found(&mut lost, Bug::NoAcks, &["crash"], &["lost"]);
     found(&mut lost, Bug::NothingTold, &["answers-vanish"], &["kept"]);
-    found(&mut lost, Bug::NoReset, &["calm"], &["settings", "caller", "begin"]);
+    found(
+        &mut lost,
+        Bug::NoReset,
+        &["calm"],
+        &["settings", "caller", "begin"],
+    );
     found(&mut lost, Bug::RuleIgnored, &["relabel"], &["labels"]);
     assert_eq!(lost, Vec::<String>::new());
 }
--- a/chance/tests/platter.rs
+++ b/chance/tests/platter.rs
@@ -4,8 +4,19 @@
 use tenet::state::{Ask, Entry, Op};
 
 fn entry(mark: u64, big: usize) -> Rec {
-    let op = Op::Config { base: mark, text: "x".repeat(big) };
-    Rec::Entry(Entry { mark, ask: Ask { id: mark, from: Addr::NONE, at: 0, op } })
+    let op = Op::Config {
+        base: mark,
+        text: "x".repeat(big),
+    };
+    Rec::Entry(Entry {
+        mark,
+        ask: Ask {
+            id: mark,
+            from: Addr::NONE,
+            at: 0,
+            op,
+        },
+    })
 }
 
 fn read(p: &Platter) -> Result<(Shelf, Durable), String> {
@@ -31,7 +42,11 @@
         v.iter().for_each(|r| {
             d.play(r);
         });
-        let ops = if v.is_empty() { shelf.fresh(d) } else { shelf.keep(&v, d) };
+        let ops = if v.is_empty() {
+            shelf.fresh(d)
+        } else {
+            shelf.keep(&v, d)
+        };
         for o in ops {
             for m in micros(&self.p, &o) {
                 if *left == 0 {
@@ -52,7 +67,10 @@
         let (mut shelf, mut d) = read(&self.p)?;
         let got = d.state.mark;
         if got < self.acked {
-            return Err(format!("seed {seed}: {} was synced, {got} came back", self.acked));
+            return Err(format!(
+                "seed {seed}: {} was synced, {got} came back",
+                self.acked
+            ));
         }
         let mut left = self.coin(60);
         let mut on = self.write(&mut shelf, &mut d, vec![], &mut left);
@@ -67,14 +85,19 @@
         let mut k = self.roll;
         self.p.crash(power, &mut || {
             k = mix(k);
-            k % 2 == 0
+            k.is_multiple_of(2)
         });
         Ok(())
     }
 }
 
 fn lives(seed: u64, full: bool, forgets: bool) -> Result<u64, String> {
-    let mut l = Life { p: Platter::default(), acked: 0, roll: mix(seed), forgets };
+    let mut l = Life {
+        p: Platter::default(),
+        acked: 0,
+        roll: mix(seed),
+        forgets,
+    };
     for _ in 0..25 {
         l.p.full = full && l.coin(3) == 0;
         l.live(seed)?;
@@ -84,13 +107,17 @@
 
 #[test]
 fn a_crash_at_any_step_of_any_file_operation_keeps_all_that_was_synced() {
-    let n: u64 = (1..100).map(|s| lives(s, false, false).unwrap_or_else(|e| panic!("{e}"))).sum();
+    let n: u64 = (1..100)
+        .map(|s| lives(s, false, false).unwrap_or_else(|e| panic!("{e}")))
+        .sum();
     assert!(n > 2_000, "only {n} entries were ever synced");
 }
 
 #[test]
 fn a_full_disk_keeps_all_that_was_synced_and_goes_on_when_there_is_room() {
-    let n: u64 = (1..100).map(|s| lives(s, true, false).unwrap_or_else(|e| panic!("{e}"))).sum();
+    let n: u64 = (1..100)
+        .map(|s| lives(s, true, false).unwrap_or_else(|e| panic!("{e}")))
+        .sum();
     assert!(n > 1_000, "only {n} entries were ever synced");
 }
 
--- a/chance/tests/seeds.rs
+++ b/chance/tests/seeds.rs
@@ -15,7 +15,9 @@
                     let s = run(find(name).unwrap(), place, *seed, Plant::None);
                     let f = s.faults();
                     if !f.is_empty() {
-                        bad.lock().unwrap().push(format!("{name} {place} {seed}: {}", f.join(" | ")));
+                        bad.lock()
+                            .unwrap()
+                            .push(format!("{name} {place} {seed}: {}", f.join(" | ")));
                     }
                 }
             });
@@ -37,20 +39,40 @@
 
 #[test]
 fn changed_labels_move_reads_in_time_and_drop_no_session() {
-    for (place, seed) in [("alumni", 1), ("alumni", 2), ("thessaly", 1), ("thessaly", 2)] {
+    for (place, seed) in [
+        ("alumni", 1),
+        ("alumni", 2),
+        ("thessaly", 1),
+        ("thessaly", 2),
+    ] {
         let s = run(find("relabel").unwrap(), place, seed, Plant::None);
         assert_eq!(s.faults(), Vec::<String>::new());
         let spared = s.watch.spared.clone().unwrap();
-        let at = |from: u64, to: u64| s.watch.read_at.iter().filter(|(t, n)| *t > from && *t < to && *n == spared.1).count();
-        assert!(at(0, spared.2) > 0 && at(spared.2 + 3000, u64::MAX) == 0 && s.watch.agreed > 50, "{place} {seed}");
-        let moved = s.history.kinds.keys().find(|k| k.contains("unknown-session") || k.contains("leaving"));
+        let at = |from: u64, to: u64| {
+            s.watch
+                .read_at
+                .iter()
+                .filter(|(t, n)| *t > from && *t < to && *n == spared.1)
+                .count()
+        };
+        assert!(
+            at(0, spared.2) > 0 && at(spared.2 + 3000, u64::MAX) == 0 && s.watch.agreed > 50,
+            "{place} {seed}"
+        );
+        let moved = s
+            .history
+            .kinds
+            .keys()
+            .find(|k| k.contains("unknown-session") || k.contains("leaving"));
         assert_eq!(moved, None);
     }
 }
 
 #[test]
 fn pairs_of_faults_at_near_moments_are_survived() {
-    let work = (1..=36).flat_map(|s| [("pairs", "alumni", s * 7), ("pairs", "thessaly", s * 7)]).collect();
+    let work = (1..=36)
+        .flat_map(|s| [("pairs", "alumni", s * 7), ("pairs", "thessaly", s * 7)])
+        .collect();
     assert_eq!(sweep(work), Vec::<String>::new());
 }
 
@@ -75,7 +97,12 @@
 fn planted(plant: Plant, scripts: &[&str], rule: &str) {
     let hit = scripts.iter().any(|n| {
         (1..=30).any(|seed| {
-            ["alumni", "thessaly"].iter().any(|p| run(find(n).unwrap(), p, seed, plant).faults().iter().any(|f| f.starts_with(rule)))
+            ["alumni", "thessaly"].iter().any(|p| {
+                run(find(n).unwrap(), p, seed, plant)
+                    .faults()
+                    .iter()
+                    .any(|f| f.starts_with(rule))
+            })
         })
     });
     assert!(hit, "{plant:?} was never found as '{rule}'");
@@ -83,7 +110,11 @@
 
 #[test]
 fn a_permit_that_never_ends_is_found() {
-    planted(Plant::PermitForever, &["lone-node", "domain-cut"], "configuration");
+    planted(
+        Plant::PermitForever,
+        &["lone-node", "domain-cut"],
+        "configuration",
+    );
 }
 
 #[test]
@@ -119,18 +150,41 @@
         let f = s.faults();
         let (two, rest): (Vec<_>, Vec<_>) = f.iter().partition(|f| f.starts_with("two servers"));
         assert_eq!(rest, Vec::<&String>::new(), "seed {seed}");
-        let share = s.cfg.databases.values().map(|d| d.cap / 4).max().unwrap_or(0) as usize;
-        assert!(two.len() <= share, "seed {seed}: {} statements past the permit, {share} connections", two.len());
+        let share = s
+            .cfg
+            .databases
+            .values()
+            .map(|d| d.cap / 4)
+            .max()
+            .unwrap_or(0) as usize;
+        assert!(
+            two.len() <= share,
+            "seed {seed}: {} statements past the permit, {share} connections",
+            two.len()
+        );
         met += two.len();
     }
-    assert!(met > 0, "no seed froze a node between its check and its send");
+    assert!(
+        met > 0,
+        "no seed froze a node between its check and its send"
+    );
 }
 
 #[test]
 fn a_planned_retirement_leaves_no_answer_unknown() {
-    for (place, seed) in [("alumni", 1), ("alumni", 2), ("thessaly", 1), ("thessaly", 2)] {
+    for (place, seed) in [
+        ("alumni", 1),
+        ("alumni", 2),
+        ("thessaly", 1),
+        ("thessaly", 2),
+    ] {
         let s = run(find("retire").unwrap(), place, seed, Plant::None);
-        let bad: Vec<_> = s.history.kinds.iter().filter(|(k, _)| k.contains("unknown")).collect();
+        let bad: Vec<_> = s
+            .history
+            .kinds
+            .iter()
+            .filter(|(k, _)| k.contains("unknown"))
+            .collect();
         assert!(bad.is_empty(), "{place} {seed}: {bad:?}");
     }
 }
@@ -139,8 +193,17 @@
 fn a_seed_replays_to_the_letter() {
     let tell = || {
         let s = run(find("storm").unwrap(), "thessaly", 5, Plant::None);
-        let last = s.history.events.last().map(|e| (e.start, e.end, e.id.clone()));
-        (s.messages.clone(), s.history.events.len(), last, s.history.kinds.clone())
+        let last = s
+            .history
+            .events
+            .last()
+            .map(|e| (e.start, e.end, e.id.clone()));
+        (
+            s.messages.clone(),
+            s.history.events.len(),
+            last,
+            s.history.kinds.clone(),
+        )
     };
     assert_eq!(tell(), tell());
 }
@@ -149,12 +212,34 @@
 fn any_surviving_node_tells_what_a_failover_did_and_why() {
     for seed in 1..=3 {
         let s = run(find("crash").unwrap(), "alumni", seed, Plant::None);
-        let db = s.world.last_leader.iter().find(|(_, i)| !s.world.servers[**i].name.ends_with("-0")).map(|x| x.0.clone()).unwrap();
+        let db = s
+            .world
+            .last_leader
+            .iter()
+            .find(|(_, i)| !s.world.servers[**i].name.ends_with("-0"))
+            .map(|x| x.0.clone())
+            .unwrap();
         let won = s.world.servers[s.world.last_leader[&db]].name.clone();
         for n in s.nodes.iter().filter(|n| n.up) {
-            let v: Vec<_> = n.control.as_ref().unwrap().state().stories.iter().filter(|x| x.topic == db).collect();
-            let at = |w: &str| v.iter().position(|x| x.text.contains(w)).unwrap_or_else(|| panic!("node {} does not tell '{w}'", n.i));
-            let (a, b, c) = (at(&format!("fencing nodes lost {db}-0")), at(&format!("{won} chosen")), at(&format!("{won} takes writes")));
+            let v: Vec<_> = n
+                .control
+                .as_ref()
+                .unwrap()
+                .state()
+                .stories
+                .iter()
+                .filter(|x| x.topic == db)
+                .collect();
+            let at = |w: &str| {
+                v.iter()
+                    .position(|x| x.text.contains(w))
+                    .unwrap_or_else(|| panic!("node {} does not tell '{w}'", n.i))
+            };
+            let (a, b, c) = (
+                at(&format!("fencing nodes lost {db}-0")),
+                at(&format!("{won} chosen")),
+                at(&format!("{won} takes writes")),
+            );
             assert!(a < b && b < c && v[a].mark < v[b].mark && v[b].mark < v[c].mark);
         }
     }
--- a/chance/tests/slopes.rs
+++ b/chance/tests/slopes.rs
@@ -26,7 +26,14 @@
 
 #[test]
 fn a_spread_is_median_least_and_most() {
-    assert_eq!(spread(&[3.0, 1.0, 2.0]), Spread { mid: 2.0, low: 1.0, high: 3.0 });
+    assert_eq!(
+        spread(&[3.0, 1.0, 2.0]),
+        Spread {
+            mid: 2.0,
+            low: 1.0,
+            high: 3.0
+        }
+    );
     assert_eq!(spread(&[4.0, 1.0, 2.0, 3.0]).mid, 2.5);
     assert_eq!(spread(&[]), Spread::default());
 }
@@ -34,9 +41,14 @@
 #[test]
 fn a_series_is_told_by_its_medians() {
     let mut s = Series::new("ms");
-    [(10, 1.0), (10, 9.0), (10, 2.0), (20, 4.0)].into_iter().for_each(|(x, y)| s.add(x, y));
+    [(10, 1.0), (10, 9.0), (10, 2.0), (20, 4.0)]
+        .into_iter()
+        .for_each(|(x, y)| s.add(x, y));
     let t = s.text("tick");
-    assert!(t.contains("2.00 (1.00 .. 9.00; 3 runs)") && t.contains("x^1.00"), "{t}");
+    assert!(
+        t.contains("2.00 (1.00 .. 9.00; 3 runs)") && t.contains("x^1.00"),
+        "{t}"
+    );
 }
 
 #[test]
@@ -52,7 +64,11 @@
 }
 
 fn settled(real: usize) -> (Fleet, tenet::state::State) {
-    let sc = Scene { nodes: 12, dbs: 3, routes: 5 };
+    let sc = Scene {
+        nodes: 12,
+        dbs: 3,
+        routes: 5,
+    };
     let st = sc.state();
     let mut f = Fleet::new(sc, &st, real, true);
     f.run(6000);
@@ -65,10 +81,18 @@
         let (mut f, st) = settled(real);
         f.reset();
         f.run(10_000);
-        assert_eq!(f.known(), (15, st.mark as usize), "{real} real: {:?}", f.told);
+        assert_eq!(
+            f.known(),
+            (15, st.mark as usize),
+            "{real} real: {:?}",
+            f.told
+        );
         let r = f.roles(&st);
         let asks = r["tail"].1.got["refresh"].0;
-        assert!((12 * 14..=15 * 18).contains(&asks), "{real} real: {asks} asks in 4 s");
+        assert!(
+            (12 * 14..=15 * 18).contains(&asks),
+            "{real} real: {asks} asks in 4 s"
+        );
     }
 }
 
@@ -79,7 +103,12 @@
         let c = change(&mut f, 1, 3000);
         assert_eq!(c.missing, 0);
         assert!(c.took.high > 0.0 && c.took.high < 1000.0, "{:?}", c.took);
-        assert!(c.node_in as usize > c.text && (c.node_in as usize) < 2 * c.text + 12 * 400, "{} of {}", c.node_in, c.text);
+        assert!(
+            c.node_in as usize > c.text && (c.node_in as usize) < 2 * c.text + 12 * 400,
+            "{} of {}",
+            c.node_in,
+            c.text
+        );
         assert_eq!(f.known(), (VOTERS + 12, st.mark as usize + 1));
     }
 }
--- a/chance/tests/termed.rs
+++ b/chance/tests/termed.rs
@@ -13,7 +13,9 @@
                 while let Some((name, seed)) = work.get(next.fetch_add(1, Relaxed)) {
                     let f = run_day(day(name).unwrap(), *seed, Flaw::None).faults();
                     if !f.is_empty() {
-                        bad.lock().unwrap().push(format!("{name} {seed}: {}", f.join(" | ")));
+                        bad.lock()
+                            .unwrap()
+                            .push(format!("{name} {seed}: {}", f.join(" | ")));
                     }
                 }
             });
@@ -24,24 +26,41 @@
 
 #[test]
 fn every_day_on_servers_that_number_their_terms_is_survived() {
-    let work = TERMED.iter().flat_map(|s| (1..=2).map(|seed| (s.name, seed))).collect();
+    let work = TERMED
+        .iter()
+        .flat_map(|s| (1..=2).map(|seed| (s.name, seed)))
+        .collect();
     assert_eq!(sweep(work), Vec::<String>::new());
 }
 
 #[test]
 fn days_that_once_failed_stay_mended() {
-    let work = vec![("target-dies", 105), ("target-dies", 106), ("target-dies", 111), ("pairs", 7), ("pairs", 22)];
+    let work = vec![
+        ("target-dies", 105),
+        ("target-dies", 106),
+        ("target-dies", 111),
+        ("pairs", 7),
+        ("pairs", 22),
+    ];
     assert_eq!(sweep(work), Vec::<String>::new());
 }
 
 #[test]
 fn a_planned_change_cuts_back_nothing_that_was_acknowledged() {
-    for (name, seed) in [("retire", 3), ("retire", 4), ("evacuate", 3), ("retire-platform", 3)] {
+    for (name, seed) in [
+        ("retire", 3),
+        ("retire", 4),
+        ("evacuate", 3),
+        ("retire-platform", 3),
+    ] {
         let s = run_day(day(name).unwrap(), seed, Flaw::None);
         let v = s.judged();
         assert_eq!((v.faults, v.lost), (vec![], vec![]), "{name} {seed}");
         let t = s.termed.as_ref().unwrap();
-        assert!(t.fleet.servers.iter().any(|s| s.term > 1), "{name} {seed} moved no primary");
+        assert!(
+            t.fleet.servers.iter().any(|s| s.term > 1),
+            "{name} {seed} moved no primary"
+        );
     }
 }
 
@@ -51,12 +70,24 @@
     let t = s.termed.as_ref().unwrap();
     let by = |f: &dyn Fn(&guise::termed::Run) -> bool| t.fleet.runs.iter().filter(|r| f(r)).count();
     let replica = |r: &guise::termed::Run| !t.fleet.servers[r.server].leads && r.at < 11_000;
-    assert!(by(&replica) > 50 && by(&|r| r.txn.is_some()) > 300 && by(&|r| r.shape.is_some()) > 100 && by(&|r| !r.options.is_empty()) > 300);
+    assert!(
+        by(&replica) > 50
+            && by(&|r| r.txn.is_some()) > 300
+            && by(&|r| r.shape.is_some()) > 100
+            && by(&|r| !r.options.is_empty()) > 300
+    );
     assert!(t.fleet.kept.len() > 500);
 }
 
 fn found(flaw: Flaw, days: &[&str], rule: &str) {
-    let hit = days.iter().any(|n| (1..=12).any(|seed| run_day(day(n).unwrap(), seed, flaw).faults().iter().any(|f| f.starts_with(rule))));
+    let hit = days.iter().any(|n| {
+        (1..=12).any(|seed| {
+            run_day(day(n).unwrap(), seed, flaw)
+                .faults()
+                .iter()
+                .any(|f| f.starts_with(rule))
+        })
+    });
     assert!(hit, "{flaw:?} was never found as '{rule}'");
 }
 
--- a/flow/src/main.rs
+++ b/flow/src/main.rs
@@ -3,6 +3,10 @@
 fn main() -> eyre::Result<()> {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
     let about = "flow: firramp's data plane. Collects callers' sessions; acts as gateway and fencing node where the fleet places those roles.";
-    let f = medium::settings::flags().to_options().descr(about).version(env!("CARGO_PKG_VERSION")).run();
+    let f = medium::settings::flags()
+        .to_options()
+        .descr(about)
+        .version(env!("CARGO_PKG_VERSION"))
+        .run();
     medium::run::start(f, false)
 }
--- a/guise/src/callers.rs
+++ b/guise/src/callers.rs
@@ -1,12 +1,12 @@
 use crate::check::{Event, History, Out};
 use crate::mix::*;
 use medium::back::Back;
+use medium::back::HttpRes;
 use medium::clock::Clock;
 use serde_json::{json, Value};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use medium::back::HttpRes;
 use volo_http::http::Method;
 
 pub struct Site {
@@ -25,7 +25,11 @@
         HttpRes::Ok(v) => (Out::Kept, v.clone()),
         HttpRes::Rejected(_, s) => {
             let v: Value = serde_json::from_str(s).unwrap_or(Value::Null);
-            let out = if v["kept"] == "nothing" { Out::Nothing } else { Out::Unknown };
+            let out = if v["kept"] == "nothing" {
+                Out::Nothing
+            } else {
+                Out::Unknown
+            };
             (out, v)
         }
         HttpRes::NotSent => (Out::Nothing, Value::Null),
@@ -43,13 +47,29 @@
 }
 
 impl Line {
-    pub fn new(site: Arc<Site>, nodes: Vec<SocketAddr>, at: usize, caller: Caller, homes: Vec<String>) -> Line {
-        Line { site, nodes, at, caller, homes, session: None }
+    pub fn new(
+        site: Arc<Site>,
+        nodes: Vec<SocketAddr>,
+        at: usize,
+        caller: Caller,
+        homes: Vec<String>,
+    ) -> Line {
+        Line {
+            site,
+            nodes,
+            at,
+            caller,
+            homes,
+            session: None,
+        }
     }
 
     async fn post(&self, path: &str, b: &Value) -> HttpRes {
         let to = self.nodes[self.at % self.nodes.len()];
-        self.site.back.post(to.into(), path, b, u64::MAX, 9000).await
+        self.site
+            .back
+            .post(to.into(), path, b, u64::MAX, 9000)
+            .await
     }
 
     async fn open(&mut self) -> bool {
@@ -81,15 +101,29 @@
     }
 
     async fn act(&mut self, d: Do) {
-        let Some((s, region)) = self.session.clone() else { return };
+        let Some((s, region)) = self.session.clone() else {
+            return;
+        };
         let start = self.site.clock.now();
         let (class, id, key, value, kind, r) = match d {
-            Do::Run { kind, id, body, class, key, value } => {
+            Do::Run {
+                kind,
+                id,
+                body,
+                class,
+                key,
+                value,
+            } => {
                 let b = json!({"kind": kind, "id": id, "body": body});
                 let r = self.post(&format!("/sessions/{s}/run"), &b).await;
                 (class, id.unwrap_or_default(), key, value, kind, r)
             }
-            Do::Txn { id, steps, key, value } => {
+            Do::Txn {
+                id,
+                steps,
+                key,
+                value,
+            } => {
                 let r = self.txn(s, &id, steps).await;
                 (Class::Write, id, key, value, "transaction".into(), r)
             }
@@ -100,26 +134,57 @@
         let error = v["error"].as_str().unwrap_or("").to_string();
         let moving = v["leaving"] == true;
         if moving {
-            let _ = self.site.back.send(Method::DELETE, self.nodes[self.at % self.nodes.len()].into(), &format!("/sessions/{s}"), &json!({}), 2000).await;
+            let _ = self
+                .site
+                .back
+                .send(
+                    Method::DELETE,
+                    self.nodes[self.at % self.nodes.len()].into(),
+                    &format!("/sessions/{s}"),
+                    &json!({}),
+                    2000,
+                )
+                .await;
         }
         if error == "aborted" {
             log::warn!("aborted: {}", v["why"]);
         }
-        if moving || error == "unknown-session" || error == "leaving" || matches!(r, HttpRes::NotSent | HttpRes::Lost) {
+        if moving
+            || error == "unknown-session"
+            || error == "leaving"
+            || matches!(r, HttpRes::NotSent | HttpRes::Lost)
+        {
             self.session = None;
             self.at += 1;
         }
-        let got = if class == Class::Write { value } else { v["result"].as_i64().unwrap_or(0) };
+        let got = if class == Class::Write {
+            value
+        } else {
+            v["result"].as_i64().unwrap_or(0)
+        };
         let hops = self.path(&v);
         let mut allowed = self.homes.clone();
         allowed.push(region);
         let mut h = self.site.history.lock().unwrap_or_else(|e| e.into_inner());
-        let n = if out == Out::Kept { "kept".into() } else { format!("{error}/{out:?}") };
+        let n = if out == Out::Kept {
+            "kept".into()
+        } else {
+            format!("{error}/{out:?}")
+        };
         *h.kinds.entry(format!("{kind} {n}")).or_default() += 1;
         if out == Out::Kept && !hops.is_empty() {
             h.hops.push((id.clone(), hops, allowed));
         }
-        h.events.push(Event { start, end, session: self.caller.n, class, id, key, value: got, out });
+        h.events.push(Event {
+            start,
+            end,
+            session: self.caller.n,
+            class,
+            id,
+            key,
+            value: got,
+            out,
+        });
         drop(h);
         let mut l = self.site.lag.lock().unwrap_or_else(|e| e.into_inner());
         l.push((kind, start, end - start, out == Out::Kept));
@@ -128,11 +193,15 @@
     fn path(&self, v: &Value) -> Vec<String> {
         let g = self.site.regions.lock().unwrap_or_else(|e| e.into_inner());
         let hop = |h: &Value| h.as_str().and_then(|h| g.get(h).cloned());
-        v["hops"].as_array().map_or(Vec::new(), |a| a.iter().filter_map(hop).collect())
+        v["hops"]
+            .as_array()
+            .map_or(Vec::new(), |a| a.iter().filter_map(hop).collect())
     }
 
     async fn txn(&self, s: u64, id: &str, steps: Vec<Value>) -> HttpRes {
-        let r = self.post(&format!("/sessions/{s}/begin"), &json!({ "id": id })).await;
+        let r = self
+            .post(&format!("/sessions/{s}/begin"), &json!({ "id": id }))
+            .await;
         if !matches!(r, HttpRes::Ok(_)) {
             return match r {
                 HttpRes::Lost => HttpRes::NotSent,
@@ -141,9 +210,16 @@
         }
         let kind = &self.site.kinds.write[0];
         for b in steps {
-            let r = self.post(&format!("/sessions/{s}/run"), &json!({"kind": kind, "body": b})).await;
+            let r = self
+                .post(
+                    &format!("/sessions/{s}/run"),
+                    &json!({"kind": kind, "body": b}),
+                )
+                .await;
             if !matches!(r, HttpRes::Ok(_)) {
-                let _ = self.post(&format!("/sessions/{s}/rollback"), &json!({})).await;
+                let _ = self
+                    .post(&format!("/sessions/{s}/rollback"), &json!({}))
+                    .await;
                 return match r {
                     HttpRes::Lost => HttpRes::NotSent,
                     HttpRes::Rejected(_, _) => r,
@@ -152,11 +228,17 @@
             }
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
-        self.post(&format!("/sessions/{s}/commit"), &json!({})).await
+        self.post(&format!("/sessions/{s}/commit"), &json!({}))
+            .await
     }
 
     async fn show(&mut self, s: u64, name: String, value: String) {
-        let set = self.post(&format!("/sessions/{s}/set"), &json!({"name": name, "value": value})).await;
+        let set = self
+            .post(
+                &format!("/sessions/{s}/set"),
+                &json!({"name": name, "value": value}),
+            )
+            .await;
         if !matches!(set, HttpRes::Ok(_)) {
             return;
         }
--- a/guise/src/check.rs
+++ b/guise/src/check.rs
@@ -47,25 +47,47 @@
     writes(h, w, &mut f);
     reads(h, &mut f);
     if w.over_cap > 0 {
-        f.push(format!("caps: servers had to reject {} connections over their cap", w.over_cap));
+        f.push(format!(
+            "caps: servers had to reject {} connections over their cap",
+            w.over_cap
+        ));
     }
-    for (who, n) in w.cold.iter().filter(|(_, n)| w.cold_limit > 0 && **n > w.cold_limit) {
-        f.push(format!("cold: {who} had {n} connections within 500 ms, {} is warm enough", w.cold_limit));
+    for (who, n) in w
+        .cold
+        .iter()
+        .filter(|(_, n)| w.cold_limit > 0 && **n > w.cold_limit)
+    {
+        f.push(format!(
+            "cold: {who} had {n} connections within 500 ms, {} is warm enough",
+            w.cold_limit
+        ));
     }
     for (allowed, path, _) in h.hops.iter().map(|(_, p, a)| (a, p, 0)) {
         if let Some(r) = path.iter().find(|r| !allowed.contains(r)) {
-            f.push(format!("homes: a request went through {r}, allowed were {allowed:?}"));
+            f.push(format!(
+                "homes: a request went through {r}, allowed were {allowed:?}"
+            ));
         }
     }
     for (want, got) in h.settings.iter().filter(|(a, b)| a != b) {
-        f.push(format!("settings: a client that set '{want}' ran under '{got}'"));
+        f.push(format!(
+            "settings: a client that set '{want}' ran under '{got}'"
+        ));
     }
     for o in &h.off {
         let i = w.ix(&o.server);
-        let late: Vec<u64> = w.worked.iter().filter(|(t, s)| Some(*s) == i && *t > o.since + o.bound && *t < o.until).map(|x| x.0).collect();
+        let late: Vec<u64> = w
+            .worked
+            .iter()
+            .filter(|(t, s)| Some(*s) == i && *t > o.since + o.bound && *t < o.until)
+            .map(|x| x.0)
+            .collect();
         if let (Some(a), Some(z)) = (late.first(), late.last()) {
             let n = late.len();
-            f.push(format!("leaving: {} got {n} statements more than {} ms after {}, at {a} to {z}", o.server, o.bound, o.since));
+            f.push(format!(
+                "leaving: {} got {n} statements more than {} ms after {}, at {a} to {z}",
+                o.server, o.bound, o.since
+            ));
         }
     }
     f
@@ -79,10 +101,16 @@
         for l in &s.data.log {
             *count.entry(&l.id).or_default() += 1;
             for o in &l.ops {
-                let (k, v) = (o["key"].as_str().unwrap_or(""), o["value"].as_i64().unwrap_or(0));
+                let (k, v) = (
+                    o["key"].as_str().unwrap_or(""),
+                    o["value"].as_i64().unwrap_or(0),
+                );
                 let e = values.entry(k.into()).or_insert(v);
                 if v < *e {
-                    f.push(format!("late: {k} went back from {e} to {v} in the log of {}", s.name));
+                    f.push(format!(
+                        "late: {k} went back from {e} to {v} in the log of {}",
+                        s.name
+                    ));
                 }
                 *e = v;
             }
@@ -91,8 +119,14 @@
     for e in h.events.iter().filter(|e| e.class == Class::Write) {
         let n = count.get(e.id.as_str()).copied().unwrap_or(0);
         match e.out {
-            Out::Kept if n == 0 => f.push(format!("lost: {} was acknowledged at {} and is gone", e.id, e.end)),
-            Out::Nothing if n > 0 => f.push(format!("kept: {} was told nothing kept at {} and is there", e.id, e.end)),
+            Out::Kept if n == 0 => f.push(format!(
+                "lost: {} was acknowledged at {} and is gone",
+                e.id, e.end
+            )),
+            Out::Nothing if n > 0 => f.push(format!(
+                "kept: {} was told nothing kept at {} and is there",
+                e.id, e.end
+            )),
             _ if n > 1 => f.push(format!("twice: {} took effect {n} times", e.id)),
             _ => (),
         }
@@ -101,10 +135,21 @@
 
 fn reads(h: &History, f: &mut Vec<String>) {
     let mut acked: BTreeMap<&str, Vec<(u64, i64, u64)>> = BTreeMap::new();
-    for e in h.events.iter().filter(|e| e.class == Class::Write && e.out == Out::Kept) {
-        acked.entry(&e.key).or_default().push((e.end, e.value, e.session));
+    for e in h
+        .events
+        .iter()
+        .filter(|e| e.class == Class::Write && e.out == Out::Kept)
+    {
+        acked
+            .entry(&e.key)
+            .or_default()
+            .push((e.end, e.value, e.session));
     }
-    for e in h.events.iter().filter(|e| e.class != Class::Write && e.out == Out::Kept) {
+    for e in h
+        .events
+        .iter()
+        .filter(|e| e.class != Class::Write && e.out == Out::Kept)
+    {
         let v = acked.get(e.key.as_str());
         let need = |before: u64, own: bool| {
             v.into_iter()
@@ -117,11 +162,17 @@
         let (want, rule) = match e.class {
             Class::Current => (need(e.start, false), "current"),
             Class::Within(b) => (need(e.start.saturating_sub(b), false), "behind"),
-            Class::Own(b) => (need(e.start, true).max(need(e.start.saturating_sub(b), false)), "own"),
+            Class::Own(b) => (
+                need(e.start, true).max(need(e.start.saturating_sub(b), false)),
+                "own",
+            ),
             Class::Write => (0, ""),
         };
         if e.value < want {
-            f.push(format!("{rule}: a read of {} at {} got {}, acknowledged was {want}", e.key, e.start, e.value));
+            f.push(format!(
+                "{rule}: a read of {} at {} got {}, acknowledged was {want}",
+                e.key, e.start, e.value
+            ));
         }
     }
 }
@@ -133,11 +184,23 @@
     use serde_json::json;
 
     fn event(class: Class, id: &str, value: i64, at: u64, out: Out) -> Event {
-        Event { start: at, end: at + 1, session: 1, class, id: id.into(), key: "k".into(), value, out }
+        Event {
+            start: at,
+            end: at + 1,
+            session: 1,
+            class,
+            id: id.into(),
+            key: "k".into(),
+            value,
+            out,
+        }
     }
 
     fn world() -> World {
-        World::new(&Shape { dbs: vec![("d".into(), vec!["a".into()], 2)], lag: 60 })
+        World::new(&Shape {
+            dbs: vec![("d".into(), vec!["a".into()], 2)],
+            lag: 60,
+        })
     }
 
     #[test]
@@ -159,7 +222,9 @@
             let got = check(&h, &w);
             assert!(got.iter().any(|s| s.starts_with(rule)), "{rule}: {got:?}");
         };
-        plant("lost", &|h, _| h.events.push(event(Class::Write, "x", 3, 40, Out::Kept)));
+        plant("lost", &|h, _| {
+            h.events.push(event(Class::Write, "x", 3, 40, Out::Kept))
+        });
         plant("kept", &|h, _| h.events[1].out = Out::Nothing);
         plant("twice", &|_, w| {
             let l = w.servers[0].data.log[1].clone();
@@ -170,13 +235,27 @@
             w.servers[0].data.put_line(l);
         });
         plant("current", &|h, _| h.events[2].value = 1);
-        plant("behind", &|h, _| h.events.push(event(Class::Within(1500), "", 1, 2000, Out::Kept)));
-        plant("own", &|h, _| h.events.push(event(Class::Own(2500), "", 1, 40, Out::Kept)));
-        plant("homes", &|h, _| h.hops.push(("".into(), vec!["x".into()], vec!["y".into()])));
-        plant("settings", &|h, _| h.settings.push(("a".into(), "b".into())));
+        plant("behind", &|h, _| {
+            h.events
+                .push(event(Class::Within(1500), "", 1, 2000, Out::Kept))
+        });
+        plant("own", &|h, _| {
+            h.events.push(event(Class::Own(2500), "", 1, 40, Out::Kept))
+        });
+        plant("homes", &|h, _| {
+            h.hops.push(("".into(), vec!["x".into()], vec!["y".into()]))
+        });
+        plant("settings", &|h, _| {
+            h.settings.push(("a".into(), "b".into()))
+        });
         plant("leaving", &|h, w| {
             w.worked.push((9000, 0));
-            h.off.push(Off { server: "d-0".into(), since: 1000, until: u64::MAX, bound: 7000 });
+            h.off.push(Off {
+                server: "d-0".into(),
+                since: 1000,
+                until: u64::MAX,
+                bound: 7000,
+            });
         });
         plant("caps", &|_, w| w.over_cap = 1);
         plant("cold", &|_, w| {
--- a/guise/src/hosts.rs
+++ b/guise/src/hosts.rs
@@ -23,7 +23,8 @@
         Err((code, why)) => {
             let mut r = response(Err(Reject::new(Kind::Failed, why)));
             *r.status_mut() = StatusCode::from_u16(code).unwrap_or(StatusCode::BAD_GATEWAY);
-            r.headers_mut().insert("connection", HeaderValue::from_static("keep-alive"));
+            r.headers_mut()
+                .insert("connection", HeaderValue::from_static("keep-alive"));
             r
         }
     }
@@ -35,7 +36,13 @@
     pub promote: u64,
 }
 
-pub async fn server(w: Shared, i: usize, at: SocketAddr, clock: Clock, c: Arc<Costs>) -> eyre::Result<()> {
+pub async fn server(
+    w: Shared,
+    i: usize,
+    at: SocketAddr,
+    clock: Clock,
+    c: Arc<Costs>,
+) -> eyre::Result<()> {
     let h = move |_m: String, path: String, _q: String, b: Vec<u8>| {
         let (w, c) = (w.clone(), c.clone());
         async move {
@@ -50,7 +57,9 @@
             }
             let r = {
                 let mut g = lock(&w);
-                g.servers[i].up.then(|| g.handle(clock.now(), i, &path, &body))
+                g.servers[i]
+                    .up
+                    .then(|| g.handle(clock.now(), i, &path, &body))
             };
             match r {
                 Some(r) => raw(r),
@@ -84,11 +93,13 @@
         for i in 0..addrs.len() {
             let a = {
                 let g = lock(&w);
-                g.servers[i].up.then(|| g.announcement(i, &addrs[i].to_string()))
+                g.servers[i]
+                    .up
+                    .then(|| g.announcement(i, &addrs[i].to_string()))
             };
             let Some(a) = a else { continue };
             at[i] += 1;
-            if a != told[i] || at[i] % 20 == 0 {
+            if a != told[i] || at[i].is_multiple_of(20) {
                 turn += 1;
                 let to = nodes[turn % nodes.len()];
                 let r = back.post(to.into(), "/announce", &a, u64::MAX, 1500).await;
--- a/guise/src/mix.rs
+++ b/guise/src/mix.rs
@@ -20,7 +20,12 @@
 
 impl Kinds {
     pub fn of(c: &Config) -> Kinds {
-        let mut k = Kinds { write: vec![], current: vec![], within: vec![], own: vec![] };
+        let mut k = Kinds {
+            write: vec![],
+            current: vec![],
+            within: vec![],
+            own: vec![],
+        };
         for (n, r) in &c.kinds {
             match (r.writes, r.fresh.own_changes, r.fresh.within_ms) {
                 (true, ..) => k.write.push(n.clone()),
@@ -35,9 +40,24 @@
 
 #[derive(Clone, Debug)]
 pub enum Do {
-    Run { kind: String, id: Option<String>, body: Value, class: Class, key: String, value: i64 },
-    Txn { id: String, steps: Vec<Value>, key: String, value: i64 },
-    Show { name: String, value: String },
+    Run {
+        kind: String,
+        id: Option<String>,
+        body: Value,
+        class: Class,
+        key: String,
+        value: i64,
+    },
+    Txn {
+        id: String,
+        steps: Vec<Value>,
+        key: String,
+        value: i64,
+    },
+    Show {
+        name: String,
+        value: String,
+    },
 }
 
 pub struct Caller {
@@ -51,7 +71,14 @@
 
 impl Caller {
     pub fn new(n: u64, of: u64, db: &str, seed: u64) -> Caller {
-        Caller { n, db: db.into(), of, seed: mix(seed ^ mix(n)), turn: 0, value: 0 }
+        Caller {
+            n,
+            db: db.into(),
+            of,
+            seed: mix(seed ^ mix(n)),
+            turn: 0,
+            value: 0,
+        }
     }
 
     pub fn roll(&mut self, m: u64) -> u64 {
@@ -86,7 +113,14 @@
             let value = self.value;
             let i = self.roll(k.write.len() as u64) as usize;
             let body = json!({"op": "put", "key": mine, "value": value});
-            return Do::Run { kind: k.write[i].clone(), id: Some(id), body, class: Class::Write, key: mine, value };
+            return Do::Run {
+                kind: k.write[i].clone(),
+                id: Some(id),
+                body,
+                class: Class::Write,
+                key: mine,
+                value,
+            };
         }
         if x < 58 {
             self.value += 1;
@@ -97,11 +131,19 @@
                 steps.push(json!({"op": "get", "key": peer, "tag": tag}));
             }
             steps.push(json!({"op": "put", "key": mine, "value": value, "tag": tag}));
-            return Do::Txn { id, steps, key: mine, value };
+            return Do::Txn {
+                id,
+                steps,
+                key: mine,
+                value,
+            };
         }
         if x < 62 {
             let value = format!("v{}", self.turn);
-            return Do::Show { name: "zone".into(), value };
+            return Do::Show {
+                name: "zone".into(),
+                value,
+            };
         }
         if x < 72 && !k.current.is_empty() {
             return read(&k.current[0], Class::Current, &peer);
@@ -111,7 +153,10 @@
         }
         match k.within.first() {
             Some((n, b)) => read(n, Class::Within(*b), &peer),
-            None => Do::Show { name: "zone".into(), value: "x".into() },
+            None => Do::Show {
+                name: "zone".into(),
+                value: "x".into(),
+            },
         }
     }
 }
--- a/guise/src/procs.rs
+++ b/guise/src/procs.rs
@@ -1,8 +1,8 @@
 use eyre::{Result, WrapErr};
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicU16, Ordering};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use tenet::config::Config;
 
 pub struct Proc {
@@ -27,7 +27,10 @@
 
 impl Proc {
     pub fn start(&mut self) -> Result<()> {
-        let log = std::fs::OpenOptions::new().create(true).append(true).open(&self.log)?;
+        let log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&self.log)?;
         let c = Command::new(&self.bin)
             .args(&self.args)
             .stdin(Stdio::null())
@@ -53,7 +56,9 @@
     }
 
     pub fn ended(&mut self) -> bool {
-        self.child.as_mut().is_none_or(|c| matches!(c.try_wait(), Ok(Some(_))))
+        self.child
+            .as_mut()
+            .is_none_or(|c| matches!(c.try_wait(), Ok(Some(_))))
     }
 }
 
@@ -65,7 +70,13 @@
 
 pub fn fleet(c: &Config, nodes: usize, platform: SocketAddr, at: &Path) -> Result<Vec<Proc>> {
     let me = std::env::current_exe()?;
-    let bins = me.parent().map(|p| if p.ends_with("deps") { p.parent().unwrap_or(p) } else { p });
+    let bins = me.parent().map(|p| {
+        if p.ends_with("deps") {
+            p.parent().unwrap_or(p)
+        } else {
+            p
+        }
+    });
     let bins = bins.unwrap_or(Path::new(".")).to_path_buf();
     let domains: Vec<&String> = c.domains.keys().collect();
     let mut v: Vec<Proc> = Vec::new();
@@ -76,7 +87,17 @@
         let bin = bins.join(if disk { "accord" } else { "flow" });
         let (listen, http) = (free_port()?, free_port()?);
         let log = at.join(format!("{name}.log"));
-        v.push(Proc { name, domain, disk, listen, http, args: vec![], bin, log, child: None });
+        v.push(Proc {
+            name,
+            domain,
+            disk,
+            listen,
+            http,
+            args: vec![],
+            bin,
+            log,
+            child: None,
+        });
     }
     let seeds: Vec<SocketAddr> = v.iter().take(3).map(|p| p.listen).collect();
     for p in &mut v {
--- a/guise/src/store.rs
+++ b/guise/src/store.rs
@@ -33,7 +33,9 @@
     }
 
     pub fn outcome(&self, id: &str) -> Option<(u64, &Line)> {
-        self.outcomes.get(id).map(|i| (*i as u64 + 1, &self.log[*i]))
+        self.outcomes
+            .get(id)
+            .map(|i| (*i as u64 + 1, &self.log[*i]))
     }
 
     pub fn get(&self, k: &str) -> i64 {
@@ -67,7 +69,14 @@
         if !id.is_empty() {
             self.outcomes.insert(id.into(), self.log.len());
         }
-        self.log.push(Line { id: id.into(), digest: d, ops, result: result.clone(), at, by: by.into() });
+        self.log.push(Line {
+            id: id.into(),
+            digest: d,
+            ops,
+            result: result.clone(),
+            at,
+            by: by.into(),
+        });
         (self.pos(), result)
     }
 
--- a/guise/src/talk.rs
+++ b/guise/src/talk.rs
@@ -23,7 +23,9 @@
             .and_then(|n| n.parse::<usize>().ok())
             .and_then(|n| args.get(n.wrapping_sub(1)).cloned())
             .unwrap_or_else(|| t.clone()),
-        Value::Object(m) => Value::Object(m.iter().map(|(k, v)| (k.clone(), fill(v, args))).collect()),
+        Value::Object(m) => {
+            Value::Object(m.iter().map(|(k, v)| (k.clone(), fill(v, args))).collect())
+        }
         v => v.clone(),
     }
 }
@@ -50,7 +52,9 @@
                 self.servers[i].conns.clear();
                 Ok(json!({}))
             }
-            "/statement" | "/begin" | "/commit" | "/rollback" | "/reset" => self.on_conn(now, i, path, b),
+            "/statement" | "/begin" | "/commit" | "/rollback" | "/reset" => {
+                self.on_conn(now, i, path, b)
+            }
             _ => Err((404, "no such path".into())),
         }
     }
@@ -71,17 +75,32 @@
         self.opened += 1;
         let id = self.fresh();
         let user = b["user"].as_str().unwrap_or("").to_string();
-        self.servers[i].conns.insert(id, Conn { user, ..Conn::default() });
+        self.servers[i].conns.insert(
+            id,
+            Conn {
+                user,
+                ..Conn::default()
+            },
+        );
         self.note_conns(now, i);
         Ok(json!({ "conn": id }))
     }
 
     fn on_conn(&mut self, now: u64, i: usize, path: &str, b: &Value) -> Reply {
         let c = conn_id(b);
-        let mut conn = self.servers[i].conns.remove(&c).ok_or((410, "no such connection".into()))?;
+        let mut conn = self.servers[i]
+            .conns
+            .remove(&c)
+            .ok_or((410, "no such connection".into()))?;
         let r = match path {
             "/reset" => {
-                let map = |k: &str| b[k].as_object().cloned().unwrap_or_default().into_iter().collect();
+                let map = |k: &str| {
+                    b[k].as_object()
+                        .cloned()
+                        .unwrap_or_default()
+                        .into_iter()
+                        .collect()
+                };
                 conn = Conn {
                     user: b["user"].as_str().unwrap_or("").into(),
                     settings: map("settings"),
@@ -90,9 +109,14 @@
                 };
                 Ok(json!({}))
             }
-            "/begin" if !self.servers[i].leads || self.servers[i].read_only => Err((403, "read only".into())),
+            "/begin" if !self.servers[i].leads || self.servers[i].read_only => {
+                Err((403, "read only".into()))
+            }
             "/begin" if conn.txn.is_some() => {
-                self.faults.push(format!("begin inside a transaction on {}", self.servers[i].name));
+                self.faults.push(format!(
+                    "begin inside a transaction on {}",
+                    self.servers[i].name
+                ));
                 Err((422, "in a transaction already".into()))
             }
             "/begin" => {
@@ -117,24 +141,38 @@
     fn statement(&mut self, now: u64, i: usize, conn: &mut Conn, b: &Value) -> Reply {
         let mut op = b["body"].clone();
         if let Some(p) = op["prepared"].as_str() {
-            let t = conn.prepared.get(p).cloned().ok_or((422, format!("nothing prepared as {p}")))?;
-            let t = t.as_str().and_then(|s| serde_json::from_str(s).ok()).unwrap_or(t);
+            let t = conn
+                .prepared
+                .get(p)
+                .cloned()
+                .ok_or((422, format!("nothing prepared as {p}")))?;
+            let t = t
+                .as_str()
+                .and_then(|s| serde_json::from_str(s).ok())
+                .unwrap_or(t);
             op = fill(&t, &op["args"]);
         }
         self.worked.push((now, i));
         let tag = op["tag"].as_str().unwrap_or("").to_string();
         if conn.txn.is_some() && !conn.owner.is_empty() && !tag.is_empty() && conn.owner != tag {
-            self.faults.push(format!("{tag} ran inside the transaction of {}", conn.owner));
+            self.faults.push(format!(
+                "{tag} ran inside the transaction of {}",
+                conn.owner
+            ));
         }
         let pos = self.servers[i].data.pos();
         match op["op"].as_str() {
             Some("show") => {
                 let n = op["name"].as_str().unwrap_or("");
-                Ok(json!({"pos": pos, "result": {"settings": conn.settings, "user": conn.user, "value": conn.settings.get(n)}}))
+                Ok(
+                    json!({"pos": pos, "result": {"settings": conn.settings, "user": conn.user, "value": conn.settings.get(n)}}),
+                )
             }
             Some("get") => {
                 let none = Vec::new();
-                let r = self.servers[i].data.read(conn.txn.as_ref().unwrap_or(&none), &op);
+                let r = self.servers[i]
+                    .data
+                    .read(conn.txn.as_ref().unwrap_or(&none), &op);
                 Ok(json!({"pos": pos, "result": r}))
             }
             Some("fail") => Err((422, "asked to fail".into())),
@@ -144,7 +182,9 @@
                     v.push(op);
                     Ok(json!({"pos": pos, "result": null}))
                 }
-                None if b["write"] == true => self.write(now, i, b["id"].as_str().unwrap_or(""), vec![op], false),
+                None if b["write"] == true => {
+                    self.write(now, i, b["id"].as_str().unwrap_or(""), vec![op], false)
+                }
                 None => Err((422, "a write in a kind that only reads".into())),
             },
             _ => Err((422, "no such operation".into())),
@@ -167,10 +207,17 @@
         }
         let by = s.name.clone();
         if self.last_leader.get(&s.db) != Some(&i) {
-            self.faults.push(format!("two servers: {by} took write {id} at {now} after its successor was promoted"));
+            self.faults.push(format!(
+                "two servers: {by} took write {id} at {now} after its successor was promoted"
+            ));
         }
         let (pos, result) = s.data.write(now, &by, id, ops);
-        self.wrote.push(Wrote { at: now, db: s.db.clone(), server: i, id: id.into() });
+        self.wrote.push(Wrote {
+            at: now,
+            db: s.db.clone(),
+            server: i,
+            id: id.into(),
+        });
         Ok(json!({"pos": pos, "result": result}))
     }
 }
--- a/guise/src/termed.rs
+++ b/guise/src/termed.rs
@@ -132,7 +132,12 @@
 
     pub(crate) fn append(&mut self, now: u64, id: &str, puts: Vec<(String, String)>) {
         let n = self.log.len() as u64 + 1;
-        self.log.push(Line { pos: (self.term << NUMBER) | n, id: id.into(), puts, at: now });
+        self.log.push(Line {
+            pos: (self.term << NUMBER) | n,
+            id: id.into(),
+            puts,
+            at: now,
+        });
         self.got.push(now);
         self.apply(self.log.len());
     }
@@ -140,13 +145,25 @@
 
 impl Fleet {
     pub fn new(names: Vec<(String, String, usize)>, seed: u64) -> Fleet {
-        let mut f = Fleet { seed, next: 100, ..Fleet::default() };
+        let mut f = Fleet {
+            seed,
+            next: 100,
+            ..Fleet::default()
+        };
         for (name, service, cap) in names {
             let leads = !f.leader.contains_key(&service);
             if leads {
                 f.leader.insert(service.clone(), f.servers.len());
             }
-            f.servers.push(Server { name, service, up: true, leads, term: 1, cap, ..Server::default() });
+            f.servers.push(Server {
+                name,
+                service,
+                up: true,
+                leads,
+                term: 1,
+                cap,
+                ..Server::default()
+            });
         }
         f
     }
@@ -169,7 +186,12 @@
     }
 
     pub fn tick(&mut self, now: u64, reach: &dyn Fn(usize, usize) -> bool) {
-        let due: Vec<usize> = self.moves.iter().filter(|m| m.0 <= now).map(|m| m.1).collect();
+        let due: Vec<usize> = self
+            .moves
+            .iter()
+            .filter(|m| m.0 <= now)
+            .map(|m| m.1)
+            .collect();
         self.moves.retain(|m| m.0 > now);
         due.into_iter().for_each(|i| self.lead(now, i));
         for i in 0..self.servers.len() {
@@ -178,7 +200,11 @@
             let l = &self.servers[p];
             if s.up && i != p && l.up && !s.stalled && reach(p, i) && reach(i, p) {
                 let (n, term, delay) = (shared(&s.log, &l.log), l.term, 8 + self.roll(i, now, 20));
-                let more: Vec<Line> = l.log[n..].iter().take_while(|x| x.at + delay <= now).cloned().collect();
+                let more: Vec<Line> = l.log[n..]
+                    .iter()
+                    .take_while(|x| x.at + delay <= now)
+                    .cloned()
+                    .collect();
                 let s = &mut self.servers[i];
                 s.term = term;
                 if s.log.len() > n {
@@ -190,15 +216,25 @@
             }
             let late = self.lag(i, now);
             let s = &mut self.servers[i];
-            let ripe = s.got[s.applied..].iter().take_while(|t| **t + late <= now).count();
+            let ripe = s.got[s.applied..]
+                .iter()
+                .take_while(|t| **t + late <= now)
+                .count();
             s.apply(s.applied + ripe);
         }
     }
 
     /// Answers a call that names who leads next; `Ok(false)` when it is under way.
     pub fn accept(&mut self, now: u64, name: &str, token: u64) -> Result<bool, bool> {
-        let i = self.servers.iter().position(|s| s.name == name && s.up).ok_or(false)?;
-        let seen = self.tokens.entry(self.servers[i].service.clone()).or_default();
+        let i = self
+            .servers
+            .iter()
+            .position(|s| s.name == name && s.up)
+            .ok_or(false)?;
+        let seen = self
+            .tokens
+            .entry(self.servers[i].service.clone())
+            .or_default();
         if token < *seen {
             return Err(false);
         }
@@ -222,7 +258,14 @@
         }
         let n = shared(&self.servers[i].log, &self.servers[old].log);
         let term = self.servers[old].term + 1;
-        let lost: Vec<Cut> = self.servers[old].log[n..].iter().map(|l| Cut { at: now, id: l.id.clone(), service: service.clone() }).collect();
+        let lost: Vec<Cut> = self.servers[old].log[n..]
+            .iter()
+            .map(|l| Cut {
+                at: now,
+                id: l.id.clone(),
+                service: service.clone(),
+            })
+            .collect();
         self.cut.extend(lost);
         self.servers[old].leads = false;
         self.servers[old].term = term;
--- a/guise/src/world.rs
+++ b/guise/src/world.rs
@@ -57,15 +57,29 @@
     pub fn of(c: &Config, lag: u64) -> Shape {
         let near = |d: &Database| -> Vec<String> {
             let home = |r: &String| d.homes.contains(r);
-            c.domains.iter().filter(|(_, x)| home(&x.region)).map(|(n, _)| n.clone()).collect()
+            c.domains
+                .iter()
+                .filter(|(_, x)| home(&x.region))
+                .map(|(n, _)| n.clone())
+                .collect()
         };
-        Shape { dbs: c.databases.iter().map(|(n, d)| (n.clone(), near(d), d.cap as usize)).collect(), lag }
+        Shape {
+            dbs: c
+                .databases
+                .iter()
+                .map(|(n, d)| (n.clone(), near(d), d.cap as usize))
+                .collect(),
+            lag,
+        }
     }
 }
 
 impl World {
     pub fn new(s: &Shape) -> World {
-        let mut w = World { next: 100, ..World::default() };
+        let mut w = World {
+            next: 100,
+            ..World::default()
+        };
         for (i, (db, domains, cap)) in s.dbs.iter().enumerate() {
             let base = w.servers.len();
             w.last_leader.insert(db.to_string(), base);
@@ -113,9 +127,13 @@
         for i in 0..self.servers.len() {
             self.regroup(now, i);
             let s = &self.servers[i];
-            let from = s.follows.filter(|f| s.up && !s.stalled && self.servers[*f].up && self.reach(i, *f));
+            let from = s
+                .follows
+                .filter(|f| s.up && !s.stalled && self.servers[*f].up && self.reach(i, *f));
             if let Some(f) = from {
-                let src = self.servers[f].data.clone_tail(self.servers[i].data.log.len());
+                let src = self.servers[f]
+                    .data
+                    .clone_tail(self.servers[i].data.log.len());
                 let lag = self.servers[i].lag;
                 self.servers[i].data.take(src, |l| l.at + lag <= now);
             }
@@ -128,7 +146,11 @@
 
     fn regroup(&mut self, now: u64, i: usize) {
         let s = &self.servers[i];
-        let lead = self.last_leader.get(&s.db).copied().filter(|l| *l != i && s.follows != Some(*l));
+        let lead = self
+            .last_leader
+            .get(&s.db)
+            .copied()
+            .filter(|l| *l != i && s.follows != Some(*l));
         if let Some(l) = lead.filter(|l| s.up && !s.leads && self.reach(i, *l)) {
             let life = self.fresh();
             self.rebuild(now, i, l, life);
@@ -180,7 +202,8 @@
         let life = self.fresh();
         let db = self.servers[i].db.clone();
         let s = &mut self.servers[i];
-        (s.life, s.data, s.up, s.leaving, s.leads, s.born) = (life, Store::default(), true, false, false, now);
+        (s.life, s.data, s.up, s.leaving, s.leads, s.born) =
+            (life, Store::default(), true, false, false, now);
         s.conns.clear();
         self.servers[i].follows = self.last_leader.get(&db).copied();
     }
@@ -207,7 +230,10 @@
         let e = self.most.entry(s.name.clone()).or_default();
         *e = (*e).max(n);
         if s.born > 0 && now < s.born + 500 {
-            let e = self.cold.entry(format!("{}@{}", s.name, s.born)).or_default();
+            let e = self
+                .cold
+                .entry(format!("{}@{}", s.name, s.born))
+                .or_default();
             *e = (*e).max(n);
         }
     }
@@ -215,10 +241,15 @@
 
 impl Store {
     pub fn clone_tail(&self, from: usize) -> Vec<Line> {
-        self.log.get(from..).map_or(Vec::new(), |v| v.iter().take(2000).cloned().collect())
+        self.log
+            .get(from..)
+            .map_or(Vec::new(), |v| v.iter().take(2000).cloned().collect())
     }
 
     pub fn take(&mut self, lines: Vec<Line>, ripe: impl Fn(&Line) -> bool) {
-        lines.into_iter().take_while(ripe).for_each(|l| self.put_line(l));
+        lines
+            .into_iter()
+            .take_while(ripe)
+            .for_each(|l| self.put_line(l));
     }
 }
--- a/guise/tests/doors.rs
+++ b/guise/tests/doors.rs
@@ -1,11 +1,11 @@
 use guise::fleet::{until, Plan, Stage};
 use guise::procs::free_port;
+use medium::back::HttpRes;
 use serde_json::{json, Value};
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream, UdpSocket};
 use std::path::Path;
 use std::process::Command;
-use medium::back::HttpRes;
 use volo_http::http::Method;
 
 async fn call(s: &Stage, m: Method, to: SocketAddr, path: &str, b: &Value) -> (u16, Value) {
@@ -134,29 +134,51 @@
         let at = s.procs[6].http;
         let (_, v) = post(&s, at, "/sessions", json!({"database": "ledger"})).await;
         let ses = format!("/sessions/{}", v["session"]);
-        assert_eq!(post(&s, at, &format!("{ses}/begin"), json!({"id": "t1"})).await.0, 200);
+        assert_eq!(
+            post(&s, at, &format!("{ses}/begin"), json!({"id": "t1"}))
+                .await
+                .0,
+            200
+        );
         s.procs[6].signal("-TERM");
-        until("the node to turn unready", 10_000, || async { s.site.back.get(at, "/ready").await.is_none() }).await.unwrap();
+        until("the node to turn unready", 10_000, || async {
+            s.site.back.get(at, "/ready").await.is_none()
+        })
+        .await
+        .unwrap();
         let step = json!({"kind": "order", "body": {"op": "put", "key": "t", "value": 5}});
         assert_eq!(post(&s, at, &format!("{ses}/run"), step).await.0, 200);
-        assert_eq!(post(&s, at, "/sessions", json!({"database": "ledger"})).await.1["error"], "leaving");
+        assert_eq!(
+            post(&s, at, "/sessions", json!({"database": "ledger"}))
+                .await
+                .1["error"],
+            "leaving"
+        );
         let done = post(&s, at, &format!("{ses}/commit"), json!({})).await;
         assert_eq!(done.0, 200, "{}", done.1);
         let c = s.procs[6].child.take();
-        let code = tokio::task::spawn_blocking(move || c.and_then(|mut c| c.wait().ok()).and_then(|s| s.code())).await.unwrap();
+        let code = tokio::task::spawn_blocking(move || {
+            c.and_then(|mut c| c.wait().ok()).and_then(|s| s.code())
+        })
+        .await
+        .unwrap();
         assert_eq!(code, Some(0));
         let _ = std::fs::remove_dir_all(&p.data);
     });
 }
 
 fn accord(data: &Path) -> (Option<i32>, String) {
-    let o = lone(bin("accord"), data, free_port().unwrap()).output().unwrap();
+    let o = lone(bin("accord"), data, free_port().unwrap())
+        .output()
+        .unwrap();
     (o.status.code(), String::from_utf8_lossy(&o.stderr).into())
 }
 
 fn lone(mut c: Command, data: &Path, http: SocketAddr) -> Command {
     let a = || free_port().unwrap().to_string();
-    c.arg(format!("--listen={}", a())).arg(format!("--http={http}")).arg("--domain=d");
+    c.arg(format!("--listen={}", a()))
+        .arg(format!("--http={http}"))
+        .arg("--domain=d");
     (0..3).for_each(|_| {
         c.arg(format!("--seed={}", a()));
     });
@@ -169,15 +191,26 @@
     let d = std::env::temp_dir().join(format!("firramp-full-{}", std::process::id()));
     std::fs::create_dir_all(&d).unwrap();
     let mut c = Command::new("bash");
-    c.arg("-c").arg("trap '' XFSZ; ulimit -f 0; exec \"$0\" \"$@\"").arg(bin("accord").get_program());
+    c.arg("-c")
+        .arg("trap '' XFSZ; ulimit -f 0; exec \"$0\" \"$@\"")
+        .arg(bin("accord").get_program());
     let o = lone(c, &d, free_port().unwrap()).output().unwrap();
     let says = String::from_utf8_lossy(&o.stderr);
-    assert!(o.status.code() == Some(74) && says.contains("disk:"), "{:?} {says}", o.status.code());
+    assert!(
+        o.status.code() == Some(74) && says.contains("disk:"),
+        "{:?} {says}",
+        o.status.code()
+    );
     let http = free_port().unwrap();
-    let mut c = lone(bin("accord"), &d, http).stderr(std::process::Stdio::null()).spawn().unwrap();
+    let mut c = lone(bin("accord"), &d, http)
+        .stderr(std::process::Stdio::null())
+        .spawn()
+        .unwrap();
     let rt = tokio::runtime::Runtime::new().unwrap();
     let b = medium::back::Back::new(medium::clock::Clock::new()).unwrap();
-    let up = rt.block_on(until("the process to answer", 15_000, || async { b.get(http, "/view").await.is_some() }));
+    let up = rt.block_on(until("the process to answer", 15_000, || async {
+        b.get(http, "/view").await.is_some()
+    }));
     let _ = c.kill();
     let _ = c.wait();
     up.unwrap();
@@ -191,18 +224,34 @@
     std::fs::write(d.join("slot.0"), b"not ours").unwrap();
     std::fs::write(d.join("slot.1"), b"nor this").unwrap();
     let (code, says) = accord(&d);
-    assert!(code == Some(1) && says.contains("damaged") && says.contains("refused"), "{code:?} {says}");
+    assert!(
+        code == Some(1) && says.contains("damaged") && says.contains("refused"),
+        "{code:?} {says}"
+    );
     assert_eq!(std::fs::read(d.join("slot.1")).unwrap(), b"nor this");
-    let o = bin("flow").arg("--settings=/nowhere.json").output().unwrap();
-    assert!(o.status.code() == Some(2) && String::from_utf8_lossy(&o.stderr).contains("/nowhere.json"));
+    let o = bin("flow")
+        .arg("--settings=/nowhere.json")
+        .output()
+        .unwrap();
+    assert!(
+        o.status.code() == Some(2) && String::from_utf8_lossy(&o.stderr).contains("/nowhere.json")
+    );
     let f = d.join("bad.json");
     std::fs::write(&f, r#"{"listen": "127.0.0.1:1", "wrong": 1}"#).unwrap();
-    let o = bin("flow").arg(format!("--settings={}", f.display())).output().unwrap();
+    let o = bin("flow")
+        .arg(format!("--settings={}", f.display()))
+        .output()
+        .unwrap();
     assert!(o.status.code() == Some(2) && String::from_utf8_lossy(&o.stderr).contains("wrong"));
     for b in ["flow", "accord", "motive", "guise", "chance"] {
-        assert!(bin(b).arg("--help").output().unwrap().status.success(), "{b} --help");
+        assert!(
+            bin(b).arg("--help").output().unwrap().status.success(),
+            "{b} --help"
+        );
     }
     let o = bin("accord").arg("check").arg(&f).output().unwrap();
-    assert!(o.status.code() == Some(1) && String::from_utf8_lossy(&o.stderr).contains("unknown field"));
+    assert!(
+        o.status.code() == Some(1) && String::from_utf8_lossy(&o.stderr).contains("unknown field")
+    );
     let _ = std::fs::remove_dir_all(&d);
 }
--- a/guise/tests/fleet.rs
+++ b/guise/tests/fleet.rs
@@ -4,9 +4,22 @@
 use std::sync::atomic::Ordering::Relaxed;
 
 async fn served(s: &Stage, more: usize) {
-    let n = |s: &Stage| s.site.history.lock().unwrap().events.iter().filter(|e| e.out == guise::check::Out::Kept).count();
+    let n = |s: &Stage| {
+        s.site
+            .history
+            .lock()
+            .unwrap()
+            .events
+            .iter()
+            .filter(|e| e.out == guise::check::Out::Kept)
+            .count()
+    };
     let from = n(s);
-    until("requests to be served", 25_000, || async { n(s) >= from + more }).await.unwrap();
+    until("requests to be served", 25_000, || async {
+        n(s) >= from + more
+    })
+    .await
+    .unwrap();
 }
 
 #[test]
@@ -23,13 +36,20 @@
         let old = lock(&s.world).leader("ledger");
         s.cause("kill=ledger").unwrap();
         let w = s.world.clone();
-        until("a new primary", 25_000, || async { lock(&w).leader("ledger") != old }).await.unwrap();
+        until("a new primary", 25_000, || async {
+            lock(&w).leader("ledger") != old
+        })
+        .await
+        .unwrap();
         served(&s, 200).await;
         s.cause("kill=accord-0").unwrap();
         s.cause("kill=flow-3").unwrap();
         served(&s, 400).await;
         let bad = s.configure(0, 8).await;
-        assert!(bad.is_ok(), "a repeat of the same configuration over the same base is taken as done: {bad:?}");
+        assert!(
+            bad.is_ok(),
+            "a repeat of the same configuration over the same base is taken as done: {bad:?}"
+        );
         s.site.stop.store(true, Relaxed);
         for c in callers {
             let _ = c.await;
--- a/guise/tests/operators.rs
+++ b/guise/tests/operators.rs
@@ -1,7 +1,7 @@
 use guise::fleet::{until, Plan, Stage};
+use medium::back::HttpRes;
 use serde_json::{json, Value};
 use std::net::SocketAddr;
-use medium::back::HttpRes;
 
 async fn post(s: &Stage, to: SocketAddr, path: &str, b: Value) -> Result<Value, Value> {
     match s.site.back.post(to.into(), path, &b, u64::MAX, 9000).await {
@@ -12,17 +12,31 @@
 }
 
 async fn session(s: &Stage, at: SocketAddr) -> String {
-    let v = post(s, at, "/sessions", json!({"database": "ledger", "user": "ann", "settings": {"zone": "CET"}})).await.unwrap();
+    let v = post(
+        s,
+        at,
+        "/sessions",
+        json!({"database": "ledger", "user": "ann", "settings": {"zone": "CET"}}),
+    )
+    .await
+    .unwrap();
     format!("/sessions/{}", v["session"])
 }
 
 async fn reasons(s: &Stage, at: SocketAddr, word: &str) -> bool {
     let v = s.site.back.get(at, "/reasons").await.unwrap_or(Value::Null);
-    v["reasons"].as_array().is_some_and(|a| a.iter().any(|r| r["text"].as_str().is_some_and(|t| t.contains(word))))
+    v["reasons"].as_array().is_some_and(|a| {
+        a.iter()
+            .any(|r| r["text"].as_str().is_some_and(|t| t.contains(word)))
+    })
 }
 
 async fn primary(s: &Stage, at: SocketAddr) -> Value {
-    s.site.back.get(at, "/verdicts").await.map_or(Value::Null, |v| v["databases"]["ledger"].clone())
+    s.site
+        .back
+        .get(at, "/verdicts")
+        .await
+        .map_or(Value::Null, |v| v["databases"]["ledger"].clone())
 }
 
 #[test]
@@ -37,23 +51,61 @@
         let (a, b) = (session(&s, at).await, session(&s, at).await);
         let run = |x: &str| format!("{x}/run");
         let text = json!({"op": "put", "key": "$1", "value": "$2"});
-        post(&s, at, &format!("{a}/prepare"), json!({"name": "p", "text": text})).await.unwrap();
+        post(
+            &s,
+            at,
+            &format!("{a}/prepare"),
+            json!({"name": "p", "text": text}),
+        )
+        .await
+        .unwrap();
         for n in 1..6 {
-            let v = post(&s, at, &run(&a), json!({"kind": "order", "prepared": "p", "args": ["k", n]})).await.unwrap();
+            let v = post(
+                &s,
+                at,
+                &run(&a),
+                json!({"kind": "order", "prepared": "p", "args": ["k", n]}),
+            )
+            .await
+            .unwrap();
             assert_eq!(v["result"], json!(n));
-            post(&s, at, &format!("{a}/set"), json!({"name": "zone", "value": format!("z{n}")})).await.unwrap();
+            post(
+                &s,
+                at,
+                &format!("{a}/set"),
+                json!({"name": "zone", "value": format!("z{n}")}),
+            )
+            .await
+            .unwrap();
             let show = json!({"kind": "state", "body": {"op": "show", "name": "zone"}});
             let mine = post(&s, at, &run(&a), show.clone()).await.unwrap();
             let other = post(&s, at, &run(&b), show).await.unwrap();
-            assert_eq!((&mine["result"]["value"], &other["result"]["value"]), (&json!(format!("z{n}")), &json!("CET")));
+            assert_eq!(
+                (&mine["result"]["value"], &other["result"]["value"]),
+                (&json!(format!("z{n}")), &json!("CET"))
+            );
             assert_eq!(other["result"]["user"], "ann");
         }
-        let e = post(&s, at, &run(&b), json!({"kind": "order", "prepared": "p", "args": ["k", 9]})).await.unwrap_err();
+        let e = post(
+            &s,
+            at,
+            &run(&b),
+            json!({"kind": "order", "prepared": "p", "args": ["k", 9]}),
+        )
+        .await
+        .unwrap_err();
         assert_eq!(e["error"], "unknown-name");
-        post(&s, at, &format!("{a}/begin"), json!({"id": "left-open"})).await.unwrap();
+        post(&s, at, &format!("{a}/begin"), json!({"id": "left-open"}))
+            .await
+            .unwrap();
         let step = json!({"kind": "order", "body": {"op": "put", "key": "left", "value": 1}});
-        assert_eq!(post(&s, at, &run(&a), step).await.unwrap()["transaction"], true);
-        post(&s, at, &format!("{a}/rollback"), json!({})).await.unwrap();
+        assert_eq!(
+            post(&s, at, &run(&a), step).await.unwrap()["transaction"],
+            true
+        );
+        post(&s, at, &format!("{a}/rollback"), json!({}))
+            .await
+            .unwrap();
         let get = json!({"kind": "state", "body": {"op": "get", "key": "left"}});
         assert_eq!(post(&s, at, &run(&b), get).await.unwrap()["result"], 0);
         let _ = std::fs::remove_dir_all(&p.data);
--- a/guise/tests/sockets.rs
+++ b/guise/tests/sockets.rs
@@ -1,5 +1,6 @@
 use guise::fleet::until;
 use medium::back::Back;
+use medium::back::HttpRes;
 use medium::clock::Clock;
 use medium::net::Net;
 use serde_json::json;
@@ -8,14 +9,14 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex};
 use tenet::base::{mix, Addr, Time};
-use medium::back::HttpRes;
 use tenet::state::{Ask, Op};
 use tenet::wire::{Msg, Packet};
 
 fn narrow() -> (TcpListener, SocketAddr) {
     let s = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
     s.set_recv_buffer_size(2048).unwrap();
-    s.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+    s.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into())
+        .unwrap();
     s.listen(8).unwrap();
     let l = TcpListener::from(s);
     let a = l.local_addr().unwrap();
@@ -44,24 +45,46 @@
 #[test]
 fn what_the_kernel_still_held_of_a_call_given_up_never_arrives() {
     let n = send_into(300);
-    assert!(n > 0 && n < LONG, "{n} bytes of a statement given up arrived");
+    assert!(
+        n > 0 && n < LONG,
+        "{n} bytes of a statement given up arrived"
+    );
 }
 
 #[test]
 fn what_nobody_takes_dies_in_the_kernel_before_the_caller_gives_up() {
     let n = send_into(120_000);
-    assert!(n > 0 && n < LONG, "{n} bytes of a statement that lay in the kernel arrived");
+    assert!(
+        n > 0 && n < LONG,
+        "{n} bytes of a statement that lay in the kernel arrived"
+    );
 }
 
 fn long() -> String {
     static TEXT: std::sync::OnceLock<String> = std::sync::OnceLock::new();
     let letter = |i: u64| char::from(b' ' + (mix(i) % 95) as u8);
-    TEXT.get_or_init(|| (0..2_000_000).map(letter).collect()).clone()
+    TEXT.get_or_init(|| (0..2_000_000).map(letter).collect())
+        .clone()
 }
 
 fn packet(from: Addr, id: u64) -> Packet {
-    let op = Op::Config { base: id, text: long() };
-    Packet { from: 1, addr: from, cluster: 0, msg: Msg::Propose { ask: Ask { id, from, at: 0, op } } }
+    let op = Op::Config {
+        base: id,
+        text: long(),
+    };
+    Packet {
+        from: 1,
+        addr: from,
+        cluster: 0,
+        msg: Msg::Propose {
+            ask: Ask {
+                id,
+                from,
+                at: 0,
+                op,
+            },
+        },
+    }
 }
 
 fn hear(l: TcpListener, got: Arc<Mutex<Vec<u64>>>, rt: tokio::runtime::Handle) {
@@ -74,7 +97,9 @@
                 got.lock().unwrap().push(ask.id);
             }
         });
-        rt.spawn(async move { medium::line::hear(tokio::net::TcpStream::from_std(s).unwrap(), from, sink).await });
+        rt.spawn(async move {
+            medium::line::hear(tokio::net::TcpStream::from_std(s).unwrap(), from, sink).await
+        });
     }
     drop(stuck);
 }
@@ -96,12 +121,21 @@
         let next = std::sync::atomic::AtomicU64::new(100);
         let (net, got) = (&net, &got);
         until("a packet over a new line", 20_000, || {
-            net.send(to, &packet(me.into(), next.fetch_add(1, std::sync::atomic::Ordering::Relaxed)));
+            net.send(
+                to,
+                &packet(
+                    me.into(),
+                    next.fetch_add(1, std::sync::atomic::Ordering::Relaxed),
+                ),
+            );
             async move { !got.lock().unwrap().is_empty() }
         })
         .await
         .unwrap();
         let v = got.lock().unwrap().clone();
-        assert!(v.iter().all(|id| *id >= 100), "stale packets came over the new line: {v:?}");
+        assert!(
+            v.iter().all(|id| *id >= 100),
+            "stale packets came over the new line: {v:?}"
+        );
     });
 }
--- a/medium/src/back.rs
+++ b/medium/src/back.rs
@@ -1,17 +1,17 @@
 use crate::clock::Clock;
+use crate::dialect;
 use crate::link::{Link, Links, Went};
+use crate::traffic::{Later, Servers};
 use http_body_util::Full;
 use hyper::body::Bytes;
 use hyper::http::request::Builder;
 use hyper::{Method, Request};
 use serde_json::Value;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use tenet::base::{Addr, Time};
-use crate::dialect;
-use crate::traffic::{Later, Servers};
-use std::rc::Rc;
 use tenet::front::{BackCall, BackRes};
 
 /// How a call over HTTP ended. `NotSent` promises that the other side never saw it.
@@ -34,27 +34,63 @@
 
 impl Back {
     pub fn new(clock: Clock) -> eyre::Result<Back> {
-        Ok(Back { links: Arc::new(Links::default()), clock, head: Vec::new() })
+        Ok(Back {
+            links: Arc::new(Links::default()),
+            clock,
+            head: Vec::new(),
+        })
     }
 
     /// The same connections, with further headers.
     pub fn with(&self, head: &[(&str, &str)]) -> Back {
-        let head = head.iter().map(|(k, v)| (k.to_string(), v.to_string())).collect();
-        Back { head, ..self.clone() }
+        let head = head
+            .iter()
+            .map(|(k, v)| (k.to_string(), v.to_string()))
+            .collect();
+        Back {
+            head,
+            ..self.clone()
+        }
     }
 
-    pub async fn post(&self, to: Addr, path: &str, body: &Value, not_after: Time, timeout: Time) -> HttpRes {
+    pub async fn post(
+        &self,
+        to: Addr,
+        path: &str,
+        body: &Value,
+        not_after: Time,
+        timeout: Time,
+    ) -> HttpRes {
         match to == Addr::NONE {
             true => HttpRes::NotSent,
-            false => self.bounded(Method::POST, to.into(), path, body, not_after, timeout).await,
+            false => {
+                self.bounded(Method::POST, to.into(), path, body, not_after, timeout)
+                    .await
+            }
         }
     }
 
-    pub async fn send(&self, m: Method, to: Addr, path: &str, body: &Value, timeout: Time) -> HttpRes {
-        self.bounded(m, to.into(), path, body, Time::MAX, timeout).await
+    pub async fn send(
+        &self,
+        m: Method,
+        to: Addr,
+        path: &str,
+        body: &Value,
+        timeout: Time,
+    ) -> HttpRes {
+        self.bounded(m, to.into(), path, body, Time::MAX, timeout)
+            .await
     }
 
-    pub async fn bounded(&self, m: Method, to: SocketAddr, path: &str, body: &Value, not_after: Time, timeout: Time) -> HttpRes {
+    pub async fn bounded(
+        &self,
+        m: Method,
+        to: SocketAddr,
+        path: &str,
+        body: &Value,
+        not_after: Time,
+        timeout: Time,
+    ) -> HttpRes {
         let with = |r: Builder, (k, v): &(String, String)| r.header(k, v);
         let r = self
             .head
@@ -64,10 +100,16 @@
             .uri(path)
             .header("host", to.to_string())
             .header("content-type", "application/json")
-            .body(Full::new(Bytes::from(if body.is_null() { String::new() } else { body.to_string() })));
+            .body(Full::new(Bytes::from(if body.is_null() {
+                String::new()
+            } else {
+                body.to_string()
+            })));
         let Ok(r) = r else { return HttpRes::NotSent };
         let t = Duration::from_millis(timeout);
-        tokio::time::timeout(t, self.go(to, r, not_after)).await.unwrap_or(HttpRes::Lost)
+        tokio::time::timeout(t, self.go(to, r, not_after))
+            .await
+            .unwrap_or(HttpRes::Lost)
     }
 
     async fn go(&self, to: SocketAddr, r: Request<Full<Bytes>>, not_after: Time) -> HttpRes {
@@ -91,7 +133,7 @@
             }
             match l.go(r).await {
                 Went::NotSent(_) if fresh => return HttpRes::NotSent,
-                Went::NotSent(back) => r = back,
+                Went::NotSent(back) => r = *back,
                 Went::Lost => return HttpRes::Lost,
                 Went::Answer(code, b) => {
                     self.links.put(to, l);
@@ -102,7 +144,10 @@
     }
 
     pub async fn get(&self, to: SocketAddr, path: &str) -> Option<Value> {
-        match self.bounded(Method::GET, to, path, &Value::Null, Time::MAX, ASK).await {
+        match self
+            .bounded(Method::GET, to, path, &Value::Null, Time::MAX, ASK)
+            .await
+        {
             HttpRes::Ok(v) => Some(v),
             _ => None,
         }
@@ -120,7 +165,10 @@
     fn call(self: Rc<Self>, c: BackCall) -> Later<BackRes> {
         Box::pin(async move {
             let (path, body) = dialect::ask(&c.query);
-            dialect::got(path, self.post(c.to, path, &body, c.not_after, c.timeout).await)
+            dialect::got(
+                path,
+                self.post(c.to, path, &body, c.not_after, c.timeout).await,
+            )
         })
     }
 }
--- a/medium/src/calls.rs
+++ b/medium/src/calls.rs
@@ -8,7 +8,9 @@
 
 impl<T> Default for Calls<T> {
     fn default() -> Self {
-        Calls { m: Mutex::new((0, HashMap::new())) }
+        Calls {
+            m: Mutex::new((0, HashMap::new())),
+        }
     }
 }
 
