--- a/medium/src/dialect.rs
+++ b/medium/src/dialect.rs
@@ -14,7 +14,11 @@
 }
 
 fn reset(conn: u64, s: &SetUp) -> Value {
-    let pairs = |v: &[(String, String)]| v.iter().map(|(k, x)| (k.clone(), json!(x))).collect::<Map<_, _>>();
+    let pairs = |v: &[(String, String)]| {
+        v.iter()
+            .map(|(k, x)| (k.clone(), json!(x)))
+            .collect::<Map<_, _>>()
+    };
     json!({"conn": conn, "user": s.user, "settings": pairs(&s.settings), "prepared": pairs(&s.prepared)})
 }
 
@@ -23,9 +27,16 @@
         Query::Connect { user, .. } => ("/connect", json!({ "user": user })),
         Query::Reset { conn, setup, .. } => ("/reset", reset(*conn, setup)),
         Query::Begin { conn, .. } => ("/begin", json!({ "conn": conn })),
-        Query::Run { conn, id, writes, body, .. } => {
-            ("/statement", json!({"conn": conn, "id": id, "write": writes, "body": inner(body)}))
-        }
+        Query::Run {
+            conn,
+            id,
+            writes,
+            body,
+            ..
+        } => (
+            "/statement",
+            json!({"conn": conn, "id": id, "write": writes, "body": inner(body)}),
+        ),
         Query::Commit { conn, id, .. } => ("/commit", json!({"conn": conn, "id": id})),
         Query::Rollback { conn } => ("/rollback", json!({ "conn": conn })),
         Query::Close { conn } => ("/close", json!({ "conn": conn })),
@@ -57,7 +68,9 @@
         HttpRes::Lost => return BackRes::Lost,
     };
     BackRes::Ok(match path {
-        "/connect" if v.get("conn").is_some() => Got::Connected { conn: num(&v, "conn") },
+        "/connect" if v.get("conn").is_some() => Got::Connected {
+            conn: num(&v, "conn"),
+        },
         "/connect" => return BackRes::Lost,
         "/reset" | "/close" => Got::Done,
         "/outcome" => Got::Outcome {
@@ -73,13 +86,21 @@
             leads: v["leads"] == true,
             link: v["link"] == true,
         }),
-        _ => Got::Ran { pos: num(&v, "pos"), result: result(&v), repeat: v["repeat"] == true },
+        _ => Got::Ran {
+            pos: num(&v, "pos"),
+            result: result(&v),
+            repeat: v["repeat"] == true,
+        },
     })
 }
 
 pub fn told(a: Answer) -> Value {
     match a {
-        Answer::Opened { session, node, region } => json!({"session": session, "node": format!("{node:x}"), "region": region}),
+        Answer::Opened {
+            session,
+            node,
+            region,
+        } => json!({"session": session, "node": format!("{node:x}"), "region": region}),
         Answer::Set => json!({"set": true}),
         Answer::Prepared => json!({"prepared": true}),
         Answer::Released => json!({"released": true}),
--- a/medium/src/doors.rs
+++ b/medium/src/doors.rs
@@ -49,7 +49,10 @@
     }
 
     async fn front(&self, req: tenet::session::Req) -> Answer {
-        let f = self.front.as_ref().ok_or_else(|| Reject::new(Kind::NoRoute, "accord serves no callers"))?;
+        let f = self
+            .front
+            .as_ref()
+            .ok_or_else(|| Reject::new(Kind::NoRoute, "accord serves no callers"))?;
         let (call, rx) = self.front_calls.open();
         let gone = || Reject::new(Kind::Starting, "traffic thread is not running");
         f.send(FrontIn::Call { call, req }).map_err(|_| gone())?;
@@ -58,7 +61,9 @@
 
     pub async fn verdict(&self, f: impl FnOnce(u64) -> In) -> Answer {
         match self.control(f).await? {
-            Reply::Verdict(v) => v.reject.map_or(Ok(json!({"accepted": true, "mark": v.mark})), Err),
+            Reply::Verdict(v) => v
+                .reject
+                .map_or(Ok(json!({"accepted": true, "mark": v.mark})), Err),
             Reply::Reject(r) => Err(r),
             Reply::Text(_) => Ok(Value::Null),
         }
@@ -66,7 +71,13 @@
 
     async fn configure(&self, id: Option<u64>, base: u64, text: String) -> Answer {
         let warned = self.show("warnings".into(), text.clone()).await?;
-        let mut v = self.verdict(|call| In::Ask { call, id, op: Op::Config { base, text } }).await?;
+        let mut v = self
+            .verdict(|call| In::Ask {
+                call,
+                id,
+                op: Op::Config { base, text },
+            })
+            .await?;
         v["warnings"] = warned["warnings"].clone();
         Ok(v)
     }
@@ -74,8 +85,13 @@
     async fn flows(&self) -> Result<Vec<SocketAddr>, Reject> {
         let fleet = self.show("fleet".into(), String::new()).await?;
         let nodes = fleet["nodes"].as_array().cloned().unwrap_or_default();
-        let on = nodes.iter().skip(1).filter(|n| n["status"] == "alive" && n["disk"] == false);
-        Ok(on.filter_map(|n| n["http"].as_str().and_then(|s| s.parse().ok())).collect())
+        let on = nodes
+            .iter()
+            .skip(1)
+            .filter(|n| n["status"] == "alive" && n["disk"] == false);
+        Ok(on
+            .filter_map(|n| n["http"].as_str().and_then(|s| s.parse().ok()))
+            .collect())
     }
 
     async fn verdicts(&self, here: bool) -> Answer {
@@ -96,7 +112,9 @@
     }
 
     async fn explain(&self, id: String, here: bool) -> Answer {
-        let own = self.front(tenet::session::Req::Explain { id: id.clone() }).await;
+        let own = self
+            .front(tenet::session::Req::Explain { id: id.clone() })
+            .await;
         if here {
             return own;
         }
@@ -106,7 +124,10 @@
             v.extend(self.back.get(a, &path).await);
         }
         match v.is_empty() {
-            true => Err(Reject::new(Kind::UnknownName, format!("no node remembers request '{id}'"))),
+            true => Err(Reject::new(
+                Kind::UnknownName,
+                format!("no node remembers request '{id}'"),
+            )),
             false => Ok(json!({"id": id, "nodes": v})),
         }
     }
@@ -118,13 +139,19 @@
         let f = self.show("fleet".into(), String::new()).await?;
         match f["nodes"][0]["allows"] == true && f["confirmed"] == true {
             true => Ok(json!({"ready": true})),
-            false => Err(Reject::new(Kind::Starting, "the configuration is not confirmed")),
+            false => Err(Reject::new(
+                Kind::Starting,
+                "the configuration is not confirmed",
+            )),
         }
     }
 
     pub async fn handle(&self, method: &str, path: &str, query: &str, body: &[u8]) -> Answer {
         if body.len() > BODY_LIMIT {
-            return Err(Reject::new(Kind::TooLarge, format!("{} bytes, {BODY_LIMIT} allowed", body.len())));
+            return Err(Reject::new(
+                Kind::TooLarge,
+                format!("{} bytes, {BODY_LIMIT} allowed", body.len()),
+            ));
         }
         match door(method, path, query, body)? {
             Door::Front(r) => self.front(r).await,
@@ -144,14 +171,22 @@
         Ok(v) => (200, 0, v),
         Err(r) => {
             let w = r.kind.row();
-            (w.code, w.retry, json!({"error": w.name, "why": r.why, "kept": w.kept, "retry_after_s": w.retry}))
+            (
+                w.code,
+                w.retry,
+                json!({"error": w.name, "why": r.why, "kept": w.kept, "retry_after_s": w.retry}),
+            )
         }
     };
     let mut r = Response::new(v.to_string().into());
     *r.status_mut() = StatusCode::from_u16(code).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    r.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    r.headers_mut().insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("application/json"),
+    );
     if retry > 0 {
-        r.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from(retry));
+        r.headers_mut()
+            .insert(header::RETRY_AFTER, HeaderValue::from(retry));
     }
     r
 }
--- a/medium/src/files.rs
+++ b/medium/src/files.rs
@@ -22,27 +22,51 @@
 
 pub fn open(path: &Path) -> Result<Folder> {
     fs::create_dir_all(path).wrap_err_with(|| format!("data folder {}", path.display()))?;
-    let lock = OpenOptions::new().create(true).append(true).open(path.join("lock"))?;
-    lock.try_lock().map_err(|_| eyre!("data folder {} is in use by another process", path.display()))?;
+    let lock = OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(path.join("lock"))?;
+    lock.try_lock().map_err(|_| {
+        eyre!(
+            "data folder {} is in use by another process",
+            path.display()
+        )
+    })?;
     let s = [read(&path.join(SLOTS[0]))?, read(&path.join(SLOTS[1]))?];
     let l = [read(&path.join(LOGS[0]))?, read(&path.join(LOGS[1]))?];
-    let (shelf, durable) = Shelf::recover([&s[0], &s[1]], [&l[0], &l[1]])
-        .map_err(|e| eyre!("data folder {}: {e}; it is refused, nothing was changed", path.display()))?;
-    Ok(Folder { path: path.into(), shelf, durable, _lock: lock })
+    let (shelf, durable) = Shelf::recover([&s[0], &s[1]], [&l[0], &l[1]]).map_err(|e| {
+        eyre!(
+            "data folder {}: {e}; it is refused, nothing was changed",
+            path.display()
+        )
+    })?;
+    Ok(Folder {
+        path: path.into(),
+        shelf,
+        durable,
+        _lock: lock,
+    })
 }
 
 impl Folder {
     fn act(&self, op: FileOp) -> Result<()> {
         match op {
             FileOp::Settle => {
-                let all = SLOTS.iter().chain(&LOGS).map(|n| self.path.join(n)).filter(|p| p.exists());
+                let all = SLOTS
+                    .iter()
+                    .chain(&LOGS)
+                    .map(|n| self.path.join(n))
+                    .filter(|p| p.exists());
                 for p in all {
                     File::open(p)?.sync_all()?;
                 }
                 File::open(&self.path)?.sync_all()?;
             }
             FileOp::Append { name, bytes } => {
-                let mut f = OpenOptions::new().create(true).append(true).open(self.path.join(name))?;
+                let mut f = OpenOptions::new()
+                    .create(true)
+                    .append(true)
+                    .open(self.path.join(name))?;
                 f.write_all(&bytes)?;
                 f.sync_data()?;
             }
@@ -76,7 +100,11 @@
             v.iter().for_each(|r| {
                 d.play(r);
             });
-            let r: Result<()> = self.shelf.keep(&v, &d).into_iter().try_for_each(|op| self.act(op));
+            let r: Result<()> = self
+                .shelf
+                .keep(&v, &d)
+                .into_iter()
+                .try_for_each(|op| self.act(op));
             if let Err(e) = r {
                 return fail(e.to_string());
             }
--- a/medium/src/http.rs
+++ b/medium/src/http.rs
@@ -19,7 +19,10 @@
 const READ_LIMIT: usize = 4 * BODY_LIMIT;
 
 async fn told_to_stop() {
-    let (Ok(mut t), Ok(mut i)) = (signal(SignalKind::terminate()), signal(SignalKind::interrupt())) else {
+    let (Ok(mut t), Ok(mut i)) = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+    ) else {
         return std::future::pending().await;
     };
     tokio::select! {
@@ -36,7 +39,15 @@
     let (head, body) = r.into_parts();
     let query = head.uri.query().unwrap_or("").to_string();
     match Limited::new(body, READ_LIMIT).collect().await {
-        Ok(b) => h(head.method.to_string(), head.uri.path().to_string(), query, b.to_bytes().to_vec()).await,
+        Ok(b) => {
+            h(
+                head.method.to_string(),
+                head.uri.path().to_string(),
+                query,
+                b.to_bytes().to_vec(),
+            )
+            .await
+        }
         Err(e) => response(Err(Reject::new(Kind::TooLarge, e.to_string()))),
     }
 }
@@ -66,7 +77,9 @@
     F: Future<Output = Response> + Send + 'static,
     D: Future<Output = ()>,
 {
-    let l = TcpListener::bind(at).await.map_err(|e| eyre::eyre!("http: listen {at}: {e}"))?;
+    let l = TcpListener::bind(at)
+        .await
+        .map_err(|e| eyre::eyre!("http: listen {at}: {e}"))?;
     let stop = async {
         told_to_stop().await;
         drain.await;
--- a/medium/src/lib.rs
+++ b/medium/src/lib.rs
@@ -9,7 +9,7 @@
 pub mod link;
 pub mod net;
 pub mod paths;
-pub mod settings;
 pub mod run;
+pub mod settings;
 pub mod threads;
 pub mod traffic;
--- a/medium/src/line.rs
+++ b/medium/src/line.rs
@@ -44,7 +44,9 @@
     loop {
         out.reserve(plain.len() / 2 + 64);
         let was = z.total_in();
-        if z.compress_vec(&plain[at..], out, FlushCompress::Sync).is_err() {
+        if z.compress_vec(&plain[at..], out, FlushCompress::Sync)
+            .is_err()
+        {
             return;
         }
         at += (z.total_in() - was) as usize;
@@ -58,7 +60,8 @@
     loop {
         out.reserve(STEP);
         let (was, had) = (z.total_in(), out.len());
-        z.decompress_vec(b, out, FlushDecompress::Sync).map_err(|e| e.to_string())?;
+        z.decompress_vec(b, out, FlushDecompress::Sync)
+            .map_err(|e| e.to_string())?;
         b = &b[(z.total_in() - was) as usize..];
         if out.len() > LARGE + 4 {
             return Err("too much in one piece".into());
@@ -72,7 +75,9 @@
 /// Writes packets to one process until it is gone, silent or too slow. What waited too long is
 /// dropped.
 pub async fn write(to: SocketAddr, mut rx: mpsc::Receiver<Letter>, far: bool) {
-    let Ok(s) = connect(to, OLD, LINE_ACK).await else { return };
+    let Ok(s) = connect(to, OLD, LINE_ACK).await else {
+        return;
+    };
     let (mut r, mut w) = s.into_split();
     let mut end = [0u8; 1];
     let mut z = far.then(|| Compress::new(Compression::fast(), false));
@@ -101,7 +106,10 @@
         }
         plain.clear();
         let limit = OLD + Duration::from_micros(out.len() as u64);
-        if !matches!(tokio::time::timeout(limit, w.write_all(&out)).await, Ok(Ok(()))) {
+        if !matches!(
+            tokio::time::timeout(limit, w.write_all(&out)).await,
+            Ok(Ok(()))
+        ) {
             return;
         }
         out.clear();
@@ -119,7 +127,9 @@
         if n > LARGE {
             return Err(format!("announced {n} bytes"));
         }
-        let Some(b) = buf.get(at + 4..at + 4 + n) else { break };
+        let Some(b) = buf.get(at + 4..at + 4 + n) else {
+            break;
+        };
         match alone {
             true => {
                 let mut whole = Vec::new();
@@ -137,7 +147,9 @@
 /// Reads one line until it ends; what does not read ends it.
 pub async fn hear(mut s: TcpStream, from: SocketAddr, sink: Sink) {
     let _ = s.set_nodelay(true);
-    let Ok(Ok(form)) = tokio::time::timeout(QUIET, s.read_u8()).await else { return };
+    let Ok(Ok(form)) = tokio::time::timeout(QUIET, s.read_u8()).await else {
+        return;
+    };
     let mut z = (form == DEFLATED).then(|| Decompress::new(false));
     let (mut raw, mut buf) = (Vec::with_capacity(STEP), Vec::new());
     loop {
--- a/medium/src/link.rs
+++ b/medium/src/link.rs
@@ -39,7 +39,7 @@
 
 pub enum Went {
     Answer(u16, Bytes),
-    NotSent(Request<Full<Bytes>>),
+    NotSent(Box<Request<Full<Bytes>>>),
     Lost,
 }
 
@@ -50,13 +50,18 @@
         let task = tokio::spawn(async move {
             let _ = conn.await;
         });
-        Ok(Link { send, task: task.abort_handle() })
+        Ok(Link {
+            send,
+            task: task.abort_handle(),
+        })
     }
 
     pub async fn go(&mut self, r: Request<Full<Bytes>>) -> Went {
         match self.send.try_send_request(r).await {
             Ok(r) => read(r).await,
-            Err(mut e) => e.take_message().map_or(Went::Lost, Went::NotSent),
+            Err(mut e) => e
+                .take_message()
+                .map_or(Went::Lost, |r| Went::NotSent(Box::new(r))),
         }
     }
 }
--- a/medium/src/net.rs
+++ b/medium/src/net.rs
@@ -1,7 +1,7 @@
+use crate::line::{framed, hear, write, Letter, LARGE};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use crate::line::{framed, hear, write, Letter, LARGE};
 use std::time::{Duration, Instant};
 use tenet::base::Addr;
 use tenet::wire::{by_line, decode, encode, Packet};
@@ -26,7 +26,12 @@
         let rt = tokio::runtime::Handle::current();
         tokio::spawn(hear_udp(udp.clone(), sink.clone()));
         tokio::spawn(hear_tcp(tcp, sink));
-        Ok(Arc::new(Net { udp, lines: Mutex::new(HashMap::new()), far: Mutex::default(), rt }))
+        Ok(Arc::new(Net {
+            udp,
+            lines: Mutex::new(HashMap::new()),
+            far: Mutex::default(),
+            rt,
+        }))
     }
 
     /// Processes of other regions; lines opened to them from now on are compressed.
@@ -56,7 +61,11 @@
 
     fn line(&self, to: Addr) -> mpsc::Sender<Letter> {
         let (tx, rx) = mpsc::channel::<Letter>(QUEUE);
-        let far = self.far.lock().unwrap_or_else(|e| e.into_inner()).contains(&to);
+        let far = self
+            .far
+            .lock()
+            .unwrap_or_else(|e| e.into_inner())
+            .contains(&to);
         self.rt.spawn(write(to.into(), rx, far));
         tx
     }
--- a/medium/src/run.rs
+++ b/medium/src/run.rs
@@ -1,19 +1,19 @@
 use crate::back::Back;
-use crate::traffic::{Later, Servers, Traffic};
 use crate::calls::Calls;
 use crate::clock::{entropy, wall, Clock};
 use crate::doors::{response, App};
-use crate::http::serve;
 use crate::files;
+use crate::http::serve;
 use crate::net::Net;
 use crate::settings::{Flags, Place};
 use crate::threads::*;
+use crate::traffic::{Later, Servers, Traffic};
 use eyre::{Result, WrapErr};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::channel;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tenet::control::{Control, In, Start};
@@ -32,7 +32,10 @@
         .name(name.into())
         .spawn(move || {
             let r = std::panic::catch_unwind(std::panic::AssertUnwindSafe(f));
-            log::error!("{n}: the thread has ended{}", if r.is_err() { " in a panic" } else { "" });
+            log::error!(
+                "{n}: the thread has ended{}",
+                if r.is_err() { " in a panic" } else { "" }
+            );
             std::process::exit(70);
         })
         .map(|_| ())
@@ -61,43 +64,81 @@
         eprintln!("{e}");
         std::process::exit(2);
     });
-    let kit = HttpKit { platform: p.platform };
+    let kit = HttpKit {
+        platform: p.platform,
+    };
     run(p, disk, Box::new(kit))
 }
 
 /// Runs a node until it is stopped. Ends the process with 1 when it cannot start.
 pub fn run(p: Place, disk: bool, kit: Box<dyn Kit>) -> Result<()> {
-    let rt = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&rt, go(p, disk, kit)).map_err(|e| {
-        log::error!("node: could not start: {e:#}");
-        std::process::exit(1)
-    })
+    let rt = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    LocalSet::new()
+        .block_on(&rt, go(p, disk, kit))
+        .map_err(|e| {
+            log::error!("node: could not start: {e:#}");
+            std::process::exit(1)
+        })
 }
 
 async fn go(p: Place, disk: bool, kit: Box<dyn Kit>) -> Result<()> {
     let clock = Clock::new();
     let seed = entropy();
-    let folder = p.data.as_deref().filter(|_| disk).map(files::open).transpose()?;
-    let durable = folder.as_ref().and_then(|f| f.durable.clone()).filter(|d| d.id != 0);
+    let folder = p
+        .data
+        .as_deref()
+        .filter(|_| disk)
+        .map(files::open)
+        .transpose()?;
+    let durable = folder
+        .as_ref()
+        .and_then(|f| f.durable.clone())
+        .filter(|d| d.id != 0);
     let (tx, rx) = channel::<In>();
     let (ftx, frx) = unbounded_channel::<FrontIn>();
     let front = (!disk).then(|| ftx.clone());
     let (c2, f2) = (tx.clone(), front.clone());
     let sink = Arc::new(move |p: tenet::wire::Packet| match p.msg {
         Msg::Carry { go, to, by, load } => {
-            f2.as_ref().map(|f| f.send(FrontIn::Carry { from: p.from, addr: p.addr, go, to, by, load }));
+            if let Some(front) = f2.as_ref() {
+                let _ = front.send(FrontIn::Carry {
+                    from: p.from,
+                    addr: p.addr,
+                    go,
+                    to,
+                    by,
+                    load,
+                });
+            }
         }
         Msg::Carried { go, clock, done } => {
-            f2.as_ref().map(|f| f.send(FrontIn::Carried { from: p.from, go, clock, done }));
+            if let Some(front) = f2.as_ref() {
+                let _ = front.send(FrontIn::Carried {
+                    from: p.from,
+                    go,
+                    clock,
+                    done,
+                });
+            }
         }
         Msg::Echo { reply } => {
-            f2.as_ref().map(|f| f.send(FrontIn::Echo { from: p.from, addr: p.addr, reply }));
+            if let Some(front) = f2.as_ref() {
+                let _ = front.send(FrontIn::Echo {
+                    from: p.from,
+                    addr: p.addr,
+                    reply,
+                });
+            }
         }
         _ => {
             let _ = c2.send(In::Packet(p));
         }
     });
-    let net = Net::start(p.listen, sink).await.wrap_err_with(|| format!("listen {}", p.listen))?;
+    let net = Net::start(p.listen, sink)
+        .await
+        .wrap_err_with(|| format!("listen {}", p.listen))?;
     let start = Start {
         addr: p.listen.into(),
         http: p.http.into(),
@@ -175,8 +216,20 @@
         busy: AtomicUsize::new(0),
         disk,
     });
-    log::info!("node: {:x} in {}, peers at {}, http at {}", me.id, p.domain, p.listen, p.http);
-    kit.open(Node { clock, place: p, app, traffic }).await
+    log::info!(
+        "node: {:x} in {}, peers at {}, http at {}",
+        me.id,
+        p.domain,
+        p.listen,
+        p.http
+    );
+    kit.open(Node {
+        clock,
+        place: p,
+        app,
+        traffic,
+    })
+    .await
 }
 
 impl Node {
@@ -185,10 +238,17 @@
         log::info!("node: asked to stop, letting work under way end");
         app.stopping.store(true, Ordering::Relaxed);
         let _ = app.control.send(In::Stopping);
-        app.front.as_ref().map(|f| f.send(FrontIn::Stopping));
+        if let Some(front) = app.front.as_ref() {
+            let _ = front.send(FrontIn::Stopping);
+        }
         let d = Drain::new(clock.now());
         let on = |b: &AtomicBool| b.load(Ordering::Relaxed);
-        while !d.done(clock.now(), on(&app.empty), on(&app.drained), app.busy.load(Ordering::Relaxed)) {
+        while !d.done(
+            clock.now(),
+            on(&app.empty),
+            on(&app.drained),
+            app.busy.load(Ordering::Relaxed),
+        ) {
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
         log::info!("node: stopped");
@@ -206,7 +266,10 @@
     }
 
     fn promoter(&self, clock: Clock) -> Result<Arc<dyn Promoter>> {
-        Ok(Arc::new(HttpPromoter { back: Back::new(clock)?, to: self.platform }))
+        Ok(Arc::new(HttpPromoter {
+            back: Back::new(clock)?,
+            to: self.platform,
+        }))
     }
 
     fn open(self: Box<Self>, n: Node) -> Later<Result<()>> {
@@ -225,17 +288,20 @@
 
 type Handled = std::pin::Pin<Box<dyn std::future::Future<Output = Response> + Send>>;
 
-fn handler(a: Arc<App>) -> impl Fn(String, String, String, Vec<u8>) -> Handled + Clone + Send + Sync + 'static {
-        move |m: String, path: String, q: String, b: Vec<u8>| {
-            let a = a.clone();
-            Box::pin(async move {
-                a.busy.fetch_add(1, Ordering::Relaxed);
-                let mut r = response(a.handle(&m, &path, &q, &b).await);
-                if a.stopping.load(Ordering::Relaxed) {
-                    r.headers_mut().insert("connection", HeaderValue::from_static("close"));
-                }
-                a.busy.fetch_sub(1, Ordering::Relaxed);
-                r
-            })
-        }
+fn handler(
+    a: Arc<App>,
+) -> impl Fn(String, String, String, Vec<u8>) -> Handled + Clone + Send + Sync + 'static {
+    move |m: String, path: String, q: String, b: Vec<u8>| {
+        let a = a.clone();
+        Box::pin(async move {
+            a.busy.fetch_add(1, Ordering::Relaxed);
+            let mut r = response(a.handle(&m, &path, &q, &b).await);
+            if a.stopping.load(Ordering::Relaxed) {
+                r.headers_mut()
+                    .insert("connection", HeaderValue::from_static("close"));
+            }
+            a.busy.fetch_sub(1, Ordering::Relaxed);
+            r
+        })
+    }
 }
--- a/medium/src/settings.rs
+++ b/medium/src/settings.rs
@@ -43,26 +43,58 @@
 }
 
 pub fn flags() -> impl Parser<Flags> {
-    let file = long("settings").help("Settings file (JSON); flags given beside it win").argument("FILE").optional();
-    let listen = long("listen").help("Address for the other processes, UDP and TCP").argument("IP:PORT").optional();
-    let http = long("http").help("Address for callers, servers, the platform and operators").argument("IP:PORT").optional();
-    let domain = long("domain").help("Domain (zone) this machine stands in").argument("NAME").optional();
-    let seeds = long("seed").help("Address of another process; give three").argument("IP:PORT").many();
-    let data = long("data").help("Data folder on a disk that keeps what is synced").argument("FOLDER").optional();
-    let platform = long("platform").help("Address of the platform, for the promote call").argument("IP:PORT").optional();
-    construct!(Flags { file, listen, http, domain, seeds, data, platform })
+    let file = long("settings")
+        .help("Settings file (JSON); flags given beside it win")
+        .argument("FILE")
+        .optional();
+    let listen = long("listen")
+        .help("Address for the other processes, UDP and TCP")
+        .argument("IP:PORT")
+        .optional();
+    let http = long("http")
+        .help("Address for callers, servers, the platform and operators")
+        .argument("IP:PORT")
+        .optional();
+    let domain = long("domain")
+        .help("Domain (zone) this machine stands in")
+        .argument("NAME")
+        .optional();
+    let seeds = long("seed")
+        .help("Address of another process; give three")
+        .argument("IP:PORT")
+        .many();
+    let data = long("data")
+        .help("Data folder on a disk that keeps what is synced")
+        .argument("FOLDER")
+        .optional();
+    let platform = long("platform")
+        .help("Address of the platform, for the promote call")
+        .argument("IP:PORT")
+        .optional();
+    construct!(Flags {
+        file,
+        listen,
+        http,
+        domain,
+        seeds,
+        data,
+        platform
+    })
 }
 
 fn addr(field: &str, s: &str) -> Result<SocketAddr> {
-    s.parse().map_err(|_| eyre!("settings.{field}: '{s}' is no IP:PORT address"))
+    s.parse()
+        .map_err(|_| eyre!("settings.{field}: '{s}' is no IP:PORT address"))
 }
 
 impl Flags {
     pub fn place(self, disk: bool) -> Result<Place> {
         let mut s = match &self.file {
             Some(f) => {
-                let t = std::fs::read_to_string(f).wrap_err_with(|| format!("settings file {}", f.display()))?;
-                serde_json::from_str::<Settings>(&t).map_err(|e| eyre!("settings file {}: {e}", f.display()))?
+                let t = std::fs::read_to_string(f)
+                    .wrap_err_with(|| format!("settings file {}", f.display()))?;
+                serde_json::from_str::<Settings>(&t)
+                    .map_err(|e| eyre!("settings file {}: {e}", f.display()))?
             }
             None => Settings::default(),
         };
@@ -79,12 +111,19 @@
 }
 
 fn check(s: Settings, disk: bool) -> Result<Place> {
-    let need = [("listen", &s.listen), ("http", &s.http), ("domain", &s.domain)];
+    let need = [
+        ("listen", &s.listen),
+        ("http", &s.http),
+        ("domain", &s.domain),
+    ];
     if let Some((f, _)) = need.iter().find(|(_, v)| v.is_empty()) {
         return Err(eyre!("settings.{f}: missing"));
     }
     if s.seeds.len() != 3 {
-        return Err(eyre!("settings.seeds: three addresses are needed, {} given", s.seeds.len()));
+        return Err(eyre!(
+            "settings.seeds: three addresses are needed, {} given",
+            s.seeds.len()
+        ));
     }
     let mut seeds = Vec::new();
     for (i, x) in s.seeds.iter().enumerate() {
@@ -98,7 +137,9 @@
         return Err(eyre!("settings.data: accord needs a data folder"));
     }
     if !disk && s.data.is_some() {
-        return Err(eyre!("settings.data: flow keeps nothing on disk; take the field out"));
+        return Err(eyre!(
+            "settings.data: flow keeps nothing on disk; take the field out"
+        ));
     }
     let listen = addr("listen", &s.listen)?;
     let http = addr("http", &s.http)?;
@@ -107,10 +148,26 @@
     }
     let open = [("listen", listen), ("http", http)];
     if let Some((f, _)) = open.iter().find(|(_, a)| a.ip().is_unspecified()) {
-        return Err(eyre!("settings.{f}: name one address, the others must be able to reach it"));
+        return Err(eyre!(
+            "settings.{f}: name one address, the others must be able to reach it"
+        ));
     }
-    let platform = s.platform.as_deref().map(|p| addr("platform", p)).transpose()?;
-    Ok(Place { listen, http, domain: s.domain, seeds, data: s.data, platform, found: true, founders: Vec::new(), copies: 2 })
+    let platform = s
+        .platform
+        .as_deref()
+        .map(|p| addr("platform", p))
+        .transpose()?;
+    Ok(Place {
+        listen,
+        http,
+        domain: s.domain,
+        seeds,
+        data: s.data,
+        platform,
+        found: true,
+        founders: Vec::new(),
+        copies: 2,
+    })
 }
 
 #[cfg(test)]
@@ -122,25 +179,34 @@
             listen: "127.0.0.1:1".into(),
             http: "127.0.0.1:2".into(),
             domain: "a".into(),
-            seeds: ["127.0.0.1:3", "127.0.0.1:4", "127.0.0.1:5"].map(String::from).into(),
+            seeds: ["127.0.0.1:3", "127.0.0.1:4", "127.0.0.1:5"]
+                .map(String::from)
+                .into(),
             data: None,
             platform: None,
         }
     }
 
+    /// Makes one field of good settings bad.
+    type Spoil = fn(&mut Settings);
+
     #[test]
     fn each_bad_setting_is_named() {
         assert!(check(ok(), false).is_ok());
-        let bad: [(&str, bool, fn(&mut Settings)); 9] = [
+        let bad: [(&str, bool, Spoil); 9] = [
             ("settings.http", false, |s| s.http = s.listen.clone()),
             ("settings.listen", false, |s| s.listen = "here".into()),
             ("settings.listen", false, |s| s.listen = "0.0.0.0:1".into()),
             ("settings.http", false, |s| s.http.clear()),
             ("settings.domain", false, |s| s.domain.clear()),
             ("settings.seeds", false, |s| s.seeds.truncate(2)),
-            ("settings.seeds[1]", false, |s| s.seeds[1] = s.seeds[0].clone()),
+            ("settings.seeds[1]", false, |s| {
+                s.seeds[1] = s.seeds[0].clone()
+            }),
             ("settings.data", true, |_| ()),
-            ("settings.platform", false, |s| s.platform = Some("x".into())),
+            ("settings.platform", false, |s| {
+                s.platform = Some("x".into())
+            }),
         ];
         for (field, disk, f) in bad {
             let mut s = ok();
--- a/medium/src/threads.rs
+++ b/medium/src/threads.rs
@@ -35,7 +35,11 @@
         Box::pin(async move {
             let body = json!({"database": p.db, "server": p.server, "ask": p.epoch});
             let r = match self.to {
-                Some(a) => self.back.post(a.into(), "/promote", &body, p.not_after, 5000).await,
+                Some(a) => {
+                    self.back
+                        .post(a.into(), "/promote", &body, p.not_after, 5000)
+                        .await
+                }
                 None => HttpRes::NotSent,
             };
             match r {
@@ -73,7 +77,9 @@
                 Err(RecvTimeoutError::Disconnected) => return,
             };
             e = c.poll(self.clock.now(), i);
-            self.left.iter().for_each(|l| l.store(c.left(), std::sync::atomic::Ordering::Relaxed));
+            self.left
+                .iter()
+                .for_each(|l| l.store(c.left(), std::sync::atomic::Ordering::Relaxed));
         }
     }
 
@@ -83,17 +89,30 @@
             let _ = d.send(w);
         }
         e.send.iter().for_each(|(a, p)| self.net.send(*a, p));
-        e.response.into_iter().for_each(|(k, r)| self.calls.end(k, r));
+        e.response
+            .into_iter()
+            .for_each(|(k, r)| self.calls.end(k, r));
         if let Some(n) = e.news {
             self.news.give(Some(n));
-            self.front.as_ref().map(|f| f.send(FrontIn::Wakeup));
+            if let Some(front) = self.front.as_ref() {
+                let _ = front.send(FrontIn::Wakeup);
+            }
         }
         for p in e.promote {
             let (tx, promoter) = (self.tx.clone(), self.promoter.clone());
             self.rt.spawn(async move {
-                log::info!("control: asking the platform to promote {} for {}", p.server, p.db);
+                log::info!(
+                    "control: asking the platform to promote {} for {}",
+                    p.server,
+                    p.db
+                );
                 let done = promoter.promote(&p).await;
-                let _ = tx.send(In::Promoted { db: p.db, epoch: p.epoch, server: p.server, done });
+                let _ = tx.send(In::Promoted {
+                    db: p.db,
+                    epoch: p.epoch,
+                    server: p.server,
+                    done,
+                });
             });
         }
     }
--- a/medium/src/traffic.rs
+++ b/medium/src/traffic.rs
@@ -45,7 +45,13 @@
 impl Traffic {
     pub fn drive(self: &Rc<Self>, i: FrontIn) {
         if let Some((t, until)) = self.news.borrow_mut().newer().flatten() {
-            self.net.set_far(t.nodes.values().filter(|n| n.region != t.region).map(|n| n.addr).collect());
+            self.net.set_far(
+                t.nodes
+                    .values()
+                    .filter(|n| n.region != t.region)
+                    .map(|n| n.addr)
+                    .collect(),
+            );
             self.step(FrontIn::Table(t, until));
         }
         self.step(i);
@@ -64,9 +70,19 @@
         o.log.iter().for_each(|t| log::info!("traffic: {t}"));
         let (from, addr) = (self.front.borrow().me, self.front.borrow().addr);
         for (a, msg) in o.send {
-            self.net.send(a, &Packet { from, addr, cluster: 0, msg });
+            self.net.send(
+                a,
+                &Packet {
+                    from,
+                    addr,
+                    cluster: 0,
+                    msg,
+                },
+            );
         }
-        o.response.into_iter().for_each(|(k, r)| self.calls.end(k, r));
+        o.response
+            .into_iter()
+            .for_each(|(k, r)| self.calls.end(k, r));
         if !o.sights.is_empty() {
             let _ = self.control.send(In::Sights(o.sights));
         }
@@ -86,12 +102,16 @@
     pub async fn call(self: &Rc<Self>, req: Req) -> Result<Answer, Reject> {
         let (call, rx) = self.calls.open();
         self.drive(FrontIn::Call { call, req });
-        rx.await.unwrap_or_else(|_| Err(Reject::new(Kind::Starting, "the process is ending")))
+        rx.await
+            .unwrap_or_else(|_| Err(Reject::new(Kind::Starting, "the process is ending")))
     }
 
     pub async fn run(self: Rc<Self>, mut rx: UnboundedReceiver<FrontIn>) {
         loop {
-            let t = self.clock.until(self.wake.get()).max(Duration::from_millis(1));
+            let t = self
+                .clock
+                .until(self.wake.get())
+                .max(Duration::from_millis(1));
             tokio::select! {
                 biased;
                 i = rx.recv() => match i {
--- a/medium/tests/line.rs
+++ b/medium/tests/line.rs
@@ -11,9 +11,21 @@
 type Got = Arc<(Mutex<Vec<Vec<u8>>>, Notify)>;
 
 fn packet(n: usize) -> Packet {
-    let text = (0..n).map(|i| char::from(b'a' + (i * i % 23) as u8)).collect();
-    let ask = Ask { id: n as u64, from: Addr::NONE, at: 0, op: Op::Publish { version: 1, text } };
-    Packet { from: 1, addr: Addr::NONE, cluster: 7, msg: Msg::Propose { ask } }
+    let text = (0..n)
+        .map(|i| char::from(b'a' + (i * i % 23) as u8))
+        .collect();
+    let ask = Ask {
+        id: n as u64,
+        from: Addr::NONE,
+        at: 0,
+        op: Op::Publish { version: 1, text },
+    };
+    Packet {
+        from: 1,
+        addr: Addr::NONE,
+        cluster: 7,
+        msg: Msg::Propose { ask },
+    }
 }
 
 async fn ear() -> (std::net::SocketAddr, Got) {
@@ -40,13 +52,18 @@
     let line = tokio::spawn(write(at, rx, far));
     let sizes = [0, 1, 200, 4000, 4096, 5000, 70_000, 300, 900_000, 3];
     for n in sizes {
-        tx.send((Instant::now(), framed(encode(&packet(n))))).await.unwrap();
+        tx.send((Instant::now(), framed(encode(&packet(n)))))
+            .await
+            .unwrap();
     }
     while got.0.lock().unwrap().len() < sizes.len() {
         got.1.notified().await;
     }
     let want: Vec<Vec<u8>> = sizes.iter().map(|n| encode(&packet(*n))).collect();
-    assert!(*got.0.lock().unwrap() == want, "far {far}: not what was sent, or not in order");
+    assert!(
+        *got.0.lock().unwrap() == want,
+        "far {far}: not what was sent, or not in order"
+    );
     drop(tx);
     line.await.unwrap();
 }
@@ -60,7 +77,12 @@
 #[tokio::test]
 async fn a_line_of_rubbish_ends_and_the_next_one_is_heard() {
     let (at, got) = ear().await;
-    for bad in [&b"\x00\xff\xff\xff\x7f"[..], b"\x01not deflated at all", b"\x00\x03\x00\x00\x80abc", b"\x00\x03\x00\x00\x00abc"] {
+    for bad in [
+        &b"\x00\xff\xff\xff\x7f"[..],
+        b"\x01not deflated at all",
+        b"\x00\x03\x00\x00\x80abc",
+        b"\x00\x03\x00\x00\x00abc",
+    ] {
         let mut s = TcpStream::connect(at).await.unwrap();
         s.write_all(bad).await.unwrap();
         let mut end = Vec::new();
@@ -69,7 +91,9 @@
     }
     let (tx, rx) = mpsc::channel(4);
     tokio::spawn(write(at, rx, true));
-    tx.send((Instant::now(), framed(encode(&packet(9))))).await.unwrap();
+    tx.send((Instant::now(), framed(encode(&packet(9)))))
+        .await
+        .unwrap();
     while got.0.lock().unwrap().is_empty() {
         got.1.notified().await;
     }
--- a/tenet/src/answer.rs
+++ b/tenet/src/answer.rs
@@ -6,7 +6,14 @@
 use crate::wire::*;
 
 impl Front {
-    pub(crate) fn job_back(&mut self, now: Time, j: usize, token: u64, res: BackRes, out: &mut FrontOut) {
+    pub(crate) fn job_back(
+        &mut self,
+        now: Time,
+        j: usize,
+        token: u64,
+        res: BackRes,
+        out: &mut FrontOut,
+    ) {
         if self.jobs[j].token != token {
             return;
         }
@@ -16,11 +23,24 @@
                 BackRes::Ok(_) => self.job_run(now, j, out),
                 _ if self.jobs[j].load.act.inside() => {
                     self.job_discard(now, j, out);
-                    self.job_end(now, j, Err(Reject::new(Kind::Aborted, "its settings could not be changed")), out);
+                    self.job_end(
+                        now,
+                        j,
+                        Err(Reject::new(
+                            Kind::Aborted,
+                            "its settings could not be changed",
+                        )),
+                        out,
+                    );
                 }
                 _ => {
                     self.job_discard(now, j, out);
-                    self.again_or(now, j, Reject::new(Kind::Busy, "a connection could not be reset"), out);
+                    self.again_or(
+                        now,
+                        j,
+                        Reject::new(Kind::Busy, "a connection could not be reset"),
+                        out,
+                    );
                 }
             },
             Step::Run => self.back_run(now, j, res, out),
@@ -30,13 +50,21 @@
                 _ => self.jobs[j].step = Step::Again(now + LOOK_AGAIN),
             },
             Step::LookAfter => match res {
-                BackRes::Ok(Got::Outcome { life, leads, .. }) if !self.same_primary(now, j, life, leads) => {
-                    let r = Reject::new(Kind::Unknown, "the server that took it is not the primary any more");
+                BackRes::Ok(Got::Outcome { life, leads, .. })
+                    if !self.same_primary(now, j, life, leads) =>
+                {
+                    let r = Reject::new(
+                        Kind::Unknown,
+                        "the server that took it is not the primary any more",
+                    );
                     self.job_end(now, j, Err(r), out);
                 }
                 BackRes::Ok(Got::Outcome { found: Some(x), .. }) => self.found(now, j, x, out),
                 BackRes::Ok(_) => {
-                    let r = Reject::new(Kind::Aborted, "the server does not know it and its connection is closed");
+                    let r = Reject::new(
+                        Kind::Aborted,
+                        "the server does not know it and its connection is closed",
+                    );
                     self.job_end(now, j, Err(r), out);
                 }
                 _ => self.jobs[j].step = Step::Again(now + LOOK_AGAIN),
@@ -50,15 +78,28 @@
         match res {
             BackRes::Ok(Got::Connected { conn }) => {
                 self.pools[s].opened();
-                let (user, setup) = (self.jobs[j].load.session, crate::session::setup_digest(&self.jobs[j].load.setup));
-                self.jobs[j].conn = Some(crate::pool::Conn { id: conn, user, setup, idle: now });
+                let (user, setup) = (
+                    self.jobs[j].load.session,
+                    crate::session::setup_digest(&self.jobs[j].load.setup),
+                );
+                self.jobs[j].conn = Some(crate::pool::Conn {
+                    id: conn,
+                    user,
+                    setup,
+                    idle: now,
+                });
                 self.reset_now(now, j, None, out);
             }
             r => {
                 self.pools[s].not_opened();
                 let e = match r {
-                    BackRes::Rejected(Refusal::Busy, _) => Reject::new(Kind::Busy, "the server allows no more connections"),
-                    r => Reject::new(Kind::NoPrimary, format!("no connection to the server: {}", word(&r))),
+                    BackRes::Rejected(Refusal::Busy, _) => {
+                        Reject::new(Kind::Busy, "the server allows no more connections")
+                    }
+                    r => Reject::new(
+                        Kind::NoPrimary,
+                        format!("no connection to the server: {}", word(&r)),
+                    ),
                 };
                 self.job_end(now, j, Err(e), out);
                 self.pump(now, s, out);
@@ -86,15 +127,24 @@
         }
         let inside = inside || deferred && self.jobs[j].begun;
         let commits = act == Act::Commit || act == Act::Whole && self.jobs[j].begun;
-        let writes = writes && !(deferred && !commits);
+        let writes = writes && (commits || !deferred);
         match res {
-            BackRes::Ok(Got::Ran { pos, result, repeat }) => {
+            BackRes::Ok(Got::Ran {
+                pos,
+                result,
+                repeat,
+            }) => {
                 (self.jobs[j].pos, self.jobs[j].body, self.jobs[j].repeat) = (pos, result, repeat);
                 self.ran(now, j, act, out)
             }
             BackRes::Rejected(Refusal::ConnClosed, _) if !inside => {
                 self.job_discard(now, j, out);
-                self.again_or(now, j, Reject::new(Kind::Busy, "its connections were closed by the server"), out);
+                self.again_or(
+                    now,
+                    j,
+                    Reject::new(Kind::Busy, "its connections were closed by the server"),
+                    out,
+                );
             }
             BackRes::Rejected(Refusal::Failed, w) => {
                 match act {
@@ -115,36 +165,65 @@
             }
             BackRes::Rejected(Refusal::NotLeading, w) => {
                 self.job_discard(now, j, out);
-                let k = if inside { Kind::Aborted } else { Kind::NoPrimary };
+                let k = if inside {
+                    Kind::Aborted
+                } else {
+                    Kind::NoPrimary
+                };
                 self.job_end(now, j, Err(Reject::new(k, w)), out);
             }
             BackRes::Rejected(k @ (Refusal::Busy | Refusal::Behind), w) if !inside => {
                 self.job_put(now, j, out);
-                let k = if k == Refusal::Behind { Kind::NotCurrent } else { Kind::Busy };
+                let k = if k == Refusal::Behind {
+                    Kind::NotCurrent
+                } else {
+                    Kind::Busy
+                };
                 self.job_end(now, j, Err(Reject::new(k, w)), out);
             }
             BackRes::Lost if (writes || commits) && !self.looks_up(j) => {
                 self.job_discard(now, j, out);
-                let r = Reject::new(Kind::Unknown, "its answer vanished and its servers look nothing up");
+                let r = Reject::new(
+                    Kind::Unknown,
+                    "its answer vanished and its servers look nothing up",
+                );
                 self.job_end(now, j, Err(r), out);
             }
             BackRes::Lost if writes || commits => {
                 self.jobs[j].lost = self.jobs[j].conn.as_ref().map_or(0, |c| c.id);
                 self.job_discard(now, j, out);
                 let id = self.jobs[j].load.id.clone();
-                self.traces.tell(now, &id, "its answer vanished, looking it up by its id".into());
+                self.traces.tell(
+                    now,
+                    &id,
+                    "its answer vanished, looking it up by its id".into(),
+                );
                 self.close_first(now, j, out);
             }
             r => {
                 self.job_discard(now, j, out);
-                let k = if inside { Kind::Aborted } else { Kind::NoPrimary };
-                self.job_end(now, j, Err(Reject::new(k, format!("the server did not take it: {}", word(&r)))), out);
+                let k = if inside {
+                    Kind::Aborted
+                } else {
+                    Kind::NoPrimary
+                };
+                self.job_end(
+                    now,
+                    j,
+                    Err(Reject::new(
+                        k,
+                        format!("the server did not take it: {}", word(&r)),
+                    )),
+                    out,
+                );
             }
         }
     }
 
     fn looks_up(&self, j: usize) -> bool {
-        self.t.as_ref().is_none_or(|t| t.dbs[self.jobs[j].db].can.outcomes)
+        self.t
+            .as_ref()
+            .is_none_or(|t| t.dbs[self.jobs[j].db].can.outcomes)
     }
 
     fn txn_free(&mut self, now: Time, j: usize) {
@@ -206,13 +285,23 @@
         let job = &self.jobs[j];
         let commit = job.load.act == Act::Commit;
         match res {
-            BackRes::Ok(Got::Outcome { life, leads, .. }) if !self.same_primary(now, j, life, leads) => {
-                let r = Reject::new(Kind::NoPrimary, "the server looked at is not the primary any more");
+            BackRes::Ok(Got::Outcome { life, leads, .. })
+                if !self.same_primary(now, j, life, leads) =>
+            {
+                let r = Reject::new(
+                    Kind::NoPrimary,
+                    "the server looked at is not the primary any more",
+                );
                 self.job_end(now, j, Err(r), out);
             }
             BackRes::Ok(Got::Outcome { found: Some(x), .. }) => self.found(now, j, x, out),
             BackRes::Ok(_) if !commit && self.off_long(now, job.server) => {
-                self.job_end(now, j, Err(Reject::new(Kind::NoPrimary, crate::fence::OFF_LONG)), out);
+                self.job_end(
+                    now,
+                    j,
+                    Err(Reject::new(Kind::NoPrimary, crate::fence::OFF_LONG)),
+                    out,
+                );
             }
             BackRes::Ok(_) if !commit => self.job_take(now, j, out),
             BackRes::Ok(_) if job.load.epoch < job.epoch => {
@@ -220,7 +309,15 @@
                 self.job_end(now, j, Err(r), out);
             }
             BackRes::Ok(_) => self.jobs[j].step = Step::Again(now + LOOK_AGAIN),
-            r => self.job_end(now, j, Err(Reject::new(Kind::NoPrimary, format!("no look-up: {}", word(&r)))), out),
+            r => self.job_end(
+                now,
+                j,
+                Err(Reject::new(
+                    Kind::NoPrimary,
+                    format!("no look-up: {}", word(&r)),
+                )),
+                out,
+            ),
         }
     }
 
@@ -233,7 +330,8 @@
         let job = &mut self.jobs[j];
         (job.pos, job.body, job.repeat) = (x.0, x.1, true);
         let id = job.load.id.clone();
-        self.traces.tell(now, &id, "found under its id, not run again".into());
+        self.traces
+            .tell(now, &id, "found under its id, not run again".into());
         self.wait_acks(now, j, out);
     }
 
--- a/tenet/src/apply.rs
+++ b/tenet/src/apply.rs
@@ -1,8 +1,8 @@
-use crate::plant::{planted, Bug};
 use crate::base::*;
 use crate::chart;
 use crate::config::Config;
 use crate::kind::{Kind, Reject};
+use crate::plant::{planted, Bug};
 use crate::state::*;
 
 pub(crate) type Res = Result<Mark, Reject>;
@@ -21,29 +21,53 @@
                 let was = self.evacuated.contains_key(domain);
                 if *on && !was {
                     self.evacuated.insert(domain.clone(), m);
-                    self.tell(a.at, domain, format!("domain {domain} evacuated by an operator"));
+                    self.tell(
+                        a.at,
+                        domain,
+                        format!("domain {domain} evacuated by an operator"),
+                    );
                 }
                 if !*on && was {
                     self.evacuated.remove(domain);
-                    self.tell(a.at, domain, format!("domain {domain} taken back by an operator"));
+                    self.tell(
+                        a.at,
+                        domain,
+                        format!("domain {domain} taken back by an operator"),
+                    );
                 }
                 Ok(m)
             }
             Op::Hold { domain, on } => Ok(self.hold(a.at, domain, *on)),
             Op::Drain { server, on } => {
-                self.servers.get(server).ok_or_else(|| Reject::new(Kind::UnknownName, server.clone()))?;
+                self.servers
+                    .get(server)
+                    .ok_or_else(|| Reject::new(Kind::UnknownName, server.clone()))?;
                 let was = self.drained.contains_key(server);
                 if *on && !was {
                     self.drained.insert(server.clone(), m);
-                    self.tell(a.at, server, format!("server {server} draining, an operator asked"));
+                    self.tell(
+                        a.at,
+                        server,
+                        format!("server {server} draining, an operator asked"),
+                    );
                 }
                 if !*on && was {
                     self.drained.remove(server);
-                    self.tell(a.at, server, format!("server {server} taken back by an operator"));
+                    self.tell(
+                        a.at,
+                        server,
+                        format!("server {server} taken back by an operator"),
+                    );
                 }
                 Ok(m)
             }
-            Op::Enrol { id, addr, http, domain, disk } => {
+            Op::Enrol {
+                id,
+                addr,
+                http,
+                domain,
+                disk,
+            } => {
                 let v = Member {
                     id: *id,
                     addr: *addr,
@@ -59,7 +83,11 @@
             Op::Phase { id, event } => self.phase(*id, event),
             Op::Announce { .. } => self.announce(a),
             Op::Depart { server, seq } => self.depart(a.at, server, *seq),
-            Op::Place { db, fencers, gateways } => {
+            Op::Place {
+                db,
+                fencers,
+                gateways,
+            } => {
                 let d = self.dbs.entry(db.clone()).or_insert_with(|| Db {
                     phase: chart::failover().start().into(),
                     ..Db::default()
@@ -76,8 +104,13 @@
 
     fn phase(&mut self, id: NodeId, event: &str) -> Res {
         let m = self.mark;
-        let p = self.members.get_mut(&id).ok_or_else(|| Reject::new(Kind::UnknownName, "member"))?;
-        let to = chart::member().step(&p.phase, event).ok_or_else(|| stale(event))?;
+        let p = self
+            .members
+            .get_mut(&id)
+            .ok_or_else(|| Reject::new(Kind::UnknownName, "member"))?;
+        let to = chart::member()
+            .step(&p.phase, event)
+            .ok_or_else(|| stale(event))?;
         p.phase = to.into();
         p.at = m;
         if to == "gone" {
@@ -97,7 +130,11 @@
             let born = o.as_ref().is_none_or(|o| o.life != life);
             if born {
                 self.drained.remove(server);
-                self.tell(a.at, server, format!("server {server} announced itself at {addr}, life {life:x}"));
+                self.tell(
+                    a.at,
+                    server,
+                    format!("server {server} announced itself at {addr}, life {life:x}"),
+                );
             }
             if leaving && o.is_none_or(|o| !o.leaving) {
                 self.tell(a.at, server, format!("server {server} says it is leaving"));
@@ -109,19 +146,56 @@
     fn failover(&mut self, a: &Ask) -> Res {
         let m = self.mark;
         let (n, ep, ev, text) = match &a.op {
-            Op::Adopt { db, server } => (db, None, "adopt", format!("{server} adopted as first primary")),
+            Op::Adopt { db, server } => (
+                db,
+                None,
+                "adopt",
+                format!("{server} adopted as first primary"),
+            ),
             Op::Close { db, epoch, why } => (db, Some(*epoch), "close", format!("closing: {why}")),
-            Op::Reopen { db, epoch, why } => (db, Some(*epoch), "reopen", format!("reopened: {why}")),
-            Op::Offline { db, epoch, why } => (db, Some(*epoch), "offline", format!("old primary offline: {why}")),
-            Op::Target { db, epoch, server, .. } => {
-                (db, Some(*epoch), "target", format!("{server} chosen, holds every acknowledged commit"))
-            }
-            Op::Asker { db, epoch, asker } => (db, Some(*epoch), "asker", format!("{asker:x} asks for the promotion now")),
-            Op::Promoted { db, epoch, server } => (db, Some(*epoch), "promoted", format!("{server} takes writes")),
-            Op::Rejected { db, epoch, server } => (db, Some(*epoch), "rejected", format!("the platform will not promote {server}")),
+            Op::Reopen { db, epoch, why } => {
+                (db, Some(*epoch), "reopen", format!("reopened: {why}"))
+            }
+            Op::Offline { db, epoch, why } => (
+                db,
+                Some(*epoch),
+                "offline",
+                format!("old primary offline: {why}"),
+            ),
+            Op::Target {
+                db, epoch, server, ..
+            } => (
+                db,
+                Some(*epoch),
+                "target",
+                format!("{server} chosen, holds every acknowledged commit"),
+            ),
+            Op::Asker { db, epoch, asker } => (
+                db,
+                Some(*epoch),
+                "asker",
+                format!("{asker:x} asks for the promotion now"),
+            ),
+            Op::Promoted { db, epoch, server } => (
+                db,
+                Some(*epoch),
+                "promoted",
+                format!("{server} takes writes"),
+            ),
+            Op::Rejected { db, epoch, server } => (
+                db,
+                Some(*epoch),
+                "rejected",
+                format!("the platform will not promote {server}"),
+            ),
             Op::HeirJoin { db, epoch, server } => return self.turn_heir(db, *epoch, server, 0),
             Op::HeirFull { db, epoch, server } => return self.turn_heir(db, *epoch, server, 1),
-            Op::HeirLeave { db, epoch, server, why } => {
+            Op::HeirLeave {
+                db,
+                epoch,
+                server,
+                why,
+            } => {
                 self.tell(a.at, db, format!("{db}: {server} counts no longer: {why}"));
                 return self.turn_heir(db, *epoch, server, 2);
             }
@@ -136,9 +210,15 @@
         if ep.is_some_and(|e| e != d.epoch) {
             return Err(stale(format!("epoch is {}", d.epoch)));
         }
-        let to = chart::failover().step(&d.phase, ev).ok_or_else(|| stale(format!("{ev} in {}", d.phase)))?;
+        let to = chart::failover()
+            .step(&d.phase, ev)
+            .ok_or_else(|| stale(format!("{ev} in {}", d.phase)))?;
         match &a.op {
-            Op::Promoted { server, .. } | Op::Rejected { server, .. } if d.target.as_ref() != Some(server) => return Err(stale("another target")),
+            Op::Promoted { server, .. } | Op::Rejected { server, .. }
+                if d.target.as_ref() != Some(server) =>
+            {
+                return Err(stale("another target"))
+            }
             Op::Target { any: false, .. } if !heir => return Err(stale("no heir")),
             Op::Reopen { .. } if d.phase == "fenced" => {
                 d.primary = d.old.take();
@@ -155,7 +235,12 @@
 
     fn failover_set(&mut self, a: &Ask, n: &str) {
         let m = self.mark;
-        let lives: Vec<(String, u64)> = self.servers.values().filter(|s| !s.terms).map(|s| (s.name.clone(), s.life)).collect();
+        let lives: Vec<(String, u64)> = self
+            .servers
+            .values()
+            .filter(|s| !s.terms)
+            .map(|s| (s.name.clone(), s.life))
+            .collect();
         let Ok(d) = self.db(n) else { return };
         match &a.op {
             Op::Adopt { server, .. } => {
@@ -195,7 +280,11 @@
         let m = self.mark;
         let life = self.servers.get(server).map(|s| s.life);
         let d = self.db(db)?;
-        if d.epoch != epoch || d.phase != "steady" || life.is_none() || d.primary.as_deref() == Some(server) {
+        if d.epoch != epoch
+            || d.phase != "steady"
+            || life.is_none()
+            || d.primary.as_deref() == Some(server)
+        {
             return Err(stale(format!("epoch is {}, {}", d.epoch, d.phase)));
         }
         match how {
@@ -203,10 +292,14 @@
                 d.joining.entry(server.into()).or_insert(m);
             }
             1 => {
-                d.joining.remove(server).ok_or_else(|| stale("not joining"))?;
+                d.joining
+                    .remove(server)
+                    .ok_or_else(|| stale("not joining"))?;
                 d.heirs.insert(server.into(), life.unwrap_or(0));
             }
-            _ if d.heirs.len() == 1 && d.heirs.contains_key(server) => return Err(stale("the last heir stays")),
+            _ if d.heirs.len() == 1 && d.heirs.contains_key(server) => {
+                return Err(stale("the last heir stays"))
+            }
             _ => {
                 d.joining.remove(server);
                 d.heirs.remove(server);
--- a/tenet/src/asks.rs
+++ b/tenet/src/asks.rs
@@ -9,9 +9,23 @@
 impl Control {
     pub(crate) fn ask(&mut self, now: Time, call: u64, id: Option<u64>, op: Op, out: &mut Out) {
         let id = id.unwrap_or_else(|| self.ids.take());
-        let ask = Ask { id, from: self.me.addr, at: self.wall(now), op };
-        self.pending.insert(id, Pending { call, ask: ask.clone(), born: now, sent: now });
-        out.send.extend(self.head().map(|a| (a, Msg::Propose { ask })));
+        let ask = Ask {
+            id,
+            from: self.me.addr,
+            at: self.wall(now),
+            op,
+        };
+        self.pending.insert(
+            id,
+            Pending {
+                call,
+                ask: ask.clone(),
+                born: now,
+                sent: now,
+            },
+        );
+        out.send
+            .extend(self.head().map(|a| (a, Msg::Propose { ask })));
     }
 
     pub(crate) fn once(&mut self, now: Time, op: Op, out: &mut Out) {
@@ -22,8 +36,12 @@
 
     pub(crate) fn announce(&mut self, now: Time, call: u64, op: Op, out: &mut Out, e: &mut Effect) {
         if let Some(s) = Server::told(&op) {
-            if self.f.state.late(&s) || self.f.state.servers.get(&s.name).is_some_and(|o| s.says(o)) {
-                let verdict = Verdict { mark: self.f.state.mark, reject: None };
+            if self.f.state.late(&s) || self.f.state.servers.get(&s.name).is_some_and(|o| s.says(o))
+            {
+                let verdict = Verdict {
+                    mark: self.f.state.mark,
+                    reject: None,
+                };
                 e.response.push((call, Reply::Verdict(verdict)));
                 return;
             }
@@ -39,13 +57,16 @@
                 late.push(*id);
             } else if now > p.sent + 300 {
                 p.sent = now;
-                out.send.extend(head.map(|a| (a, Msg::Propose { ask: p.ask.clone() })));
+                out.send
+                    .extend(head.map(|a| (a, Msg::Propose { ask: p.ask.clone() })));
             }
         }
         for id in late {
             if let Some(p) = self.pending.remove(&id).filter(|p| p.call != 0) {
-                let why = format!("the control chain did not answer in time; ask again with id {id}");
-                e.response.push((p.call, Reply::Reject(Reject::new(Kind::Unknown, why))));
+                let why =
+                    format!("the control chain did not answer in time; ask again with id {id}");
+                e.response
+                    .push((p.call, Reply::Reject(Reject::new(Kind::Unknown, why))));
             }
         }
     }
@@ -59,7 +80,13 @@
             }
             return Vec::new();
         };
-        let sky = Sky { now, me: self.me.id, st: &self.f.state, cfg: &cfg, c: &self.c };
+        let sky = Sky {
+            now,
+            me: self.me.id,
+            st: &self.f.state,
+            cfg: &cfg,
+            c: &self.c,
+        };
         let (ops, calls) = self.watch.tick(&sky);
         ops.into_iter().for_each(|op| self.once(now, op, out));
         calls
--- a/tenet/src/base.rs
+++ b/tenet/src/base.rs
@@ -14,7 +14,10 @@
 }
 
 impl Addr {
-    pub const NONE: Addr = Addr { ip: [0; 16], port: 0 };
+    pub const NONE: Addr = Addr {
+        ip: [0; 16],
+        port: 0,
+    };
 }
 
 impl From<SocketAddr> for Addr {
@@ -23,7 +26,10 @@
             IpAddr::V4(v) => v.to_ipv6_mapped(),
             IpAddr::V6(v) => v,
         };
-        Addr { ip: ip.octets(), port: a.port() }
+        Addr {
+            ip: ip.octets(),
+            port: a.port(),
+        }
     }
 }
 
--- a/tenet/src/begin.rs
+++ b/tenet/src/begin.rs
@@ -13,7 +13,17 @@
 impl Front {
     /// Begins what was deferred, together with its first statement or its commit.
     #[allow(clippy::too_many_arguments)]
-    pub(crate) fn whole(&mut self, now: Time, call: u64, sid: u64, id: String, act: Act, body: String, budget: Option<Time>, out: &mut FrontOut) -> Result<(), Reject> {
+    pub(crate) fn whole(
+        &mut self,
+        now: Time,
+        call: u64,
+        sid: u64,
+        id: String,
+        act: Act,
+        body: String,
+        budget: Option<Time>,
+        out: &mut FrontOut,
+    ) -> Result<(), Reject> {
         let t = self.welcome(now, true)?;
         let commits = act.commits();
         let mut load = self.load(&t, sid, Some(id), act);
@@ -24,10 +34,19 @@
         Ok(())
     }
 
-    pub(crate) fn pinned(&mut self, now: Time, sid: u64, act: Act, budget: Option<Time>) -> Result<(Load, Plan), Reject> {
+    pub(crate) fn pinned(
+        &mut self,
+        now: Time,
+        sid: u64,
+        act: Act,
+        budget: Option<Time>,
+    ) -> Result<(Load, Plan), Reject> {
         let t = self.table()?;
         let s = &self.sessions[&sid];
-        let x = s.txn.as_ref().ok_or_else(|| reject(Kind::BadState, "no transaction is open"))?;
+        let x = s
+            .txn
+            .as_ref()
+            .ok_or_else(|| reject(Kind::BadState, "no transaction is open"))?;
         if let TxnState::Broken(w) = &x.state {
             return Err(reject(Kind::Aborted, format!("rolled back before: {w}")));
         }
@@ -45,10 +64,26 @@
     }
 
     #[allow(clippy::too_many_arguments)]
-    pub(crate) fn set_off(&mut self, now: Time, call: u64, sid: u64, load: Load, plan: Plan, bound: Option<Time>, out: &mut FrontOut) {
-        self.sessions.get_mut(&sid).into_iter().for_each(|s| s.busy = true);
+    pub(crate) fn set_off(
+        &mut self,
+        now: Time,
+        call: u64,
+        sid: u64,
+        load: Load,
+        plan: Plan,
+        bound: Option<Time>,
+        out: &mut FrontOut,
+    ) {
+        self.sessions
+            .get_mut(&sid)
+            .into_iter()
+            .for_each(|s| s.busy = true);
         let owner = For::Caller { call, session: sid };
-        self.traces.tell(now, &load.id, format!("taken in at {:x}: {:?} on {}", self.me, load.act, load.db));
+        self.traces.tell(
+            now,
+            &load.id,
+            format!("taken in at {:x}: {:?} on {}", self.me, load.act, load.db),
+        );
         let t = Trip::new(now, owner, load, plan, bound);
         self.trip_start(now, t, out);
     }
--- a/tenet/src/belongs.rs
+++ b/tenet/src/belongs.rs
@@ -5,12 +5,22 @@
 use std::collections::BTreeMap;
 
 pub fn labels_of(c: &Config, s: &Server) -> Labels {
-    let mut l = c.domains.get(&s.domain).map(|d| d.labels.clone()).unwrap_or_default();
+    let mut l = c
+        .domains
+        .get(&s.domain)
+        .map(|d| d.labels.clone())
+        .unwrap_or_default();
     l.extend(s.labels.clone());
-    l.extend(c.servers.get(&s.name).map(|x| x.labels.clone()).unwrap_or_default());
+    l.extend(
+        c.servers
+            .get(&s.name)
+            .map(|x| x.labels.clone())
+            .unwrap_or_default(),
+    );
     l.insert("name".into(), s.name.clone());
     l.insert("domain".into(), s.domain.clone());
-    c.region(&s.domain).map(|r| l.insert("region".into(), r.into()));
+    c.region(&s.domain)
+        .map(|r| l.insert("region".into(), r.into()));
     l
 }
 
@@ -20,7 +30,13 @@
     for s in st.servers.values() {
         let l = labels_of(c, s);
         let of = c.selectors().iter().find(|x| x.1.matches(&l));
-        let home = |d: &str| c.region(&s.domain).is_some_and(|r| c.databases.get(d).is_some_and(|d| d.homes.iter().any(|h| h == r)));
+        let home = |d: &str| {
+            c.region(&s.domain).is_some_and(|r| {
+                c.databases
+                    .get(d)
+                    .is_some_and(|d| d.homes.iter().any(|h| h == r))
+            })
+        };
         if let Some((d, _)) = of.filter(|x| home(&x.0)) {
             m.entry(d.clone()).or_default().push(s);
         }
@@ -36,7 +52,10 @@
     let all = [
         (s.leaving && !planted(Bug::LeavingServes), "leaving"),
         (st.drained.contains_key(&s.name), "drained by an operator"),
-        (st.evacuated.contains_key(&s.domain) && !planted(Bug::EvacuatedServes), "its domain is evacuated"),
+        (
+            st.evacuated.contains_key(&s.domain) && !planted(Bug::EvacuatedServes),
+            "its domain is evacuated",
+        ),
     ];
     all.into_iter().find(|(b, _)| *b).map(|(_, w)| w)
 }
--- a/tenet/src/chain.rs
+++ b/tenet/src/chain.rs
@@ -1,8 +1,8 @@
 use crate::base::*;
 use crate::colleagues::Colleagues;
 use crate::disk::*;
-use crate::state::*;
 use crate::found::TailPermit;
+use crate::state::*;
 use crate::view::Agreement;
 use crate::wire::Msg;
 use std::collections::{BTreeMap, VecDeque};
@@ -71,7 +71,12 @@
     }
 
     pub fn with(self, found: bool, founders: Vec<Addr>, copies: usize) -> Self {
-        Chain { found, founders, copies, ..self }
+        Chain {
+            found,
+            founders,
+            copies,
+            ..self
+        }
     }
 
     pub fn keep(&mut self, r: Rec, out: &mut Out) -> Option<Verdict> {
@@ -84,7 +89,8 @@
         (!out.write.is_empty()).then(|| {
             self.next_seq += 1;
             self.sync_q.push_back((self.next_seq, self.d.state.mark));
-            self.late_q.push_back((self.next_seq, std::mem::take(&mut out.late)));
+            self.late_q
+                .push_back((self.next_seq, std::mem::take(&mut out.late)));
             self.next_seq
         })
     }
@@ -109,7 +115,8 @@
             }
         }
         while self.late_q.front().is_some_and(|(s, _)| *s <= seq) {
-            out.send.extend(self.late_q.pop_front().map(|(_, v)| v).unwrap_or_default());
+            out.send
+                .extend(self.late_q.pop_front().map(|(_, v)| v).unwrap_or_default());
         }
     }
 
@@ -126,19 +133,29 @@
     }
 
     pub fn is_tail(&self) -> bool {
-        self.place().is_some_and(|i| i + 1 == self.d.view.chain.len()) && self.whole()
+        self.place()
+            .is_some_and(|i| i + 1 == self.d.view.chain.len())
+            && self.whole()
     }
 
     pub(crate) fn succ(&self) -> Option<Seat> {
-        self.place().and_then(|i| self.d.view.chain.get(i + 1)).copied()
+        self.place()
+            .and_then(|i| self.d.view.chain.get(i + 1))
+            .copied()
     }
 
     pub(crate) fn pred(&self) -> Option<Seat> {
-        self.place().filter(|i| *i > 0).and_then(|i| self.d.view.chain.get(i - 1)).copied()
+        self.place()
+            .filter(|i| *i > 0)
+            .and_then(|i| self.d.view.chain.get(i - 1))
+            .copied()
     }
 
     pub fn stuck(&self, now: Time) -> bool {
-        self.succ().is_some() && self.whole() && self.succ_have < self.synced && now > self.succ_at + 1000
+        self.succ().is_some()
+            && self.whole()
+            && self.succ_have < self.synced
+            && now > self.succ_at + 1000
     }
 
     pub(crate) fn append(&mut self, e: Entry, out: &mut Out) {
@@ -152,7 +169,12 @@
     pub(crate) fn after(&self, m: Mark) -> Option<Vec<Entry>> {
         let first = self.log.front().map_or(self.d.state.mark + 1, |e| e.mark);
         (m + 1 >= first).then(|| {
-            self.log.iter().filter(|e| e.mark > m && e.mark <= self.synced).take(256).cloned().collect()
+            self.log
+                .iter()
+                .filter(|e| e.mark > m && e.mark <= self.synced)
+                .take(256)
+                .cloned()
+                .collect()
         })
     }
 
@@ -163,11 +185,23 @@
         self.frame_at = 0;
     }
 
-    pub fn take(&mut self, now: Time, from: NodeId, addr: Addr, m: Msg, c: &Colleagues, out: &mut Out) {
+    pub fn take(
+        &mut self,
+        now: Time,
+        from: NodeId,
+        addr: Addr,
+        m: Msg,
+        c: &Colleagues,
+        out: &mut Out,
+    ) {
         let n = self.d.view.n;
         match m {
             Msg::Propose { ask } => self.propose(ask, out),
-            Msg::Append { view, prev, entries } if view == n && self.pred().is_some_and(|p| p.id == from) => {
+            Msg::Append {
+                view,
+                prev,
+                entries,
+            } if view == n && self.pred().is_some_and(|p| p.id == from) => {
                 if self.whole() && prev <= self.d.state.mark {
                     for e in entries {
                         if e.mark == self.d.state.mark + 1 {
@@ -176,7 +210,11 @@
                     }
                 }
                 if self.whole() {
-                    let mark = if prev > self.d.state.mark { self.d.state.mark } else { self.synced };
+                    let mark = if prev > self.d.state.mark {
+                        self.d.state.mark
+                    } else {
+                        self.synced
+                    };
                     out.send.push((addr, Msg::Have { view, mark }));
                 }
             }
@@ -193,17 +231,32 @@
                 self.send_frame(addr, out);
                 self.succ_at = now;
             }
-            Msg::Frame { view, state } if view == n && self.pred().is_some_and(|p| p.id == from) => {
+            Msg::Frame { view, state }
+                if view == n && self.pred().is_some_and(|p| p.id == from) =>
+            {
                 let newer = !self.whole() || state.mark > self.d.state.mark;
                 if newer {
                     self.log.clear();
                     self.keep(Rec::Frame { state, whole: n }, out);
                 } else {
-                    out.send.push((addr, Msg::Have { view, mark: self.synced }));
+                    out.send.push((
+                        addr,
+                        Msg::Have {
+                            view,
+                            mark: self.synced,
+                        },
+                    ));
                 }
             }
-            Msg::Append { view, .. } | Msg::Have { view, .. } | Msg::FrameAsk { view } if view < n => {
-                out.send.push((addr, Msg::ViewIs { view: self.d.view.clone() }));
+            Msg::Append { view, .. } | Msg::Have { view, .. } | Msg::FrameAsk { view }
+                if view < n =>
+            {
+                out.send.push((
+                    addr,
+                    Msg::ViewIs {
+                        view: self.d.view.clone(),
+                    },
+                ));
             }
             Msg::Refresh { seq, have, cluster } => self.refresh(now, addr, seq, have, cluster, out),
             m => self.agree_take(now, from, addr, m, c, out),
@@ -221,7 +274,8 @@
             if self.pred().is_some() && !self.whole() && now >= self.frame_at {
                 self.frame_at = now + 2 * CHAIN_AGAIN;
                 let view = self.d.view.n;
-                out.send.extend(self.pred().map(|p| (p.addr, Msg::FrameAsk { view })));
+                out.send
+                    .extend(self.pred().map(|p| (p.addr, Msg::FrameAsk { view })));
             }
         }
         self.tick_at.min(now + CHAIN_AGAIN)
--- a/tenet/src/chart.rs
+++ b/tenet/src/chart.rs
@@ -20,15 +20,27 @@
     pub fn read(s: &str) -> Result<Chart, String> {
         let t: Text = serde_json::from_str(s).map_err(|e| e.to_string())?;
         let names: Vec<String> = t.states.keys().cloned().collect();
-        let ix = |n: &String| names.iter().position(|m| m == n).ok_or(format!("{}: no state {n}", t.name));
+        let ix = |n: &String| {
+            names
+                .iter()
+                .position(|m| m == n)
+                .ok_or(format!("{}: no state {n}", t.name))
+        };
         let start = ix(&t.start)?;
         let mut steps = Vec::new();
         for s in t.states.values() {
-            let m: Result<BTreeMap<_, _>, String> =
-                s.iter().map(|(e, to)| ix(to).map(|i| (e.clone(), i))).collect();
+            let m: Result<BTreeMap<_, _>, String> = s
+                .iter()
+                .map(|(e, to)| ix(to).map(|i| (e.clone(), i)))
+                .collect();
             steps.push(m?);
         }
-        let c = Chart { name: t.name.clone(), names, start, steps };
+        let c = Chart {
+            name: t.name.clone(),
+            names,
+            start,
+            steps,
+        };
         c.reached().map(|_| c)
     }
 
@@ -42,9 +54,15 @@
                 }
             }
         }
-        let lost: Vec<&str> =
-            (0..self.names.len()).filter(|i| !seen.contains(i)).map(|i| self.names[i].as_str()).collect();
-        lost.is_empty().then_some(()).ok_or(format!("{}: never reached: {}", self.name, lost.join(", ")))
+        let lost: Vec<&str> = (0..self.names.len())
+            .filter(|i| !seen.contains(i))
+            .map(|i| self.names[i].as_str())
+            .collect();
+        lost.is_empty().then_some(()).ok_or(format!(
+            "{}: never reached: {}",
+            self.name,
+            lost.join(", ")
+        ))
     }
 
     pub fn start(&self) -> &str {
--- a/tenet/src/colleagues.rs
+++ b/tenet/src/colleagues.rs
@@ -75,7 +75,9 @@
     }
 
     pub fn serves(&self, id: NodeId) -> bool {
-        self.all.get(&id).is_some_and(|c| c.s.status == ALIVE && !c.s.stopping)
+        self.all
+            .get(&id)
+            .is_some_and(|c| c.s.status == ALIVE && !c.s.stopping)
     }
 
     pub fn stops(&self, id: NodeId) -> bool {
@@ -90,11 +92,17 @@
     }
 
     pub fn quiet(&self, id: NodeId, now: Time) -> Option<Time> {
-        self.all.get(&id).filter(|c| c.s.status != ALIVE).map(|c| now.saturating_sub(c.since))
+        self.all
+            .get(&id)
+            .filter(|c| c.s.status != ALIVE)
+            .map(|c| now.saturating_sub(c.since))
     }
 
     pub fn live(&self) -> impl Iterator<Item = &Summary> {
-        self.all.values().map(|c| &c.s).filter(|s| s.status == ALIVE)
+        self.all
+            .values()
+            .map(|c| &c.s)
+            .filter(|s| s.status == ALIVE)
     }
 
     pub fn spread(&mut self) {
@@ -113,7 +121,7 @@
         }
         let from = self.news_cursor;
         for (id, c) in self.all.range(from + 1..).chain(self.all.range(..=from)) {
-            if v.len() >= FILL || self.seq % FILL_EACH != 0 {
+            if v.len() >= FILL || !self.seq.is_multiple_of(FILL_EACH) {
                 break;
             }
             self.news_cursor = *id;
@@ -128,12 +136,17 @@
         let me = format!("{:x}", self.me.id);
         if let Some(c) = self.all.get_mut(&id) {
             let to = chart::colleague().step(NAMES[c.s.status as usize], event);
-            let to = to.and_then(|t| NAMES.iter().position(|n| *n == t)).unwrap_or(c.s.status as usize) as u8;
+            let to = to
+                .and_then(|t| NAMES.iter().position(|n| *n == t))
+                .unwrap_or(c.s.status as usize) as u8;
             if to != c.s.status {
                 c.s.status = to;
                 c.since = now;
                 c.why = why.into();
-                let t = format!("{:x} at {} is {}: {why}, seen by {me}", id, c.s.addr, NAMES[to as usize]);
+                let t = format!(
+                    "{:x} at {} is {}: {why}, seen by {me}",
+                    id, c.s.addr, NAMES[to as usize]
+                );
                 self.stories.push((format!("{id:x}"), t));
                 self.fresh.push_back((id, 8));
             }
@@ -155,15 +168,34 @@
         if newer {
             let turned = o.is_none_or(|(_, t)| t != s.status);
             if turned {
-                let t = format!("{:x} at {} is {}, told", s.id, s.addr, NAMES[(s.status as usize).min(2)]);
+                let t = format!(
+                    "{:x} at {} is {}, told",
+                    s.id,
+                    s.addr,
+                    NAMES[(s.status as usize).min(2)]
+                );
                 self.stories.push((format!("{:x}", s.id), t));
             }
-            let since = self.all.get(&s.id).filter(|_| !turned).map_or(now, |c| c.since);
+            let since = self
+                .all
+                .get(&s.id)
+                .filter(|_| !turned)
+                .map_or(now, |c| c.since);
             let id = s.id;
             let mut s = s;
             s.status = s.status.min(GONE);
             let wire = self.all.get(&id).map_or(1, |c| c.wire);
-            self.all.insert(id, Colleague { s, since, heard: now, why: "told".into(), wire, direct: true });
+            self.all.insert(
+                id,
+                Colleague {
+                    s,
+                    since,
+                    heard: now,
+                    why: "told".into(),
+                    wire,
+                    direct: true,
+                },
+            );
             self.fresh.push_back((id, 6));
         } else if let Some(c) = self.all.get_mut(&s.id) {
             if s.life == c.s.life && (direct || s.mark >= c.s.mark) {
@@ -173,11 +205,25 @@
         }
     }
 
-    fn probe_for(&mut self, now: Time, to: Addr, seq: u32, target: Addr, id: NodeId, send: &mut Vec<(Addr, Msg)>) {
+    fn probe_for(
+        &mut self,
+        now: Time,
+        to: Addr,
+        seq: u32,
+        target: Addr,
+        id: NodeId,
+        send: &mut Vec<(Addr, Msg)>,
+    ) {
         self.seq += 1;
         self.relay.push((self.seq, to, seq, id, now));
         let news = self.news();
-        send.push((target, Msg::Probe { seq: self.seq, news }));
+        send.push((
+            target,
+            Msg::Probe {
+                seq: self.seq,
+                news,
+            },
+        ));
     }
 
     pub fn heard(&mut self, id: NodeId, now: Time) {
@@ -186,11 +232,24 @@
         }
     }
 
-    pub fn take(&mut self, now: Time, from: NodeId, addr: Addr, m: &Msg, send: &mut Vec<(Addr, Msg)>) {
+    pub fn take(
+        &mut self,
+        now: Time,
+        from: NodeId,
+        addr: Addr,
+        m: &Msg,
+        send: &mut Vec<(Addr, Msg)>,
+    ) {
         let news = match m {
-            Msg::Probe { news, .. } | Msg::ProbeAck { news, .. } | Msg::ProbeFor { news, .. } | Msg::ProbeOf { news, .. } => news,
+            Msg::Probe { news, .. }
+            | Msg::ProbeAck { news, .. }
+            | Msg::ProbeFor { news, .. }
+            | Msg::ProbeOf { news, .. } => news,
             Msg::Speaks { wire } => {
-                self.all.get_mut(&from).into_iter().for_each(|c| c.wire = *wire);
+                self.all
+                    .get_mut(&from)
+                    .into_iter()
+                    .for_each(|c| c.wire = *wire);
                 return;
             }
             _ => return,
@@ -217,12 +276,21 @@
             Msg::ProbeFor { seq, target, .. } => {
                 self.probe_for(now, addr, *seq, *target, 0, send);
             }
-            Msg::ProbeOf { seq, target, id, .. } => self.probe_for(now, addr, *seq, *target, *id, send),
+            Msg::ProbeOf {
+                seq, target, id, ..
+            } => self.probe_for(now, addr, *seq, *target, *id, send),
             Msg::ProbeAck { seq, .. } => {
-                let o = self.open.iter().position(|o| o.seq == *seq).map(|i| self.open.swap_remove(i));
+                let o = self
+                    .open
+                    .iter()
+                    .position(|o| o.seq == *seq)
+                    .map(|i| self.open.swap_remove(i));
                 if let Some(o) = o {
                     if o.addr == addr {
-                        self.all.get_mut(&from).into_iter().for_each(|c| c.direct = true);
+                        self.all
+                            .get_mut(&from)
+                            .into_iter()
+                            .for_each(|c| c.direct = true);
                     }
                     let same = o.id == from || o.addr != addr;
                     let id = if o.id == 0 { from } else { o.id };
@@ -230,7 +298,11 @@
                         self.turn(id, "heard", "it answered a probe", now);
                     }
                 }
-                let r = self.relay.iter().position(|r| r.0 == *seq && (r.3 == 0 || r.3 == from)).map(|i| self.relay.swap_remove(i));
+                let r = self
+                    .relay
+                    .iter()
+                    .position(|r| r.0 == *seq && (r.3 == 0 || r.3 == from))
+                    .map(|i| self.relay.swap_remove(i));
                 if let Some((_, to, seq, ..)) = r {
                     let news = self.news();
                     send.push((to, Msg::ProbeAck { seq, news }));
--- a/tenet/src/collect.rs
+++ b/tenet/src/collect.rs
@@ -1,13 +1,21 @@
-use crate::plant::{planted, Bug};
 use crate::base::*;
 use crate::front::*;
 use crate::kind::{Kind, Reject};
+use crate::plan::blank;
+use crate::plant::{planted, Bug};
 use crate::session::*;
 use crate::table::*;
-use crate::plan::blank;
 use crate::wire::*;
 use serde_json::{json, Value};
 
+/// What a caller says when it opens a transaction.
+struct BeginRequest {
+    kind: Option<Want>,
+    id: Option<String>,
+    lazy: bool,
+    budget: Option<Time>,
+}
+
 fn reject(k: Kind, why: impl Into<String>) -> Reject {
     Reject::new(k, why)
 }
@@ -17,12 +25,21 @@
         let r = match req {
             Req::Explain { id } => {
                 let v = self.traces.show(&id);
-                v.map(|v| Answer::Text(json!({"node": format!("{:x}", self.me), "id": id, "steps": v, "now": now})))
-                    .ok_or_else(|| reject(Kind::UnknownName, format!("no request '{id}' passed here")))
+                v.map(|v| {
+                    Answer::Text(
+                        json!({"node": format!("{:x}", self.me), "id": id, "steps": v, "now": now}),
+                    )
+                })
+                .ok_or_else(|| reject(Kind::UnknownName, format!("no request '{id}' passed here")))
             }
             Req::Figures => Ok(Answer::Text(self.figures())),
             Req::Verdicts => Ok(Answer::Text(self.verdicts(now))),
-            Req::Open { db, user, tenant, settings } => self.open(now, db, user, tenant, settings),
+            Req::Open {
+                db,
+                user,
+                tenant,
+                settings,
+            } => self.open(now, db, user, tenant, settings),
             Req::Enter { entry, user } => self.enter(now, entry, user),
             req => match self.in_session(now, call, req, out) {
                 Ok(None) => return,
@@ -36,37 +53,90 @@
     pub(crate) fn welcome(&self, now: Time, known: bool) -> Result<std::sync::Arc<Table>, Reject> {
         let t = self.table()?;
         if !self.allows(now) {
-            return Err(reject(Kind::NotCurrent, "this node could not confirm its configuration in time"));
+            return Err(reject(
+                Kind::NotCurrent,
+                "this node could not confirm its configuration in time",
+            ));
         }
         let late = self.leaving.is_some_and(|at| !known || now > at + SEE_OFF);
         let why = t.closed.unwrap_or("this node is stopping");
-        if late { Err(reject(Kind::Leaving, why)) } else { Ok(t) }
+        if late {
+            Err(reject(Kind::Leaving, why))
+        } else {
+            Ok(t)
+        }
     }
 
-    fn open(&mut self, now: Time, db: String, user: String, tenant: Option<String>, settings: Vec<(String, String)>) -> Result<Answer, Reject> {
+    fn open(
+        &mut self,
+        now: Time,
+        db: String,
+        user: String,
+        tenant: Option<String>,
+        settings: Vec<(String, String)>,
+    ) -> Result<Answer, Reject> {
         let t = self.welcome(now, false)?;
-        let i = *t.db_ix.get(&db).ok_or_else(|| reject(Kind::UnknownDatabase, db))?;
-        if let Some(x) = tenant.as_ref().filter(|x| !t.dbs[i].tenants.contains_key(*x)) {
+        let i = *t
+            .db_ix
+            .get(&db)
+            .ok_or_else(|| reject(Kind::UnknownDatabase, db))?;
+        if let Some(x) = tenant
+            .as_ref()
+            .filter(|x| !t.dbs[i].tenants.contains_key(*x))
+        {
             return Err(reject(Kind::UnknownName, format!("no tenant '{x}'")));
         }
         let id = self.ids.take();
-        let setup = SetUp { user, settings, prepared: Vec::new() };
-        let s = Session { db: i, entry: None, tenant, setup, txn: None, deferred: None, mark: 0, last: now, busy: false };
+        let setup = SetUp {
+            user,
+            settings,
+            prepared: Vec::new(),
+        };
+        let s = Session {
+            db: i,
+            entry: None,
+            tenant,
+            setup,
+            txn: None,
+            deferred: None,
+            mark: 0,
+            last: now,
+            busy: false,
+        };
         self.sessions.insert(id, s);
-        Ok(Answer::Opened { session: id, node: self.me, region: t.region.clone() })
+        Ok(Answer::Opened {
+            session: id,
+            node: self.me,
+            region: t.region.clone(),
+        })
     }
 
-    fn in_session(&mut self, now: Time, call: u64, req: Req, out: &mut FrontOut) -> Result<Option<Answer>, Reject> {
+    fn in_session(
+        &mut self,
+        now: Time,
+        call: u64,
+        req: Req,
+        out: &mut FrontOut,
+    ) -> Result<Option<Answer>, Reject> {
         if now < self.paused_until && !matches!(req, Req::Rollback { .. } | Req::Close { .. }) {
             if let Req::Commit { session, .. } = req {
                 self.forget_txn(now, session, out);
             }
-            return Err(reject(Kind::NotCurrent, "this node was paused; what waited meanwhile is not run late"));
+            return Err(reject(
+                Kind::NotCurrent,
+                "this node was paused; what waited meanwhile is not run late",
+            ));
         }
         let id = req.session().unwrap_or(0);
-        let s = self.sessions.get_mut(&id).ok_or_else(|| reject(Kind::UnknownSession, id.to_string()))?;
+        let s = self
+            .sessions
+            .get_mut(&id)
+            .ok_or_else(|| reject(Kind::UnknownSession, id.to_string()))?;
         if s.busy {
-            return Err(reject(Kind::BadState, "the session's earlier request is still under way"));
+            return Err(reject(
+                Kind::BadState,
+                "the session's earlier request is still under way",
+            ));
         }
         s.last = now;
         match req {
@@ -87,11 +157,34 @@
                 self.sessions.remove(&id);
                 Ok(Some(Answer::Closed))
             }
-            Req::Run { kind, id: rid, body, prepared, budget, .. } => {
-                self.run(now, call, id, kind, rid, body, prepared, budget, out).map(|_| None)
+            Req::Run {
+                kind,
+                id: rid,
+                body,
+                prepared,
+                budget,
+                ..
+            } => self
+                .run(now, call, id, kind, rid, body, prepared, budget, out)
+                .map(|_| None),
+            Req::Begin {
+                kind,
+                id: rid,
+                lazy,
+                budget,
+                ..
+            } => {
+                let begin = BeginRequest {
+                    kind,
+                    id: rid,
+                    lazy,
+                    budget,
+                };
+                self.begin(now, call, id, begin, out)
+            }
+            Req::Commit { body, budget, .. } => {
+                self.commit(now, call, id, body, budget, out).map(|_| None)
             }
-            Req::Begin { kind, id: rid, lazy, budget, .. } => self.begin(now, call, id, kind, rid, lazy, budget, out),
-            Req::Commit { body, budget, .. } => self.commit(now, call, id, body, budget, out).map(|_| None),
             Req::Rollback { .. } => match self.forget_txn(now, id, out) {
                 true => Ok(Some(Answer::RolledBack)),
                 false => Err(reject(Kind::BadState, "no transaction is open")),
@@ -124,8 +217,14 @@
         }?;
         let row = &t.kinds[k];
         let s = &self.sessions[&sid];
-        if let Some(p) = prepared.as_ref().filter(|p| !s.setup.prepared.iter().any(|(n, _)| n == *p)) {
-            return Err(reject(Kind::UnknownName, format!("nothing prepared as '{p}'")));
+        if let Some(p) = prepared
+            .as_ref()
+            .filter(|p| !s.setup.prepared.iter().any(|(n, _)| n == *p))
+        {
+            return Err(reject(
+                Kind::UnknownName,
+                format!("nothing prepared as '{p}'"),
+            ));
         }
         let body = match &prepared {
             Some(p) => json!({"prepared": p, "args": serde_json::from_str::<Value>(&body).unwrap_or(Value::Null)}).to_string(),
@@ -141,16 +240,26 @@
         load.writes = row.cfg.writes;
         let loose = !row.cfg.writes && row.cfg.fresh.within_ms.is_some();
         let bound = row.cfg.fresh.within_ms.filter(|_| loose);
-        let own = if row.cfg.fresh.own_changes && !planted(Bug::OwnIgnored) { mark } else { 0 };
+        let own = if row.cfg.fresh.own_changes && !planted(Bug::OwnIgnored) {
+            mark
+        } else {
+            0
+        };
         let mut plan = self.plan(now, &t, sid, &load, budget);
         if let Some(b) = bound {
             self.wanted[db] = now;
-            let after = if planted(Bug::BoundIgnored) { Some(1) } else { self.guard(now, &t, db, b) };
+            let after = if planted(Bug::BoundIgnored) {
+                Some(1)
+            } else {
+                self.guard(now, &t, db, b)
+            };
             load.after = after.map_or(0, |p| p.max(own));
             plan.replicas = self.replicas(now, &t, sid, row, &load, b, own);
         }
         let db = &t.dbs[db];
-        let barred = db.primary.is_some_and(|p| !row.sel.matches(&t.servers[p].labels));
+        let barred = db
+            .primary
+            .is_some_and(|p| !row.sel.matches(&t.servers[p].labels));
         if barred {
             plan.gateways.clear();
             (plan.none, plan.patience) = (Kind::NoPrimary, now);
@@ -159,7 +268,20 @@
         Ok(())
     }
 
-    fn begin(&mut self, now: Time, call: u64, sid: u64, want: Option<Want>, rid: Option<String>, lazy: bool, budget: Option<Time>, out: &mut FrontOut) -> Result<Option<Answer>, Reject> {
+    fn begin(
+        &mut self,
+        now: Time,
+        call: u64,
+        sid: u64,
+        begin: BeginRequest,
+        out: &mut FrontOut,
+    ) -> Result<Option<Answer>, Reject> {
+        let BeginRequest {
+            kind: want,
+            id: rid,
+            lazy,
+            budget,
+        } = begin;
         let t = self.welcome(now, true)?;
         let want = want.or(self.sessions[&sid].entry.is_some().then_some(Want::Writes));
         want.map_or(Ok(0), |w| self.bind(&t, sid, &w))?;
@@ -168,7 +290,10 @@
         }
         if lazy {
             let id = rid.unwrap_or_else(|| format!("r{:x}", self.ids.take()));
-            self.sessions.get_mut(&sid).into_iter().for_each(|s| s.deferred = Some(id.clone()));
+            self.sessions
+                .get_mut(&sid)
+                .into_iter()
+                .for_each(|s| s.deferred = Some(id.clone()));
             return Ok(Some(Answer::Begun));
         }
         let mut load = self.load(&t, sid, rid, Act::Begin);
@@ -178,7 +303,15 @@
         Ok(None)
     }
 
-    fn step(&mut self, now: Time, call: u64, sid: u64, body: String, budget: Option<Time>, out: &mut FrontOut) -> Result<(), Reject> {
+    fn step(
+        &mut self,
+        now: Time,
+        call: u64,
+        sid: u64,
+        body: String,
+        budget: Option<Time>,
+        out: &mut FrontOut,
+    ) -> Result<(), Reject> {
         let (mut load, plan) = self.pinned(now, sid, Act::Step, budget)?;
         load.body = body;
         self.set_off(now, call, sid, load, plan, None, out);
@@ -191,13 +324,27 @@
             s.into_iter().for_each(|s| s.deferred = None);
             return true;
         }
-        let Some((x, db)) = s.and_then(|s| s.txn.take().map(|x| (x, s.db))) else { return false };
-        let load = Load { act: Act::Rollback, session: sid, ..blank(x.id.clone()) };
+        let Some((x, db)) = s.and_then(|s| s.txn.take().map(|x| (x, s.db))) else {
+            return false;
+        };
+        let load = Load {
+            act: Act::Rollback,
+            session: sid,
+            ..blank(x.id.clone())
+        };
         self.roll_back_for(now, db, x.key, x.fence, load, out);
         true
     }
 
-    fn commit(&mut self, now: Time, call: u64, sid: u64, body: String, budget: Option<Time>, out: &mut FrontOut) -> Result<(), Reject> {
+    fn commit(
+        &mut self,
+        now: Time,
+        call: u64,
+        sid: u64,
+        body: String,
+        budget: Option<Time>,
+        out: &mut FrontOut,
+    ) -> Result<(), Reject> {
         if let Some(id) = self.sessions.get_mut(&sid).and_then(|s| s.deferred.take()) {
             return self.whole(now, call, sid, id, Act::Whole, body, budget, out);
         }
--- a/tenet/src/config.rs
+++ b/tenet/src/config.rs
@@ -123,7 +123,12 @@
 
 impl Default for PoolCfg {
     fn default() -> Self {
-        PoolCfg { queue: 200, warm_start: 2, warm_ms: 4000, keep_idle_ms: 600_000 }
+        PoolCfg {
+            queue: 200,
+            warm_start: 2,
+            warm_ms: 4000,
+            keep_idle_ms: 600_000,
+        }
     }
 }
 
@@ -175,7 +180,9 @@
     /// Each database's selector, by name; read once.
     pub fn selectors(&self) -> &[(String, Selector)] {
         self.selectors.get_or_init(|| {
-            let one = |(n, d): (&String, &Database)| Selector::parse(&d.servers).ok().map(|s| (n.clone(), s));
+            let one = |(n, d): (&String, &Database)| {
+                Selector::parse(&d.servers).ok().map(|s| (n.clone(), s))
+            };
             self.databases.iter().filter_map(one).collect()
         })
     }
--- a/tenet/src/control.rs
+++ b/tenet/src/control.rs
@@ -60,7 +60,10 @@
             allows: false,
             stopping: false,
         };
-        let d = s.durable.unwrap_or(Durable { id, ..Durable::default() });
+        let d = s.durable.unwrap_or(Durable {
+            id,
+            ..Durable::default()
+        });
         let view = d.view.clone();
         let mut me = Control {
             me,
@@ -69,7 +72,9 @@
             http: s.http,
             wall: s.wall.saturating_sub(now),
             c: Colleagues::new(sum, s.seeds, s.wire),
-            chain: s.disk.then(|| Chain::new(me, d, now).with(s.found, s.founders, s.copies)),
+            chain: s
+                .disk
+                .then(|| Chain::new(me, d, now).with(s.found, s.founders, s.copies)),
             f: Follow::new(view),
             watch: Watch::default(),
             pending: BTreeMap::new(),
@@ -99,7 +104,10 @@
             In::Wakeup => (),
             In::Packet(p) => self.packet(now, p, &mut out, &mut e),
             In::Synced(s) => {
-                self.chain.as_mut().into_iter().for_each(|c| c.synced(now, s, &mut out));
+                self.chain
+                    .as_mut()
+                    .into_iter()
+                    .for_each(|c| c.synced(now, s, &mut out));
             }
             In::Ask { call, id, op } => self.ask(now, call, id, op, &mut out),
             In::Announce { call, op } => self.announce(now, call, op, &mut out, &mut e),
@@ -112,19 +120,28 @@
                 _ => self.watch.sights(now, self.me.id, v),
             },
             In::Clean { db, since } => {
-                out.send.extend(self.head().map(|a| (a, Msg::Clean { db, epoch: since })));
+                out.send
+                    .extend(self.head().map(|a| (a, Msg::Clean { db, epoch: since })));
             }
-            In::Promoted { db, epoch, server, done } => {
+            In::Promoted {
+                db,
+                epoch,
+                server,
+                done,
+            } => {
                 let t = match done {
                     Ok(true) => format!("{db}: the platform promoted {server}"),
                     Ok(false) => format!("{db}: the platform is promoting {server}"),
-                    Err(true) => format!("{db}: promoting {server}, outcome unknown, asking for it again"),
+                    Err(true) => {
+                        format!("{db}: promoting {server}, outcome unknown, asking for it again")
+                    }
                     Err(false) => format!("{db}: the platform rejected promoting {server}"),
                 };
                 self.why.tell(now, &db, t);
                 let terms = self.f.state.servers.get(&server).is_some_and(|s| s.terms);
                 let op = self.watch.promoted(now, &db, epoch, &server, terms, done);
-                op.into_iter().for_each(|op| self.ask(now, 0, None, op, &mut out));
+                op.into_iter()
+                    .for_each(|op| self.ask(now, 0, None, op, &mut out));
             }
             In::Seeds(v) => self.c.seeds = v,
             In::Stopping => {
@@ -144,7 +161,9 @@
     }
 
     fn packet(&mut self, now: Time, p: Packet, out: &mut Out, e: &mut Effect) {
-        let Packet { from, addr, msg, .. } = p;
+        let Packet {
+            from, addr, msg, ..
+        } = p;
         if form(&msg) > self.c.wire {
             return;
         }
@@ -159,13 +178,26 @@
             Msg::Clean { db, epoch } => {
                 self.watch.clean.insert((from, db), epoch);
             }
-            Msg::Fresh { seq, have, part, view } => {
+            Msg::Fresh {
+                seq,
+                have,
+                part,
+                view,
+            } => {
                 self.stale |= self.f.fresh(now, seq, have, part, view);
             }
             Msg::Nudge { mark } => self.f.nudge(mark),
             Msg::Relay { to, packet } if to != self.me.addr => {
                 let (from, addr, cluster) = (self.me.id, self.me.addr, self.f.view.cluster);
-                e.send.push((to, Packet { from, addr, cluster, msg: Msg::Relay { to, packet } }));
+                e.send.push((
+                    to,
+                    Packet {
+                        from,
+                        addr,
+                        cluster,
+                        msg: Msg::Relay { to, packet },
+                    },
+                ));
             }
             Msg::Relay { packet, .. } => match decode(&packet) {
                 Ok(p) => {
@@ -176,13 +208,13 @@
             },
             Msg::ViewIs { view } => {
                 self.f.learn(&view);
-                self.to_chain(now, from, addr, Msg::ViewIs { view }, out);
+                self.hand_to_chain(now, from, addr, Msg::ViewIs { view }, out);
             }
-            m => self.to_chain(now, from, addr, m, out),
+            m => self.hand_to_chain(now, from, addr, m, out),
         }
     }
 
-    fn to_chain(&mut self, now: Time, from: NodeId, addr: Addr, m: Msg, out: &mut Out) {
+    fn hand_to_chain(&mut self, now: Time, from: NodeId, addr: Addr, m: Msg, out: &mut Out) {
         if let Some(c) = self.chain.as_mut() {
             c.take(now, from, addr, m, &self.c, out);
         }
@@ -202,7 +234,9 @@
             self.pilot_at = now + 50;
             e.promote = self.pilot(now, &mut out);
         }
-        let told = std::mem::take(&mut self.c.stories).into_iter().chain(std::mem::take(&mut out.stories));
+        let told = std::mem::take(&mut self.c.stories)
+            .into_iter()
+            .chain(std::mem::take(&mut out.stories));
         for (topic, t) in told {
             self.stale = true;
             e.log.push(t.clone());
@@ -222,7 +256,12 @@
             if form(&msg) > self.c.wire {
                 continue;
             }
-            let p = Packet { from, addr, cluster, msg };
+            let p = Packet {
+                from,
+                addr,
+                cluster,
+                msg,
+            };
             match to == addr {
                 true => own.push(p),
                 false => e.send.push(self.by_relay(to, p)),
--- a/tenet/src/disk.rs
+++ b/tenet/src/disk.rs
@@ -1,5 +1,5 @@
-use crate::plant::{planted, Bug};
 use crate::base::*;
+use crate::plant::{planted, Bug};
 use crate::state::*;
 use speedy::{Readable, Writable};
 
@@ -33,10 +33,20 @@
 pub enum Rec {
     Born(NodeId),
     Pledge(Vec<Seat>),
-    View { view: View, whole: Mark },
-    Vote { promised: u64, accepted: u64, value: Option<View> },
+    View {
+        view: View,
+        whole: Mark,
+    },
+    Vote {
+        promised: u64,
+        accepted: u64,
+        value: Option<View>,
+    },
     Entry(Entry),
-    Frame { state: State, whole: Mark },
+    Frame {
+        state: State,
+        whole: Mark,
+    },
 }
 
 impl Durable {
@@ -50,7 +60,11 @@
                 self.state.cluster = view.cluster;
                 (self.promised, self.accepted, self.value) = (0, 0, None);
             }
-            Rec::Vote { promised, accepted, value } => {
+            Rec::Vote {
+                promised,
+                accepted,
+                value,
+            } => {
                 (self.promised, self.accepted, self.value) = (*promised, *accepted, value.clone());
             }
             Rec::Entry(e) => return Some(self.state.apply(e)),
@@ -86,8 +100,16 @@
 }
 
 fn open(b: &[u8]) -> Option<(u64, &[u8], usize)> {
-    let u4 = |i: usize| b.get(i..i + 4).and_then(|s| s.try_into().ok()).map(u32::from_le_bytes);
-    let u8_ = |i: usize| b.get(i..i + 8).and_then(|s| s.try_into().ok()).map(u64::from_le_bytes);
+    let u4 = |i: usize| {
+        b.get(i..i + 4)
+            .and_then(|s| s.try_into().ok())
+            .map(u32::from_le_bytes)
+    };
+    let u8_ = |i: usize| {
+        b.get(i..i + 8)
+            .and_then(|s| s.try_into().ok())
+            .map(u64::from_le_bytes)
+    };
     let n = u4(4)? as usize;
     let g = u8_(8)?;
     let body = b.get(HEAD..HEAD.checked_add(n)?)?;
@@ -98,7 +120,9 @@
 fn same_form(b: &[u8]) -> Result<(), String> {
     let form = b.first().copied().unwrap_or(FORM);
     let ours = form == FORM || open(b).is_none();
-    ours.then_some(()).ok_or(format!("written in form {form}, this program reads form {FORM}; start the newer one"))
+    ours.then_some(()).ok_or(format!(
+        "written in form {form}, this program reads form {FORM}; start the newer one"
+    ))
 }
 
 pub struct Shelf {
@@ -110,41 +134,78 @@
 const LOG_BYTES: usize = 1 << 20;
 
 impl Shelf {
-    pub fn recover(slots: [&[u8]; 2], logs: [&[u8]; 2]) -> Result<(Shelf, Option<Durable>), String> {
+    pub fn recover(
+        slots: [&[u8]; 2],
+        logs: [&[u8]; 2],
+    ) -> Result<(Shelf, Option<Durable>), String> {
         slots.iter().try_for_each(|s| same_form(s))?;
-        let got = slots.map(|s| open(s).and_then(|(g, b, _)| Durable::read_from_buffer(b).ok().map(|d| (g, d))));
+        let got = slots.map(|s| {
+            open(s).and_then(|(g, b, _)| Durable::read_from_buffer(b).ok().map(|d| (g, d)))
+        });
         let whole = got.iter().flatten().map(|(g, _)| *g);
-        let best = if planted(Bug::OlderSlot) { whole.min() } else { whole.max() };
+        let best = if planted(Bug::OlderSlot) {
+            whole.min()
+        } else {
+            whole.max()
+        };
         let Some(g) = best else {
             let empty = slots.iter().chain(logs.iter()).all(|b| b.is_empty());
             let torn_birth = logs.iter().all(|b| b.is_empty()) && slots[0].is_empty();
             return (empty || torn_birth)
-                .then_some((Shelf { generation: 0, in_log: 0, settled: false }, None))
+                .then_some((
+                    Shelf {
+                        generation: 0,
+                        in_log: 0,
+                        settled: false,
+                    },
+                    None,
+                ))
                 .ok_or("both slots are damaged".into());
         };
         let other = (g + 1) as usize % 2;
         let lost = got[other].is_none() && !slots[other].is_empty();
         if lost && open(logs[other]).is_some_and(|(h, _, _)| h > g) {
-            return Err(format!("{} is damaged, its log goes on past {}", SLOTS[other], SLOTS[g as usize % 2]));
+            return Err(format!(
+                "{} is damaged, its log goes on past {}",
+                SLOTS[other],
+                SLOTS[g as usize % 2]
+            ));
         }
-        let mut d = got.into_iter().flatten().find(|(h, _)| *h == g).map(|(_, d)| d).unwrap_or_default();
+        let mut d = got
+            .into_iter()
+            .flatten()
+            .find(|(h, _)| *h == g)
+            .map(|(_, d)| d)
+            .unwrap_or_default();
         let log = logs[g as usize % 2];
         let mut at = 0;
         while let Some((h, b, n)) = open(&log[at..]) {
             same_form(&log[at..])?;
             if h != g {
-                return Err(format!("a record of generation {h} stands in the log of {g}"));
+                return Err(format!(
+                    "a record of generation {h} stands in the log of {g}"
+                ));
             }
-            let v: Vec<Rec> = Vec::read_from_buffer(b).map_err(|e| format!("a sealed record does not read: {e}"))?;
+            let v: Vec<Rec> = Vec::read_from_buffer(b)
+                .map_err(|e| format!("a sealed record does not read: {e}"))?;
             v.iter().for_each(|r| {
                 d.play(r);
             });
             at += n;
         }
         if (at + 1..log.len()).any(|i| open(&log[i..]).is_some()) {
-            return Err(format!("the log is damaged at byte {at}, whole records follow"));
+            return Err(format!(
+                "the log is damaged at byte {at}, whole records follow"
+            ));
         }
-        Ok((Shelf { generation: g, in_log: 0, settled: false }, Some(d)))
+        Ok((
+            Shelf {
+                generation: g,
+                in_log: 0,
+                settled: false,
+            },
+            Some(d),
+        ))
     }
 
     pub fn fresh(&mut self, d: &Durable) -> Vec<FileOp> {
@@ -154,8 +215,14 @@
         let b = d.write_to_vec().unwrap_or_default();
         let first = (!std::mem::replace(&mut self.settled, true)).then_some(FileOp::Settle);
         let turn = [
-            FileOp::Replace { name: LOGS[i], bytes: Vec::new() },
-            FileOp::Replace { name: SLOTS[i], bytes: seal(self.generation, &b) },
+            FileOp::Replace {
+                name: LOGS[i],
+                bytes: Vec::new(),
+            },
+            FileOp::Replace {
+                name: SLOTS[i],
+                bytes: seal(self.generation, &b),
+            },
         ];
         first.into_iter().chain(turn).collect()
     }
@@ -166,6 +233,9 @@
         if self.in_log > LOG_BYTES {
             return self.fresh(d);
         }
-        vec![FileOp::Append { name: LOGS[self.generation as usize % 2], bytes: seal(self.generation, &b) }]
+        vec![FileOp::Append {
+            name: LOGS[self.generation as usize % 2],
+            bytes: seal(self.generation, &b),
+        }]
     }
 }
--- a/tenet/src/drain.rs
+++ b/tenet/src/drain.rs
@@ -1,6 +1,6 @@
-use crate::plant::{planted, Bug};
 use crate::base::*;
 use crate::front::Front;
+use crate::plant::{planted, Bug};
 use crate::trip::For;
 
 pub struct Drain {
@@ -31,7 +31,10 @@
         self.stop_at = self.stop_at.or(Some(now));
         self.leaving = self.leaving.or(Some(now));
         let by = self.stop_by();
-        let calls = self.trips.iter_mut().filter(|(_, t)| matches!(t.owner, For::Caller { .. }));
+        let calls = self
+            .trips
+            .iter_mut()
+            .filter(|(_, t)| matches!(t.owner, For::Caller { .. }));
         calls.for_each(|(_, t)| {
             t.plan.deadline = t.plan.deadline.min(by);
             t.wake = t.wake.min(by);
--- a/tenet/src/effect.rs
+++ b/tenet/src/effect.rs
@@ -11,12 +11,31 @@
     Wakeup,
     Packet(Packet),
     Synced(u64),
-    Ask { call: u64, id: Option<u64>, op: Op },
-    Announce { call: u64, op: Op },
-    Show { call: u64, what: String, arg: String },
+    Ask {
+        call: u64,
+        id: Option<u64>,
+        op: Op,
+    },
+    Announce {
+        call: u64,
+        op: Op,
+    },
+    Show {
+        call: u64,
+        what: String,
+        arg: String,
+    },
     Sights(Vec<Sight>),
-    Clean { db: String, since: Mark },
-    Promoted { db: String, epoch: Mark, server: String, done: Result<bool, bool> },
+    Clean {
+        db: String,
+        since: Mark,
+    },
+    Promoted {
+        db: String,
+        epoch: Mark,
+        server: String,
+        done: Result<bool, bool>,
+    },
     Seeds(Vec<Addr>),
     Stopping,
 }
--- a/tenet/src/entry.rs
+++ b/tenet/src/entry.rs
@@ -1,10 +1,10 @@
+use crate::base::Time;
 use crate::config::Config;
-use crate::kind::{Kind, Reject};
 use crate::front::Front;
+use crate::kind::{Kind, Reject};
 use crate::session::{Answer, Session, Want};
-use crate::wire::SetUp;
-use crate::base::Time;
 use crate::table::Table;
+use crate::wire::SetUp;
 use garde::Validate;
 use serde::{Deserialize, Serialize};
 
@@ -45,7 +45,13 @@
 
 impl Default for Abilities {
     fn default() -> Self {
-        Abilities { outcomes: true, guards: false, keeps_state: true, confirms: true, synced: 0 }
+        Abilities {
+            outcomes: true,
+            guards: false,
+            keeps_state: true,
+            confirms: true,
+            synced: 0,
+        }
     }
 }
 
@@ -68,38 +74,78 @@
                 out.push(format!("{at}.reads: '{}' is no kind that reads", e.reads));
             }
             if writes(&e.writes) != Some(true) {
-                out.push(format!("{at}.writes: '{}' is no kind that writes", e.writes));
+                out.push(format!(
+                    "{at}.writes: '{}' is no kind that writes",
+                    e.writes
+                ));
             }
         }
     }
 }
 
 impl Front {
-    pub(crate) fn enter(&mut self, now: Time, entry: String, user: String) -> Result<Answer, Reject> {
+    pub(crate) fn enter(
+        &mut self,
+        now: Time,
+        entry: String,
+        user: String,
+    ) -> Result<Answer, Reject> {
         let t = self.welcome(now, false)?;
-        let db = t.entries.get(&entry).ok_or_else(|| Reject::new(Kind::UnknownDatabase, entry.clone()))?.db;
+        let db = t
+            .entries
+            .get(&entry)
+            .ok_or_else(|| Reject::new(Kind::UnknownDatabase, entry.clone()))?
+            .db;
         let session = self.ids.take();
-        let setup = SetUp { user, ..SetUp::default() };
-        let s = Session { db, entry: Some(entry), tenant: None, setup, txn: None, deferred: None, mark: 0, last: now, busy: false };
+        let setup = SetUp {
+            user,
+            ..SetUp::default()
+        };
+        let s = Session {
+            db,
+            entry: Some(entry),
+            tenant: None,
+            setup,
+            txn: None,
+            deferred: None,
+            mark: 0,
+            last: now,
+            busy: false,
+        };
         self.sessions.insert(session, s);
-        Ok(Answer::Opened { session, node: self.me, region: t.region.clone() })
+        Ok(Answer::Opened {
+            session,
+            node: self.me,
+            region: t.region.clone(),
+        })
     }
 
     /// Binds a session to what its entry says now, and names the kind wanted.
     pub(crate) fn bind(&mut self, t: &Table, sid: u64, want: &Want) -> Result<usize, Reject> {
         let s = self.sessions.get_mut(&sid).ok_or(Kind::UnknownSession)?;
         let row = match &s.entry {
-            Some(n) => Some(t.entries.get(n).ok_or_else(|| Reject::new(Kind::UnknownDatabase, n.clone()))?),
+            Some(n) => Some(
+                t.entries
+                    .get(n)
+                    .ok_or_else(|| Reject::new(Kind::UnknownDatabase, n.clone()))?,
+            ),
             None => None,
         };
         if let Some(r) = row.filter(|r| r.db != s.db && s.txn.is_none()) {
             (s.db, s.mark) = (r.db, 0);
         }
         match (want, row) {
-            (Want::Kind(k), _) => t.kind_ix.get(k).copied().ok_or_else(|| Reject::new(Kind::UnknownKind, k.clone())),
+            (Want::Kind(k), _) => t
+                .kind_ix
+                .get(k)
+                .copied()
+                .ok_or_else(|| Reject::new(Kind::UnknownKind, k.clone())),
             (Want::Reads, Some(r)) => Ok(r.reads),
             (Want::Writes, Some(r)) => Ok(r.writes),
-            _ => Err(Reject::new(Kind::UnknownKind, "the session was opened by no entry")),
+            _ => Err(Reject::new(
+                Kind::UnknownKind,
+                "the session was opened by no entry",
+            )),
         }
     }
 }
--- a/tenet/src/failover.rs
+++ b/tenet/src/failover.rs
@@ -1,13 +1,17 @@
-use crate::plant::{planted, Bug};
 use crate::base::*;
 use crate::pilot::*;
+use crate::plant::{planted, Bug};
 use crate::state::*;
 use crate::table::{db_servers, server_off};
 
 impl Watch {
     /// Those who asked it lately got no answer.
     fn dark(&self, k: &Sky, server: &str) -> bool {
-        let mut v = self.seen.iter().filter(|((_, s), x)| s == server && k.now < x.at + SIGHT_STALE).peekable();
+        let mut v = self
+            .seen
+            .iter()
+            .filter(|((_, s), x)| s == server && k.now < x.at + SIGHT_STALE)
+            .peekable();
         v.peek().is_some() && v.all(|(_, x)| !x.s.reach && x.s.age >= DARK)
     }
 
@@ -24,9 +28,20 @@
         let back = p.is_none_or(|p| server_off(k.st, p).is_none());
         let dead = p.is_some_and(|p| self.sight(k, &p.name, p.life, 0).is_none());
         if back {
-            ops.push(Op::Reopen { db, epoch, why: "the primary stays after all".into() });
-        } else if self.all_clean(k, n, d) || k.now > at + grace || (dead && k.now > at + SIGHT_STALE) {
-            ops.push(Op::Offline { db, epoch, why: "planned: work under way has ended".into() });
+            ops.push(Op::Reopen {
+                db,
+                epoch,
+                why: "the primary stays after all".into(),
+            });
+        } else if self.all_clean(k, n, d)
+            || k.now > at + grace
+            || (dead && k.now > at + SIGHT_STALE)
+        {
+            ops.push(Op::Offline {
+                db,
+                epoch,
+                why: "planned: work under way has ended".into(),
+            });
         }
     }
 
@@ -38,17 +53,35 @@
         let (db, epoch) = (n.to_string(), d.epoch);
         let since = at;
         let old = d.old.as_ref().and_then(|o| k.st.servers.get(o));
-        let old_seen = old.and_then(|o| self.sight(k, &o.name, o.life, since)).filter(|x| x.leads).map(|x| x.pos);
+        let old_seen = old
+            .and_then(|o| self.sight(k, &o.name, o.life, since))
+            .filter(|x| x.leads)
+            .map(|x| x.pos);
         let can = k.cfg.databases.get(n).map(|d| d.can).unwrap_or_default();
         let confirms = can.confirms;
         let all = db_servers(k.cfg, k.st, n);
         let heirs: Vec<&String> = match confirms {
             true => d.heirs.keys().filter(|h| k.st.heir(d, h)).collect(),
-            false => all.iter().map(|s| &s.name).filter(|s| d.old.as_ref() != Some(*s)).collect(),
+            false => all
+                .iter()
+                .map(|s| &s.name)
+                .filter(|s| d.old.as_ref() != Some(*s))
+                .collect(),
+        };
+        let awaited = |h: &&&String| {
+            k.st.servers.get(**h).is_some_and(|s| {
+                server_off(k.st, s).is_none() && self.sight(k, h, s.life, since).is_none()
+            })
         };
-        let awaited = |h: &&&String| k.st.servers.get(**h).is_some_and(|s| server_off(k.st, s).is_none() && self.sight(k, h, s.life, since).is_none());
         let unseen = heirs.iter().filter(awaited).any(|h| !self.dark(k, h));
-        let held = heirs.iter().filter(|h| k.st.servers.get(**h).is_some_and(|s| self.sight(k, h, s.life, since).is_some())).count();
+        let held = heirs
+            .iter()
+            .filter(|h| {
+                k.st.servers
+                    .get(**h)
+                    .is_some_and(|s| self.sight(k, h, s.life, since).is_some())
+            })
+            .count();
         let short = can.synced > 0 && held + (can.synced as usize) < heirs.len() + 1;
         if !confirms && (short || unseen && k.now < at + HEIR_LOOK) {
             return;
@@ -56,13 +89,21 @@
         let mut best: Vec<(bool, u64, &String)> = heirs
             .iter()
             .copied()
-            .filter_map(|h| k.st.servers.get(h).and_then(|s| self.sight(k, h, s.life, since).map(|x| (s, x, h))))
+            .filter_map(|h| {
+                k.st.servers
+                    .get(h)
+                    .and_then(|s| self.sight(k, h, s.life, since).map(|x| (s, x, h)))
+            })
             .map(|(s, x, h)| (server_off(k.st, s).is_none(), x.pos, h))
             .collect();
         best.sort();
         let caught = |pos: u64| !d.planned || old_seen.is_none_or(|o| pos >= o);
         let patience = k.now > at + CATCH_UP;
-        let on = |h: &String| k.st.servers.get(h).is_some_and(|s| server_off(k.st, s).is_none());
+        let on = |h: &String| {
+            k.st.servers
+                .get(h)
+                .is_some_and(|s| server_off(k.st, s).is_none())
+        };
         let better = d.planned && k.now < at + HEIR_WAIT && heirs.iter().any(|h| on(h));
         if let Some((good, pos, h)) = best.last() {
             if !good && better {
@@ -70,35 +111,75 @@
             }
             if caught(*pos) || patience {
                 self.chosen.insert(db.clone(), epoch);
-                ops.push(Op::Target { db, epoch, server: (*h).clone(), asker: k.me, any: !confirms });
+                ops.push(Op::Target {
+                    db,
+                    epoch,
+                    server: (*h).clone(),
+                    asker: k.me,
+                    any: !confirms,
+                });
             }
         } else if old_seen.is_some() && k.now > at + HEIR_WAIT {
-            ops.push(Op::Reopen { db, epoch, why: "no replica can take over and the old primary is back".into() });
+            ops.push(Op::Reopen {
+                db,
+                epoch,
+                why: "no replica can take over and the old primary is back".into(),
+            });
         }
     }
 
-    pub(crate) fn promoting(&mut self, k: &Sky, n: &str, d: &Db, ops: &mut Vec<Op>, calls: &mut Vec<Promote>) {
+    pub(crate) fn promoting(
+        &mut self,
+        k: &Sky,
+        n: &str,
+        d: &Db,
+        ops: &mut Vec<Op>,
+        calls: &mut Vec<Promote>,
+    ) {
         let Some(t) = d.target.clone() else { return };
         if d.asker != k.me {
-            ops.push(Op::Asker { db: n.into(), epoch: d.epoch, asker: k.me });
+            ops.push(Op::Asker {
+                db: n.into(),
+                epoch: d.epoch,
+                asker: k.me,
+            });
             return;
         }
-        let e = self.asks.get(n).copied().filter(|e| e.0 == d.epoch).unwrap_or((d.epoch, Ask3::Idle));
+        let e = self
+            .asks
+            .get(n)
+            .copied()
+            .filter(|e| e.0 == d.epoch)
+            .unwrap_or((d.epoch, Ask3::Idle));
         let go = match e.1 {
             Ask3::Idle => true,
             Ask3::Wait(t) => k.now >= t,
             Ask3::Out => false,
             Ask3::Accepted(at) => {
-                let seen = k.st.servers.get(&t).and_then(|s| self.sight(k, &t, s.life, at)).is_some_and(|x| x.leads);
+                let seen =
+                    k.st.servers
+                        .get(&t)
+                        .and_then(|s| self.sight(k, &t, s.life, at))
+                        .is_some_and(|x| x.leads);
                 if seen {
-                    ops.push(Op::Promoted { db: n.into(), epoch: d.epoch, server: t.clone() });
+                    ops.push(Op::Promoted {
+                        db: n.into(),
+                        epoch: d.epoch,
+                        server: t.clone(),
+                    });
                 }
                 !seen && k.now > at + LEADS_WITHIN
             }
         };
         if go {
             self.asks.insert(n.into(), (d.epoch, Ask3::Out));
-            calls.push(Promote { db: n.into(), server: t, epoch: d.epoch, not_after: k.now + PERMIT, token: d.since });
+            calls.push(Promote {
+                db: n.into(),
+                server: t,
+                epoch: d.epoch,
+                not_after: k.now + PERMIT,
+                token: d.since,
+            });
         }
     }
 }
--- a/tenet/src/fence.rs
+++ b/tenet/src/fence.rs
@@ -1,8 +1,8 @@
-use crate::plant::{planted, Bug};
 use crate::base::*;
 use crate::front::*;
 use crate::job::{Job, Owner, Step};
 use crate::kind::{Kind, Reject};
+use crate::plant::{planted, Bug};
 use crate::table::DbRow;
 use crate::wire::*;
 
@@ -13,16 +13,37 @@
 }
 
 impl Front {
-    pub(crate) fn fence_start(&mut self, now: Time, owner: Owner, load: Load, db: usize, out: &mut FrontOut) -> Result<(), Reject> {
+    pub(crate) fn fence_start(
+        &mut self,
+        now: Time,
+        owner: Owner,
+        load: Load,
+        db: usize,
+        out: &mut FrontOut,
+    ) -> Result<(), Reject> {
         let t = self.table()?;
         let d = &t.dbs[db];
         let inside = load.act.inside();
         let p = match (d.phase.as_str(), d.primary) {
             ("steady", Some(p)) => p,
             ("closing", Some(p)) if inside || load.look_up => p,
-            ("closing", Some(p)) if load.act == Act::Pos || !load.writes && load.act == Act::Single => p,
-            ("closing", _) => return Err(reject(Kind::NoPrimary, "the primary is leaving, its successor is being made ready")),
-            (ph, _) => return Err(reject(Kind::NoPrimary, format!("no primary takes writes, failover is at '{ph}'"))),
+            ("closing", Some(p))
+                if load.act == Act::Pos || !load.writes && load.act == Act::Single =>
+            {
+                p
+            }
+            ("closing", _) => {
+                return Err(reject(
+                    Kind::NoPrimary,
+                    "the primary is leaving, its successor is being made ready",
+                ))
+            }
+            (ph, _) => {
+                return Err(reject(
+                    Kind::NoPrimary,
+                    format!("no primary takes writes, failover is at '{ph}'"),
+                ))
+            }
         };
         if !inside && !load.look_up && load.act != Act::Pos && self.off_long(now, p) {
             return Err(reject(Kind::NoPrimary, OFF_LONG));
@@ -33,8 +54,14 @@
         if load.act == Act::Pos {
             return self.tell_pos(now, owner, &load, db, p, out);
         }
-        if d.can.confirms && (load.writes || matches!(load.act, Act::Begin | Act::First | Act::Whole)) && d.heirs.is_empty() {
-            return Err(reject(Kind::NoCopies, "no replica counts as holding the log yet"));
+        if d.can.confirms
+            && (load.writes || matches!(load.act, Act::Begin | Act::First | Act::Whole))
+            && d.heirs.is_empty()
+        {
+            return Err(reject(
+                Kind::NoCopies,
+                "no replica counts as holding the log yet",
+            ));
         }
         if inside {
             return self.txn_step(now, owner, load, db, p, out);
@@ -54,7 +81,15 @@
         now > self.off_at[server].saturating_add(LEAVING_SERVES)
     }
 
-    fn tell_pos(&mut self, now: Time, owner: Owner, load: &Load, db: usize, p: usize, out: &mut FrontOut) -> Result<(), Reject> {
+    fn tell_pos(
+        &mut self,
+        now: Time,
+        owner: Owner,
+        load: &Load,
+        db: usize,
+        p: usize,
+        out: &mut FrontOut,
+    ) -> Result<(), Reject> {
         let t = self.table()?;
         let (d, k, s) = (&t.dbs[db], &self.known[p], &t.servers[p]);
         if !k.reach || k.life != s.life || !k.leads {
@@ -71,21 +106,45 @@
             server: s.name.clone(),
         };
         if let Owner::Carry(addr, go) = owner {
-            out.send.push((addr, Msg::Carried { go, clock: now, done: Ok(done) }));
+            out.send.push((
+                addr,
+                Msg::Carried {
+                    go,
+                    clock: now,
+                    done: Ok(done),
+                },
+            ));
         }
         Ok(())
     }
 
-    fn txn_step(&mut self, now: Time, owner: Owner, mut load: Load, db: usize, p: usize, out: &mut FrontOut) -> Result<(), Reject> {
+    fn txn_step(
+        &mut self,
+        now: Time,
+        owner: Owner,
+        mut load: Load,
+        db: usize,
+        p: usize,
+        out: &mut FrontOut,
+    ) -> Result<(), Reject> {
         let t = self.table()?;
         let epoch = t.dbs[db].epoch;
-        let held = self.txns.get_mut(&load.txn).filter(|x| x.epoch == epoch && x.session == load.session && x.server == p);
+        let held = self
+            .txns
+            .get_mut(&load.txn)
+            .filter(|x| x.epoch == epoch && x.session == load.session && x.server == p);
         match held {
             Some(x) if x.busy && load.act == Act::Rollback => {
                 x.epoch = 0;
-                return Err(reject(Kind::BadState, "a step of this transaction is under way"));
+                Err(reject(
+                    Kind::BadState,
+                    "a step of this transaction is under way",
+                ))
             }
-            Some(x) if x.busy => return Err(reject(Kind::Unknown, "a step of this transaction is under way")),
+            Some(x) if x.busy => Err(reject(
+                Kind::Unknown,
+                "a step of this transaction is under way",
+            )),
             Some(x) => {
                 x.busy = true;
                 x.last = now;
@@ -94,7 +153,12 @@
                 }
                 let from = std::mem::replace(&mut x.setup, load.setup.clone());
                 let setup = crate::session::setup_digest(&load.setup);
-                let conn = crate::pool::Conn { id: x.conn, user: x.session, setup, idle: now };
+                let conn = crate::pool::Conn {
+                    id: x.conn,
+                    user: x.session,
+                    setup,
+                    idle: now,
+                };
                 let mut job = Job::new(now, owner, load, p, db, epoch);
                 job.conn = Some(conn);
                 job.life = t.servers[p].life;
@@ -113,23 +177,32 @@
                 self.look_up(now, j, Step::LookUp, out);
                 Ok(())
             }
-            None => Err(reject(Kind::Aborted, "the transaction is open here no more; it was rolled back")),
+            None => Err(reject(
+                Kind::Aborted,
+                "the transaction is open here no more; it was rolled back",
+            )),
         }
     }
 
     pub(crate) fn acked(&self, d: &DbRow, pos: u64) -> bool {
-        let Some(t) = self.t.as_ref() else { return false };
+        let Some(t) = self.t.as_ref() else {
+            return false;
+        };
         let lead = d.primary.map(|p| t.servers[p].name.as_str());
         let holds = |i: &usize| {
             let (k, s) = (&self.known[*i], &t.servers[*i]);
             k.life == s.life && k.pos >= pos && Some(k.follows.as_str()) == lead
         };
-        planted(Bug::NoAcks) || !d.can.confirms || !d.heirs.is_empty() && d.heirs.iter().chain(d.joining.iter()).all(holds)
+        planted(Bug::NoAcks)
+            || !d.can.confirms
+            || !d.heirs.is_empty() && d.heirs.iter().chain(d.joining.iter()).all(holds)
     }
 
     pub(crate) fn still(&self, now: Time, db: usize, epoch: Mark) -> bool {
         let d = self.t.as_ref().map(|t| &t.dbs[db]);
-        let on = d.is_some_and(|d| d.epoch == epoch && d.fences && matches!(d.phase.as_str(), "steady" | "closing"));
+        let on = d.is_some_and(|d| {
+            d.epoch == epoch && d.fences && matches!(d.phase.as_str(), "steady" | "closing")
+        });
         on && self.allows(now)
     }
 
@@ -141,7 +214,11 @@
             .iter()
             .filter(|(_, x)| {
                 let d = &t.dbs[x.db];
-                let grace = if planted(Bug::TxnCut) { 0 } else { c.transaction_drain_ms };
+                let grace = if planted(Bug::TxnCut) {
+                    0
+                } else {
+                    c.transaction_drain_ms
+                };
                 let shut = d.phase == "closing" && now > self.closing_at[x.db].1 + grace;
                 let idle = now > x.last + c.transaction_idle_ms;
                 let lost = !self.still(now, x.db, x.epoch) || t.servers[x.server].life != x.life;
@@ -164,8 +241,14 @@
         let Some(t) = self.t.clone() else { return };
         for (i, d) in t.dbs.iter().enumerate() {
             let shut = d.fences && matches!(d.phase.as_str(), "closing" | "fenced");
-            let busy = self.jobs.iter().any(|(_, j)| j.db == i && matches!(j.owner, Owner::Carry(..)) && j.step == Step::Run);
-            let acks = d.phase == "closing" && self.jobs.iter().any(|(_, j)| j.db == i && j.step == Step::Acks);
+            let busy = self.jobs.iter().any(|(_, j)| {
+                j.db == i && matches!(j.owner, Owner::Carry(..)) && j.step == Step::Run
+            });
+            let acks = d.phase == "closing"
+                && self
+                    .jobs
+                    .iter()
+                    .any(|(_, j)| j.db == i && j.step == Step::Acks);
             if shut && !busy && !acks && !self.txns.values().any(|x| x.db == i) {
                 out.clean.push((d.name.clone(), d.since));
             }
--- a/tenet/src/follow.rs
+++ b/tenet/src/follow.rs
@@ -62,7 +62,7 @@
         }
         let was = self.state.mark;
         match part {
-            Changes::Frame(s) if s.mark >= was => self.state = s,
+            Changes::Frame(s) if s.mark >= was => self.state = *s,
             Changes::Frame(_) => (),
             Changes::Entries(v) => v.iter().for_each(|e| {
                 if e.mark == self.state.mark + 1 {
@@ -83,7 +83,12 @@
         if now < self.next {
             return;
         }
-        self.next = now + if self.holds(now + PERMIT - REFRESH_LATE) { REFRESH } else { REFRESH_AGAIN };
+        self.next = now
+            + if self.holds(now + PERMIT - REFRESH_LATE) {
+                REFRESH
+            } else {
+                REFRESH_AGAIN
+            };
         self.asks.retain(|_, t| now < *t + PERMIT);
         let late = !self.holds(now + PERMIT / 2);
         if late || self.view.n == 0 {
@@ -100,7 +105,14 @@
             self.seq += 1;
             self.asks.insert(self.seq, now);
             let (have, cluster) = (self.state.mark, self.state.cluster);
-            send.push((t.addr, Msg::Refresh { seq: self.seq, have, cluster }));
+            send.push((
+                t.addr,
+                Msg::Refresh {
+                    seq: self.seq,
+                    have,
+                    cluster,
+                },
+            ));
         }
     }
 }
@@ -108,11 +120,23 @@
 impl Control {
     pub(crate) fn by_relay(&self, to: Addr, p: Packet) -> (Addr, Packet) {
         use Msg::*;
-        if matches!(p.msg, Probe { .. } | ProbeAck { .. } | ProbeFor { .. } | ProbeOf { .. } | Speaks { .. }) {
+        if matches!(
+            p.msg,
+            Probe { .. } | ProbeAck { .. } | ProbeFor { .. } | ProbeOf { .. } | Speaks { .. }
+        ) {
             return (to, p);
         }
         match self.c.relay_to(to) {
-            Some(via) => (via, Packet { msg: Relay { to, packet: encode(&p) }, ..p }),
+            Some(via) => (
+                via,
+                Packet {
+                    msg: Relay {
+                        to,
+                        packet: encode(&p),
+                    },
+                    ..p
+                },
+            ),
             None => (to, p),
         }
     }
@@ -151,16 +175,22 @@
         if m > 0 && self.cfg.as_ref().is_none_or(|c| c.0 != m) {
             match Config::parse(&self.f.state.cfg) {
                 Ok(c) => self.cfg = Some((m, Arc::new(c))),
-                Err(v) => e.log.push(format!("configuration {m} cannot be read here: {}", v.join("; "))),
+                Err(v) => e.log.push(format!(
+                    "configuration {m} cannot be read here: {}",
+                    v.join("; ")
+                )),
             }
         }
         let from = self.told;
         let new = self.f.state.stories.iter().filter(|s| s.mark > from);
-        e.log.extend(new.map(|s| format!("mark {}: {}", s.mark, s.text)));
+        e.log
+            .extend(new.map(|s| format!("mark {}: {}", s.mark, s.text)));
         self.told = self.f.state.mark;
         self.c.me.mark = self.f.state.mark;
         self.c.me.allows = self.f.holds(now) && m > 0 && !self.stopping;
-        let Some((at, cfg)) = self.cfg.clone() else { return };
+        let Some((at, cfg)) = self.cfg.clone() else {
+            return;
+        };
         if at != m {
             self.table = None;
             return;
--- a/tenet/src/found.rs
+++ b/tenet/src/found.rs
@@ -39,7 +39,10 @@
             (self.tail.until, self.tail.seq) = (0, self.tail.seq + 1);
             self.tail.asks.clear();
             self.tail.got.clear();
-            let m = Msg::TailGive { view: self.d.view.n, seq: self.tail.seq };
+            let m = Msg::TailGive {
+                view: self.d.view.n,
+                seq: self.tail.seq,
+            };
             self.to_voters(m, c, out);
         }
     }
@@ -49,14 +52,29 @@
             return;
         }
         self.tick_at = now + 250;
-        let known: Vec<(Mark, Addr)> = c.live().filter(|s| s.view > 0).map(|s| (s.view, s.addr)).collect();
+        let known: Vec<(Mark, Addr)> = c
+            .live()
+            .filter(|s| s.view > 0)
+            .map(|s| (s.view, s.addr))
+            .collect();
         if let Some((_, a)) = known.iter().max() {
             out.send.push((*a, Msg::ViewAsk));
             return;
         }
         let named = |s: &Seat| self.founders.is_empty() || self.founders.contains(&s.addr);
-        let need = if self.founders.is_empty() { 3 } else { self.founders.len() };
-        let mut set: Vec<Seat> = c.live().filter(|s| s.disk).map(|s| Seat { id: s.id, addr: s.addr }).collect();
+        let need = if self.founders.is_empty() {
+            3
+        } else {
+            self.founders.len()
+        };
+        let mut set: Vec<Seat> = c
+            .live()
+            .filter(|s| s.disk)
+            .map(|s| Seat {
+                id: s.id,
+                addr: s.addr,
+            })
+            .collect();
         set.push(self.me);
         set.retain(named);
         set.sort();
@@ -68,7 +86,11 @@
             let set = self.d.pledge.clone();
             self.pledges.insert(self.me.id, set.clone());
             let me = self.me.id;
-            out.late.extend(set.iter().filter(|s| s.id != me).map(|s| (s.addr, Msg::Pledge { set: set.clone() })));
+            out.late.extend(
+                set.iter()
+                    .filter(|s| s.id != me)
+                    .map(|s| (s.addr, Msg::Pledge { set: set.clone() })),
+            );
         }
     }
 
@@ -81,10 +103,16 @@
         }
         self.pledges.insert(from, set);
         let mine = self.d.pledge.clone();
-        let all = mine.len() >= self.copies && mine.iter().all(|s| self.pledges.get(&s.id) == Some(&mine));
+        let all = mine.len() >= self.copies
+            && mine.iter().all(|s| self.pledges.get(&s.id) == Some(&mine));
         if all {
             let cluster = mine.iter().fold(7, |h, s| mix(h ^ s.id)) | 1;
-            let view = View { n: 1, cluster, voters: mine.clone(), chain: mine };
+            let view = View {
+                n: 1,
+                cluster,
+                voters: mine.clone(),
+                chain: mine,
+            };
             self.adopt(now, view, out);
         }
     }
@@ -99,7 +127,11 @@
         let mine = seat(&old.chain, self.me.id);
         let place = seat(&view.chain, self.me.id);
         let inside = place.is_some();
-        let kept = place.is_some_and(|i| view.chain[..i].iter().all(|s| seat(&old.chain, s.id).is_some_and(|p| Some(p) < mine)));
+        let kept = place.is_some_and(|i| {
+            view.chain[..i]
+                .iter()
+                .all(|s| seat(&old.chain, s.id).is_some_and(|p| Some(p) < mine))
+        });
         let founding = view.n == 1 && self.d.pledge == view.chain;
         let whole = match inside && (founding || (was && kept && view.n == old.n + 1)) {
             true => view.n,
@@ -113,8 +145,14 @@
         );
         out.stories.push(("view".into(), t));
         self.keep(Rec::View { view, whole }, out);
-        self.agree = Agreement { next: now + VIEW_HOLD, ..Agreement::default() };
-        self.tail = TailPermit { granted: self.tail.granted, ..TailPermit::new(now) };
+        self.agree = Agreement {
+            next: now + VIEW_HOLD,
+            ..Agreement::default()
+        };
+        self.tail = TailPermit {
+            granted: self.tail.granted,
+            ..TailPermit::new(now)
+        };
         self.adopted(now);
     }
 }
--- a/tenet/src/fresh.rs
+++ b/tenet/src/fresh.rs
@@ -40,20 +40,34 @@
 
     pub fn age(&self, now: Time, epoch: Mark, pos: u64) -> Option<Time> {
         (epoch == self.epoch)
-            .then(|| self.v.iter().rev().find(|(_, p)| *p <= pos).map(|(t, _)| now.saturating_sub(*t)))
+            .then(|| {
+                self.v
+                    .iter()
+                    .rev()
+                    .find(|(_, p)| *p <= pos)
+                    .map(|(t, _)| now.saturating_sub(*t))
+            })
             .flatten()
     }
 
     /// The newest position that is at least `settled` ms old, else the newest of all; none when
     /// that was observed more than `most` ms ago.
     pub fn within(&self, now: Time, epoch: Mark, settled: Time, most: Time) -> Option<u64> {
-        let old = self.v.iter().rev().find(|(t, _)| t + settled <= now).filter(|(t, _)| now <= t + most);
+        let old = self
+            .v
+            .iter()
+            .rev()
+            .find(|(t, _)| t + settled <= now)
+            .filter(|(t, _)| now <= t + most);
         let any = self.v.back().filter(|(t, _)| now <= t + most);
         old.or(any).filter(|_| epoch == self.epoch).map(|(_, p)| *p)
     }
 
     pub fn newest_of(&self, epoch: Mark) -> Option<Time> {
-        self.v.back().filter(|_| epoch == self.epoch).map(|(t, _)| *t)
+        self.v
+            .back()
+            .filter(|_| epoch == self.epoch)
+            .map(|(t, _)| *t)
     }
 
     pub fn newest(&self) -> Time {
--- a/tenet/src/front.rs
+++ b/tenet/src/front.rs
@@ -1,10 +1,10 @@
 use crate::base::*;
-use crate::plant::{planted, Bug};
 use crate::fresh::{Known, Marks};
 pub use crate::held::*;
 use crate::job::Job;
 use crate::kind::{Kind, Reject};
 use crate::peers::Peers;
+use crate::plant::{planted, Bug};
 use crate::pool::{Pool, Rules};
 pub use crate::query::*;
 pub use crate::session::Answer;
@@ -21,11 +21,33 @@
 pub enum FrontIn {
     Wakeup,
     Table(Arc<Table>, Time),
-    Call { call: u64, req: Req },
-    Carry { from: NodeId, addr: Addr, go: u64, to: NodeId, by: Time, load: Load },
-    Carried { from: NodeId, go: u64, clock: Time, done: Result<Done, Reject> },
-    Back { token: u64, res: BackRes },
-    Echo { from: NodeId, addr: Addr, reply: bool },
+    Call {
+        call: u64,
+        req: Req,
+    },
+    Carry {
+        from: NodeId,
+        addr: Addr,
+        go: u64,
+        to: NodeId,
+        by: Time,
+        load: Load,
+    },
+    Carried {
+        from: NodeId,
+        go: u64,
+        clock: Time,
+        done: Result<Done, Reject>,
+    },
+    Back {
+        token: u64,
+        res: BackRes,
+    },
+    Echo {
+        from: NodeId,
+        addr: Addr,
+        reply: bool,
+    },
     Stopping,
 }
 
@@ -127,60 +149,110 @@
     }
 
     pub fn idle(&self) -> bool {
-        self.trips.is_empty() && self.jobs.is_empty() && self.relays.is_empty() && self.txns.is_empty()
+        self.trips.is_empty()
+            && self.jobs.is_empty()
+            && self.relays.is_empty()
+            && self.txns.is_empty()
     }
 
     pub(crate) fn table(&self) -> Result<Arc<Table>, Reject> {
-        self.t.clone().ok_or_else(|| Reject::new(Kind::Starting, "no configuration confirmed yet"))
+        self.t
+            .clone()
+            .ok_or_else(|| Reject::new(Kind::Starting, "no configuration confirmed yet"))
     }
 
     pub(crate) fn rules(&self) -> Rules {
-        let p = self.t.as_ref().map(|t| t.cfg.pool.clone()).unwrap_or_default();
-        Rules { queue: p.queue, warm_ms: p.warm_ms, keep: p.keep_idle_ms }
+        let p = self
+            .t
+            .as_ref()
+            .map(|t| t.cfg.pool.clone())
+            .unwrap_or_default();
+        Rules {
+            queue: p.queue,
+            warm_ms: p.warm_ms,
+            keep: p.keep_idle_ms,
+        }
     }
 
     pub fn poll(&mut self, now: Time, i: FrontIn) -> FrontOut {
         let mut out = FrontOut::default();
         if self.polled_at > 0 && now > self.polled_at + PAUSE {
             self.paused_until = now + PAUSE_OVER;
-            out.log.push(format!("this node was paused for {} ms", now - self.polled_at));
+            out.log.push(format!(
+                "this node was paused for {} ms",
+                now - self.polled_at
+            ));
         }
         self.polled_at = now;
         match i {
             FrontIn::Wakeup => (),
             FrontIn::Table(t, until) => self.new_table(now, t, until, &mut out),
             FrontIn::Call { call, req } => self.call(now, call, req, &mut out),
-            FrontIn::Carry { from, addr, go, to, by, load } => {
+            FrontIn::Carry {
+                from,
+                addr,
+                go,
+                to,
+                by,
+                load,
+            } => {
                 self.peers.heard(from);
                 self.carry(now, addr, go, to, by, load, &mut out)
             }
             FrontIn::Echo { from, addr, reply } => {
                 self.peers.heard(from);
-                out.send.extend((!reply).then_some((addr, Msg::Echo { reply: true })));
+                out.send
+                    .extend((!reply).then_some((addr, Msg::Echo { reply: true })));
             }
-            FrontIn::Carried { from, go, clock, done } => {
+            FrontIn::Carried {
+                from,
+                go,
+                clock,
+                done,
+            } => {
                 self.peers.heard(from);
                 self.clocks.insert(from, (clock, now));
                 self.carried(now, go, done, &mut out)
             }
             FrontIn::Back { token, res } => match self.uses.remove(&token) {
                 Some(Use::Poll(s, at)) => self.poll_back(now, s, at, res),
-                Some(Use::Job(j)) if self.jobs.contains(j) => self.job_back(now, j, token, res, &mut out),
+                Some(Use::Job(j)) if self.jobs.contains(j) => {
+                    self.job_back(now, j, token, res, &mut out)
+                }
                 _ => (),
             },
             FrontIn::Stopping => self.stop(now),
         }
         self.tick(now, &mut out);
         let own: Vec<Msg> = {
-            let (own, far): (Vec<_>, Vec<_>) = out.send.drain(..).partition(|(a, _)| *a == self.addr);
+            let (own, far): (Vec<_>, Vec<_>) =
+                out.send.drain(..).partition(|(a, _)| *a == self.addr);
             out.send = far;
             own.into_iter().map(|(_, m)| m).collect()
         };
         for m in own {
             let (from, addr) = (self.me, self.addr);
             let x = match m {
-                Msg::Carry { go, to, by, load } => self.poll(now, FrontIn::Carry { from, addr, go, to, by, load }),
-                Msg::Carried { go, clock, done } => self.poll(now, FrontIn::Carried { from, go, clock, done }),
+                Msg::Carry { go, to, by, load } => self.poll(
+                    now,
+                    FrontIn::Carry {
+                        from,
+                        addr,
+                        go,
+                        to,
+                        by,
+                        load,
+                    },
+                ),
+                Msg::Carried { go, clock, done } => self.poll(
+                    now,
+                    FrontIn::Carried {
+                        from,
+                        go,
+                        clock,
+                        done,
+                    },
+                ),
                 _ => continue,
             };
             out.send.extend(x.send);
@@ -203,7 +275,10 @@
         while self.pools.len() < t.servers.len() {
             let s = &t.servers[self.pools.len()];
             self.pools.push(Pool::new(s.life, now));
-            self.known.push(Known { heard: now, ..Known::default() });
+            self.known.push(Known {
+                heard: now,
+                ..Known::default()
+            });
             self.polled.push(0);
             self.off_at.push(Time::MAX);
         }
@@ -217,13 +292,21 @@
             if self.pools[i].life != s.life {
                 self.pools[i] = Pool::new(s.life, now);
             }
-            self.off_at[i] = if s.off.is_some() { self.off_at[i].min(now) } else { Time::MAX };
+            self.off_at[i] = if s.off.is_some() {
+                self.off_at[i].min(now)
+            } else {
+                Time::MAX
+            };
         }
         self.set_shares(now, &t);
         for (i, d) in t.dbs.iter().enumerate() {
             if self.closing_at[i].0 != d.since {
                 self.closing_at[i] = (d.since, now);
-                let lead = self.t.as_ref().and_then(|o| o.dbs.get(i)).and_then(|o| o.primary);
+                let lead = self
+                    .t
+                    .as_ref()
+                    .and_then(|o| o.dbs.get(i))
+                    .and_then(|o| o.primary);
                 if let Some(p) = d.primary.filter(|p| lead.is_some() && lead != Some(*p)) {
                     self.pools[p].begun = now;
                 }
--- a/tenet/src/gate.rs
+++ b/tenet/src/gate.rs
@@ -17,12 +17,28 @@
     }
 
     #[allow(clippy::too_many_arguments)]
-    pub(crate) fn carry(&mut self, now: Time, addr: Addr, go: u64, to: NodeId, by: Time, mut load: Load, out: &mut FrontOut) {
+    pub(crate) fn carry(
+        &mut self,
+        now: Time,
+        addr: Addr,
+        go: u64,
+        to: NodeId,
+        by: Time,
+        mut load: Load,
+        out: &mut FrontOut,
+    ) {
         load.budget = load.budget.min(by.saturating_sub(now));
         let late = match () {
-            _ if to != self.me => Some((Kind::NotCurrent, "meant for the process that was here before")),
-            _ if by == 0 && load.act != Act::Pos => Some((Kind::NotCurrent, "sent without this node's clock")),
-            _ if load.budget == 0 && load.act != Act::Pos => Some((Kind::TooLate, "it came after its deadline")),
+            _ if to != self.me => Some((
+                Kind::NotCurrent,
+                "meant for the process that was here before",
+            )),
+            _ if by == 0 && load.act != Act::Pos => {
+                Some((Kind::NotCurrent, "sent without this node's clock"))
+            }
+            _ if load.budget == 0 && load.act != Act::Pos => {
+                Some((Kind::TooLate, "it came after its deadline"))
+            }
             _ => None,
         };
         if load.act == Act::Pos {
@@ -31,19 +47,43 @@
         let r = late.map_or(Ok(()), |(k, w)| Err(Reject::new(k, w)));
         match r.and_then(|_| self.carry_on(now, addr, go, load, out)) {
             Ok(()) => (),
-            Err(r) => out.send.push((addr, Msg::Carried { go, clock: now, done: Err(r) })),
+            Err(r) => out.send.push((
+                addr,
+                Msg::Carried {
+                    go,
+                    clock: now,
+                    done: Err(r),
+                },
+            )),
         }
     }
 
-    fn carry_on(&mut self, now: Time, addr: Addr, go: u64, mut load: Load, out: &mut FrontOut) -> Result<(), Reject> {
+    fn carry_on(
+        &mut self,
+        now: Time,
+        addr: Addr,
+        go: u64,
+        mut load: Load,
+        out: &mut FrontOut,
+    ) -> Result<(), Reject> {
         let t = self.table()?;
         if !self.allows(now) {
-            return Err(Reject::new(Kind::NotCurrent, format!("{:x} could not confirm the fleet's state", self.me)));
+            return Err(Reject::new(
+                Kind::NotCurrent,
+                format!("{:x} could not confirm the fleet's state", self.me),
+            ));
         }
-        let i = *t.db_ix.get(&load.db).ok_or_else(|| Reject::new(Kind::UnknownDatabase, load.db.clone()))?;
+        let i = *t
+            .db_ix
+            .get(&load.db)
+            .ok_or_else(|| Reject::new(Kind::UnknownDatabase, load.db.clone()))?;
         let mine = load.fence == self.me && t.dbs[i].fences && load.hops.len() > 1;
         self.turn += 1;
-        let h = if mine { Hop::Serve } else { route::hop(&t, &t.dbs[i], &load, self.turn, &self.peers.silent) };
+        let h = if mine {
+            Hop::Serve
+        } else {
+            route::hop(&t, &t.dbs[i], &load, self.turn, &self.peers.silent)
+        };
         if load.hops.len() > 6 {
             return Err(Reject::new(Kind::NoPrimary, "too many hops"));
         }
@@ -60,37 +100,96 @@
     }
 
     #[allow(clippy::too_many_arguments)]
-    fn pass(&mut self, now: Time, t: &Table, addr: Addr, go: u64, to: NodeId, load: Load, out: &mut FrontOut) -> Result<(), Reject> {
-        let n = t.nodes.get(&to).ok_or_else(|| Reject::new(Kind::NoPrimary, "next hop unknown"))?;
+    fn pass(
+        &mut self,
+        now: Time,
+        t: &Table,
+        addr: Addr,
+        go: u64,
+        to: NodeId,
+        load: Load,
+        out: &mut FrontOut,
+    ) -> Result<(), Reject> {
+        let n = t
+            .nodes
+            .get(&to)
+            .ok_or_else(|| Reject::new(Kind::NoPrimary, "next hop unknown"))?;
         let k = self.ids.take();
-        self.relays.insert(k, Relay { addr, go, to, until: now + load.budget });
+        self.relays.insert(
+            k,
+            Relay {
+                addr,
+                go,
+                to,
+                until: now + load.budget,
+            },
+        );
         if to != self.me {
             self.peers.sent(now, to, n.addr);
         }
         if load.act != Act::Pos {
-            let what = if load.fence == to { "fencing" } else { "gateway" };
-            self.traces.tell(now, &load.id, format!("gateway {:x} passes it to {what} {to:x}", self.me));
+            let what = if load.fence == to {
+                "fencing"
+            } else {
+                "gateway"
+            };
+            self.traces.tell(
+                now,
+                &load.id,
+                format!("gateway {:x} passes it to {what} {to:x}", self.me),
+            );
         }
         let by = self.by(now, to, now + load.budget);
-        out.send.push((n.addr, Msg::Carry { go: k, to, by, load }));
+        out.send.push((
+            n.addr,
+            Msg::Carry {
+                go: k,
+                to,
+                by,
+                load,
+            },
+        ));
         Ok(())
     }
 
-    pub(crate) fn carried(&mut self, now: Time, go: u64, done: Result<Done, Reject>, out: &mut FrontOut) {
+    pub(crate) fn carried(
+        &mut self,
+        now: Time,
+        go: u64,
+        done: Result<Done, Reject>,
+        out: &mut FrontOut,
+    ) {
         if let Some(r) = self.relays.remove(&go) {
-            out.send.push((r.addr, Msg::Carried { go: r.go, clock: now, done }));
+            out.send.push((
+                r.addr,
+                Msg::Carried {
+                    go: r.go,
+                    clock: now,
+                    done,
+                },
+            ));
         } else if let Some(i) = self.gos.remove(&go) {
             if self.trips.get(i).is_some_and(|t| t.go_id == go) {
                 let n = self.trips[i].gos.len();
                 match done {
-                    Err(r) if r.kind == Kind::Unknown => self.go_end(now, i, n, End::Lost, r.to_string(), out),
+                    Err(r) if r.kind == Kind::Unknown => {
+                        self.go_end(now, i, n, End::Lost, r.to_string(), out)
+                    }
                     d => self.trip_back(now, i, n, d, out),
                 }
             }
         }
     }
 
-    pub(crate) fn roll_back_for(&mut self, now: Time, db: usize, key: u64, fence: NodeId, mut load: Load, out: &mut FrontOut) {
+    pub(crate) fn roll_back_for(
+        &mut self,
+        now: Time,
+        db: usize,
+        key: u64,
+        fence: NodeId,
+        mut load: Load,
+        out: &mut FrontOut,
+    ) {
         let Ok(t) = self.table() else { return };
         let Some(d) = t.dbs.get(db) else { return };
         load.db = d.name.clone();
--- a/tenet/src/heirs.rs
+++ b/tenet/src/heirs.rs
@@ -15,8 +15,16 @@
 
     pub(crate) fn heirs(&mut self, k: &Sky, n: &str, d: &Db, at: Time, ops: &mut Vec<Op>) {
         let p = d.primary.clone().unwrap_or_default();
-        let ppos = k.st.servers.get(&p).and_then(|s| self.sight(k, &p, s.life, at)).map(|s| s.pos);
-        let seen = ppos.is_some() && d.fencers.iter().filter(|f| k.c.alive(**f)).all(|f| self.near(k, *f, &p));
+        let ppos =
+            k.st.servers
+                .get(&p)
+                .and_then(|s| self.sight(k, &p, s.life, at))
+                .map(|s| s.pos);
+        let seen = ppos.is_some()
+            && d.fencers
+                .iter()
+                .filter(|f| k.c.alive(**f))
+                .all(|f| self.near(k, *f, &p));
         for s in db_servers(k.cfg, k.st, n) {
             let (db, epoch, server) = (n.to_string(), d.epoch, s.name.clone());
             let key = (db.clone(), server.clone());
@@ -37,18 +45,31 @@
                 }
                 let spare = d.heirs.len() > 1 || !d.heirs.contains_key(&server);
                 if bad && k.now > since + HEIR_LAG && spare && seen {
-                    ops.push(Op::HeirLeave { db, epoch, server, why: "cut off, leaving or far behind".into() });
+                    ops.push(Op::HeirLeave {
+                        db,
+                        epoch,
+                        server,
+                        why: "cut off, leaving or far behind".into(),
+                    });
                     continue;
                 }
             }
             if let Some(m) = d.joining.get(&s.name) {
                 let t = since(&mut self.join_at, key, *m, k.now);
                 let ready = k.now > t + FULL;
-                let past = |m: Time| self.seen.iter().find(|((_, a), x)| *a == p && x.at.saturating_sub(x.s.age) > m);
+                let past = |m: Time| {
+                    self.seen
+                        .iter()
+                        .find(|((_, a), x)| *a == p && x.at.saturating_sub(x.s.age) > m)
+                };
                 let q = past(t + FULL).map(|(_, x)| x.s.pos);
                 let got = self.sight(k, &s.name, s.life, t + FULL).map(|x| x.pos);
                 if ready && fit && q.zip(got).is_some_and(|(q, g)| g >= q) {
-                    ops.push(Op::HeirFull { db: n.into(), epoch, server: s.name.clone() });
+                    ops.push(Op::HeirFull {
+                        db: n.into(),
+                        epoch,
+                        server: s.name.clone(),
+                    });
                 }
             }
         }
--- a/tenet/src/job.rs
+++ b/tenet/src/job.rs
@@ -1,13 +1,17 @@
-use crate::plant::{planted, Bug};
 use crate::base::*;
 use crate::front::*;
 use crate::kind::{Kind, Reject};
+use crate::plant::{planted, Bug};
 use crate::pool::{Conn, Take};
 use crate::session::setup_digest;
 use crate::wire::*;
 
 fn margin() -> Time {
-    if planted(Bug::OfflineSkipped) { 0 } else { BYTES_LIFE }
+    if planted(Bug::OfflineSkipped) {
+        0
+    } else {
+        BYTES_LIFE
+    }
 }
 
 #[derive(Clone, Copy, PartialEq)]
@@ -76,33 +80,63 @@
 }
 
 impl Front {
-    pub(crate) fn job_start(&mut self, now: Time, owner: Owner, load: Load, server: usize, out: &mut FrontOut) {
+    pub(crate) fn job_start(
+        &mut self,
+        now: Time,
+        owner: Owner,
+        load: Load,
+        server: usize,
+        out: &mut FrontOut,
+    ) {
         let t = self.t.clone();
         let (db, epoch) = t
             .and_then(|t| t.db_ix.get(&load.db).map(|i| (*i, t.dbs[*i].epoch)))
             .unwrap_or((0, 0));
-        let j = self.jobs.insert(Job::new(now, owner, load, server, db, epoch));
+        let j = self
+            .jobs
+            .insert(Job::new(now, owner, load, server, db, epoch));
         self.job_take(now, j, out)
     }
 
     pub(crate) fn job_take(&mut self, now: Time, j: usize, out: &mut FrontOut) {
         let rules = self.rules();
-        let silent = !self.known[self.jobs[j].server].reach && matches!(self.jobs[j].owner, Owner::Carry(..));
+        let silent = !self.known[self.jobs[j].server].reach
+            && matches!(self.jobs[j].owner, Owner::Carry(..));
         if silent {
-            let held = self.jobs.iter().filter(|(_, x)| x.step == Step::Held).count();
+            let held = self
+                .jobs
+                .iter()
+                .filter(|(_, x)| x.step == Step::Held)
+                .count();
             if held >= rules.queue as usize {
-                return self.job_end(now, j, Err(Reject::new(Kind::Busy, "too many wait for a silent primary")), out);
+                return self.job_end(
+                    now,
+                    j,
+                    Err(Reject::new(
+                        Kind::Busy,
+                        "too many wait for a silent primary",
+                    )),
+                    out,
+                );
             }
             return self.jobs[j].step = Step::Held;
         }
         let job = &mut self.jobs[j];
         let setup = setup_digest(&job.load.setup);
         let (s, user) = (job.server, job.load.session);
-        let keeps = self.t.as_ref().is_none_or(|t| t.dbs[job.db].can.keeps_state);
+        let keeps = self
+            .t
+            .as_ref()
+            .is_none_or(|t| t.dbs[job.db].can.keeps_state);
         match self.pools[s].take(now, user, setup, &rules) {
             Take::Conn(c) => {
                 let same = (c.user == user || !keeps) && c.setup == setup || planted(Bug::NoReset);
-                job.conn = Some(Conn { id: c.id, user, setup, idle: now });
+                job.conn = Some(Conn {
+                    id: c.id,
+                    user,
+                    setup,
+                    idle: now,
+                });
                 match same {
                     true => self.job_run(now, j, out),
                     false => self.reset_now(now, j, None, out),
@@ -110,23 +144,61 @@
             }
             Take::Open => {
                 let user = job.load.setup.user.clone();
-                let server = self.t.as_ref().map_or(String::new(), |t| t.servers[s].name.clone());
+                let server = self
+                    .t
+                    .as_ref()
+                    .map_or(String::new(), |t| t.servers[s].name.clone());
                 let service = self.jobs[j].load.db.clone();
-                self.job_call(now, j, Step::Open, Query::Connect { service, server, user }, out);
+                self.job_call(
+                    now,
+                    j,
+                    Step::Open,
+                    Query::Connect {
+                        service,
+                        server,
+                        user,
+                    },
+                    out,
+                );
             }
             Take::Wait => {
                 self.jobs[j].step = Step::Queue;
                 self.pools[s].queue.push_back(j);
             }
-            Take::Full => self.job_end(now, j, Err(Reject::new(Kind::Busy, "all connections of this server are taken")), out),
+            Take::Full => self.job_end(
+                now,
+                j,
+                Err(Reject::new(
+                    Kind::Busy,
+                    "all connections of this server are taken",
+                )),
+                out,
+            ),
         }
     }
 
-    pub(crate) fn job_call(&mut self, now: Time, j: usize, step: Step, query: Query, out: &mut FrontOut) {
+    pub(crate) fn job_call(
+        &mut self,
+        now: Time,
+        j: usize,
+        step: Step,
+        query: Query,
+        out: &mut FrontOut,
+    ) {
         let token = self.use_token(Use::Job(j));
-        let limit = self.t.as_ref().map_or(1500, |t| t.cfg.timeouts.statement_ms);
-        let limit = if self.jobs[j].load.limit > 0 { self.jobs[j].load.limit } else { limit };
-        let to = self.t.as_ref().map_or(Addr::NONE, |t| t.servers[self.jobs[j].server].addr);
+        let limit = self
+            .t
+            .as_ref()
+            .map_or(1500, |t| t.cfg.timeouts.statement_ms);
+        let limit = if self.jobs[j].load.limit > 0 {
+            self.jobs[j].load.limit
+        } else {
+            limit
+        };
+        let to = self
+            .t
+            .as_ref()
+            .map_or(Addr::NONE, |t| t.servers[self.jobs[j].server].addr);
         let fenced = matches!(self.jobs[j].owner, Owner::Carry(..));
         let end = match fenced {
             _ if planted(Bug::SendUnchecked) => Time::MAX,
@@ -137,10 +209,22 @@
         let job = &mut self.jobs[j];
         (job.step, job.token, job.sent) = (step, token, now);
         let timeout = limit.min(job.deadline.saturating_sub(now)).max(1);
-        out.back.push(BackCall { token, to, query, not_after: until, timeout });
+        out.back.push(BackCall {
+            token,
+            to,
+            query,
+            not_after: until,
+            timeout,
+        });
     }
 
-    pub(crate) fn reset_now(&mut self, now: Time, j: usize, from: Option<SetUp>, out: &mut FrontOut) {
+    pub(crate) fn reset_now(
+        &mut self,
+        now: Time,
+        j: usize,
+        from: Option<SetUp>,
+        out: &mut FrontOut,
+    ) {
         let setup = self.jobs[j].load.setup.clone();
         let conn = self.jobs[j].conn.as_ref().map_or(0, |c| c.id);
         self.job_call(now, j, Step::Reset, Query::Reset { conn, from, setup }, out);
@@ -150,12 +234,30 @@
         let job = &self.jobs[j];
         let fenced = matches!(job.owner, Owner::Carry(..));
         if now >= job.deadline {
-            let k = if !job.load.act.inside() { Kind::TooLate } else { Kind::Aborted };
-            return self.job_end(now, j, Err(Reject::new(k, "its deadline passed before it was sent")), out);
+            let k = if !job.load.act.inside() {
+                Kind::TooLate
+            } else {
+                Kind::Aborted
+            };
+            return self.job_end(
+                now,
+                j,
+                Err(Reject::new(k, "its deadline passed before it was sent")),
+                out,
+            );
         }
         if fenced && !self.still(now + margin(), job.db, job.epoch) {
-            let k = if !job.load.act.inside() { Kind::NotCurrent } else { Kind::Aborted };
-            return self.job_end(now, j, Err(Reject::new(k, "the permit ended before it was sent")), out);
+            let k = if !job.load.act.inside() {
+                Kind::NotCurrent
+            } else {
+                Kind::Aborted
+            };
+            return self.job_end(
+                now,
+                j,
+                Err(Reject::new(k, "the permit ended before it was sent")),
+                out,
+            );
         }
         if fenced && job.load.act != Act::Pos {
             let t = format!("fencing {:x} sends it to the primary", self.me);
@@ -167,14 +269,40 @@
         let l = &job.load;
         let (id, body, after) = (l.id.clone(), l.body.clone(), l.after);
         let query = match l.act {
-            Act::Begin => Query::Begin { conn, after, read_only: false },
-            Act::First | Act::Whole if !job.begun => Query::Begin { conn, after, read_only: false },
-            Act::First => Query::Run { conn, id: None, writes: true, body, after: 0 },
+            Act::Begin => Query::Begin {
+                conn,
+                after,
+                read_only: false,
+            },
+            Act::First | Act::Whole if !job.begun => Query::Begin {
+                conn,
+                after,
+                read_only: false,
+            },
+            Act::First => Query::Run {
+                conn,
+                id: None,
+                writes: true,
+                body,
+                after: 0,
+            },
             Act::Whole => Query::Commit { conn, id, body },
-            Act::Step => Query::Run { conn, id: None, writes: true, body, after: 0 },
+            Act::Step => Query::Run {
+                conn,
+                id: None,
+                writes: true,
+                body,
+                after: 0,
+            },
             Act::Commit => Query::Commit { conn, id, body },
             Act::Rollback => Query::Rollback { conn },
-            _ => Query::Run { conn, id: Some(id), writes: l.writes, body, after },
+            _ => Query::Run {
+                conn,
+                id: Some(id),
+                writes: l.writes,
+                body,
+                after,
+            },
         };
         self.job_call(now, j, Step::Run, query, out);
     }
@@ -195,19 +323,32 @@
     pub(crate) fn pump(&mut self, now: Time, s: usize, out: &mut FrontOut) {
         let rules = self.rules();
         while self.pools[s].used() < self.pools[s].limit(now, &rules) {
-            let Some(j) = self.pools[s].queue.pop_front() else { return };
-            let waits = self.jobs.get(j).is_some_and(|x| x.step == Step::Queue && x.server == s);
+            let Some(j) = self.pools[s].queue.pop_front() else {
+                return;
+            };
+            let waits = self
+                .jobs
+                .get(j)
+                .is_some_and(|x| x.step == Step::Queue && x.server == s);
             if waits {
                 let was = self.pools[s].used();
                 self.job_take(now, j, out);
-                if self.pools[s].used() == was && self.jobs.get(j).is_some_and(|x| x.step == Step::Queue) {
+                if self.pools[s].used() == was
+                    && self.jobs.get(j).is_some_and(|x| x.step == Step::Queue)
+                {
                     return;
                 }
             }
         }
     }
 
-    pub(crate) fn job_end(&mut self, now: Time, j: usize, r: Result<(), Reject>, out: &mut FrontOut) {
+    pub(crate) fn job_end(
+        &mut self,
+        now: Time,
+        j: usize,
+        r: Result<(), Reject>,
+        out: &mut FrontOut,
+    ) {
         if self.jobs[j].conn.is_some() {
             self.job_discard(now, j, out);
         }
@@ -220,9 +361,15 @@
                 Act::First => Kind::Aborted,
                 _ => Kind::NotCurrent,
             };
-            r = Err(Reject::new(k, "the permit ended before success could be told"));
+            r = Err(Reject::new(
+                k,
+                "the permit ended before success could be told",
+            ));
         }
-        let server = self.t.as_ref().map_or(String::new(), |t| t.servers[job.server].name.clone());
+        let server = self
+            .t
+            .as_ref()
+            .map_or(String::new(), |t| t.servers[job.server].name.clone());
         let done = r.map(|_| Done {
             body: job.body,
             epoch: job.epoch,
@@ -236,9 +383,20 @@
         match job.owner {
             Owner::Carry(addr, go) => {
                 if let Err(e) = &done {
-                    self.traces.tell(now, &job.load.id, format!("fencing {:x} rejects it: {e}", self.me));
+                    self.traces.tell(
+                        now,
+                        &job.load.id,
+                        format!("fencing {:x} rejects it: {e}", self.me),
+                    );
                 }
-                out.send.push((addr, Msg::Carried { go, clock: now, done }));
+                out.send.push((
+                    addr,
+                    Msg::Carried {
+                        go,
+                        clock: now,
+                        done,
+                    },
+                ));
             }
             Owner::Trip(i, g) if self.trips.get(i).is_some_and(|t| t.go_id == g) => {
                 let n = self.trips[i].gos.len();
--- a/tenet/src/kind.rs
+++ b/tenet/src/kind.rs
@@ -55,7 +55,10 @@
 
 impl Reject {
     pub fn new(kind: Kind, why: impl Into<String>) -> Self {
-        Reject { kind, why: why.into() }
+        Reject {
+            kind,
+            why: why.into(),
+        }
     }
 }
 
@@ -78,7 +81,11 @@
     fn each_row_stands_at_its_kind() {
         for (i, r) in TABLE.iter().enumerate() {
             assert_eq!(r.kind as usize, i);
-            assert!(r.retry > 0 || r.code < 500, "{} sends no time to come back", r.name);
+            assert!(
+                r.retry > 0 || r.code < 500,
+                "{} sends no time to come back",
+                r.name
+            );
         }
     }
 }
--- a/tenet/src/labels.rs
+++ b/tenet/src/labels.rs
@@ -19,8 +19,10 @@
 fn word(s: &str) -> Result<String, String> {
     let s = s.trim();
     let ok = !s.is_empty()
-        && s.chars().all(|c| c.is_ascii_alphanumeric() || "-_./".contains(c));
-    ok.then(|| s.to_string()).ok_or(format!("'{s}' is not a label word"))
+        && s.chars()
+            .all(|c| c.is_ascii_alphanumeric() || "-_./".contains(c));
+    ok.then(|| s.to_string())
+        .ok_or(format!("'{s}' is not a label word"))
 }
 
 fn split(s: &str) -> Vec<String> {
@@ -59,7 +61,9 @@
     if let Some((k, v)) = s.split_once('=') {
         return Ok(Term::Is(word(k)?, vec![word(v)?]));
     }
-    s.strip_prefix('!').map(|k| word(k).map(Term::Lacks)).unwrap_or_else(|| word(s).map(Term::Has))
+    s.strip_prefix('!')
+        .map(|k| word(k).map(Term::Lacks))
+        .unwrap_or_else(|| word(s).map(Term::Has))
 }
 
 impl Selector {
@@ -84,10 +88,15 @@
         for t in &self.terms {
             match t {
                 Term::Not(k, v) => {
-                    want.get_mut(k.as_str()).map(|e| e.retain(|x| !v.iter().any(|y| y == x)));
+                    if let Some(e) = want.get_mut(k.as_str()) {
+                        e.retain(|x| !v.iter().any(|y| y == x))
+                    }
                 }
                 Term::Lacks(k) => {
-                    let has = self.terms.iter().any(|u| matches!(u, Term::Has(h) if h == k));
+                    let has = self
+                        .terms
+                        .iter()
+                        .any(|u| matches!(u, Term::Has(h) if h == k));
                     if has || want.contains_key(k.as_str()) {
                         return Some(format!("asks for label {k} and against it"));
                     }
@@ -95,7 +104,9 @@
                 _ => (),
             }
         }
-        want.iter().find(|(_, v)| v.is_empty()).map(|(k, _)| format!("no value of {k} can match"))
+        want.iter()
+            .find(|(_, v)| v.is_empty())
+            .map(|(k, _)| format!("no value of {k} can match"))
     }
 
     pub fn may_meet(&self, o: &Selector) -> bool {
@@ -105,7 +116,10 @@
             (Term::Is(k, _) | Term::Has(k), Term::Lacks(l)) => k == l,
             _ => false,
         };
-        !self.terms.iter().any(|a| o.terms.iter().any(|b| apart(a, b) || apart(b, a)))
+        !self
+            .terms
+            .iter()
+            .any(|a| o.terms.iter().any(|b| apart(a, b) || apart(b, a)))
     }
 
     pub fn matches(&self, l: &Labels) -> bool {
@@ -141,8 +155,16 @@
     use super::*;
     #[test]
     fn selectors_match_and_impossible_ones_are_rejected() {
-        let l: Labels = [("db", "members"), ("tier", "a")].map(|(k, v)| (k.into(), v.into())).into();
-        for s in ["db=members", "db in (x, members), tier!=b", "tier", "!gone", ""] {
+        let l: Labels = [("db", "members"), ("tier", "a")]
+            .map(|(k, v)| (k.into(), v.into()))
+            .into();
+        for s in [
+            "db=members",
+            "db in (x, members), tier!=b",
+            "tier",
+            "!gone",
+            "",
+        ] {
             assert!(Selector::parse(s).unwrap().matches(&l), "{s}");
         }
         for s in ["db=other", "tier notin (a,b)", "gone", "!tier"] {
--- a/tenet/src/peers.rs
+++ b/tenet/src/peers.rs
@@ -1,7 +1,7 @@
 use crate::base::*;
 use crate::front::*;
-use crate::ledger::{End, To};
 use crate::kind::{Kind, Reject};
+use crate::ledger::{End, To};
 use crate::wire::Msg;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -22,7 +22,12 @@
 
 impl Peers {
     pub fn sent(&mut self, now: Time, id: NodeId, addr: Addr) {
-        let p = self.all.entry(id).or_insert(Peer { addr, since: 0, asked: 0, ended: false });
+        let p = self.all.entry(id).or_insert(Peer {
+            addr,
+            since: 0,
+            asked: 0,
+            ended: false,
+        });
         p.addr = addr;
         if p.since == 0 {
             p.since = now;
@@ -62,27 +67,58 @@
 impl Front {
     pub(crate) fn peers_tick(&mut self, now: Time, out: &mut FrontOut) {
         let (ask, lost) = self.peers.tick(now);
-        out.send.extend(ask.into_iter().map(|a| (a, Msg::Echo { reply: false })));
+        out.send
+            .extend(ask.into_iter().map(|a| (a, Msg::Echo { reply: false })));
         for id in lost {
-            out.log.push(format!("{id:x} answers nothing, what is under way there is given up"));
+            out.log.push(format!(
+                "{id:x} answers nothing, what is under way there is given up"
+            ));
             self.peer_lost(now, id, out);
         }
     }
 
     fn peer_lost(&mut self, now: Time, id: NodeId, out: &mut FrontOut) {
-        let gone: Vec<u64> = self.relays.iter().filter(|(_, r)| r.to == id).map(|(k, _)| *k).collect();
+        let gone: Vec<u64> = self
+            .relays
+            .iter()
+            .filter(|(_, r)| r.to == id)
+            .map(|(k, _)| *k)
+            .collect();
         for k in gone {
             if let Some(r) = self.relays.remove(&k) {
                 let done = Err(Reject::new(Kind::Unknown, "the next hop fell silent"));
-                out.send.push((r.addr, Msg::Carried { go: r.go, clock: now, done }));
+                out.send.push((
+                    r.addr,
+                    Msg::Carried {
+                        go: r.go,
+                        clock: now,
+                        done,
+                    },
+                ));
             }
         }
-        let open = |t: &crate::trip::Trip| t.gos.last().is_some_and(|g| g.end == End::Open && g.to == To::Gateway(id));
-        let v: Vec<usize> = self.trips.iter().filter(|(_, t)| open(t)).map(|(i, _)| i).collect();
+        let open = |t: &crate::trip::Trip| {
+            t.gos
+                .last()
+                .is_some_and(|g| g.end == End::Open && g.to == To::Gateway(id))
+        };
+        let v: Vec<usize> = self
+            .trips
+            .iter()
+            .filter(|(_, t)| open(t))
+            .map(|(i, _)| i)
+            .collect();
         for i in v {
             if self.trips.contains(i) && open(&self.trips[i]) {
                 let n = self.trips[i].gos.len();
-                self.go_end(now, i, n, End::Lost, format!("gateway {id:x} fell silent"), out);
+                self.go_end(
+                    now,
+                    i,
+                    n,
+                    End::Lost,
+                    format!("gateway {id:x} fell silent"),
+                    out,
+                );
             }
         }
     }
--- a/tenet/src/pilot.rs
+++ b/tenet/src/pilot.rs
@@ -53,7 +53,12 @@
     pub c: &'a Colleagues,
 }
 
-pub(crate) fn since<K: Ord, V: PartialEq>(m: &mut BTreeMap<K, (V, Time)>, k: K, v: V, now: Time) -> Time {
+pub(crate) fn since<K: Ord, V: PartialEq>(
+    m: &mut BTreeMap<K, (V, Time)>,
+    k: K,
+    v: V,
+    now: Time,
+) -> Time {
     match m.get(&k) {
         Some((w, t)) if *w == v => *t,
         _ => {
@@ -65,13 +70,21 @@
 
 impl Watch {
     pub fn stopped(&mut self) {
-        let (seen, clean) = (std::mem::take(&mut self.seen), std::mem::take(&mut self.clean));
-        *self = Watch { seen, clean, ..Watch::default() };
+        let (seen, clean) = (
+            std::mem::take(&mut self.seen),
+            std::mem::take(&mut self.clean),
+        );
+        *self = Watch {
+            seen,
+            clean,
+            ..Watch::default()
+        };
     }
 
     pub fn sights(&mut self, now: Time, from: NodeId, v: Vec<Sight>) {
         for s in v {
-            self.seen.insert((from, s.server.clone()), Seen { at: now, s });
+            self.seen
+                .insert((from, s.server.clone()), Seen { at: now, s });
         }
         self.seen.retain(|_, s| now < s.at + SIGHT_KEPT);
     }
@@ -103,7 +116,9 @@
         for m in k.st.members.values() {
             let due = k.now > since(&mut self.member_at, m.id, m.at, k.now) + FULL;
             let lost = k.c.quiet(m.id, k.now).is_some_and(|q| q > MEMBER_LOST)
-                || (!k.c.alive(m.id) && !k.c.all.contains_key(&m.id) && k.now > began + MEMBER_UNSEEN);
+                || (!k.c.alive(m.id)
+                    && !k.c.all.contains_key(&m.id)
+                    && k.now > began + MEMBER_UNSEEN);
             let twin = k.c.live().any(|s| s.addr == m.addr && s.id != m.id);
             let ev = match m.phase.as_str() {
                 "joining" if due => Some("settle"),
@@ -111,7 +126,10 @@
                 "joining" | "full" if lost || twin => Some("expel"),
                 _ => None,
             };
-            ops.extend(ev.map(|e| Op::Phase { id: m.id, event: e.into() }));
+            ops.extend(ev.map(|e| Op::Phase {
+                id: m.id,
+                event: e.into(),
+            }));
         }
     }
 
@@ -129,12 +147,18 @@
         let moving = d.phase != "steady" || lead.is_some_and(|s| server_off(k.st, s).is_some());
         let others = |id: NodeId| d.fencers.iter().any(|f| *f != id && k.c.alive(*f));
         let stay = |m: &Member| {
-            m.phase != "leaving" && (k.c.alive(m.id) || k.c.suspect(m.id) && others(m.id)) && (moving || !k.st.evacuated.contains_key(&m.domain))
+            m.phase != "leaving"
+                && (k.c.alive(m.id) || k.c.suspect(m.id) && others(m.id))
+                && (moving || !k.st.evacuated.contains_key(&m.domain))
         };
         let gate = |m: &Member| m.phase != "leaving" && k.c.serves(m.id) && moving;
         if let Some(s) = place(k.cfg, k.st, n, &fit, &stay, &gate) {
             if s.fencers != d.fencers || s.gateways != d.gateways {
-                ops.push(Op::Place { db: n.into(), fencers: s.fencers, gateways: s.gateways });
+                ops.push(Op::Place {
+                    db: n.into(),
+                    fencers: s.fencers,
+                    gateways: s.gateways,
+                });
             }
         }
     }
@@ -149,10 +173,16 @@
     }
 
     fn adopt(&self, k: &Sky, n: &str, ops: &mut Vec<Op>) {
-        let v: Vec<&Server> = db_servers(k.cfg, k.st, n).into_iter().filter(|s| s.leads).collect();
+        let v: Vec<&Server> = db_servers(k.cfg, k.st, n)
+            .into_iter()
+            .filter(|s| s.leads)
+            .collect();
         if let [s] = v[..] {
             if self.sight(k, &s.name, s.life, 0).is_some_and(|x| x.leads) {
-                ops.push(Op::Adopt { db: n.into(), server: s.name.clone() });
+                ops.push(Op::Adopt {
+                    db: n.into(),
+                    server: s.name.clone(),
+                });
             }
         }
     }
@@ -161,7 +191,11 @@
         let Some(p) = d.primary.as_ref() else { return };
         let (db, epoch) = (n.to_string(), d.epoch);
         let Some(ps) = k.st.servers.get(p) else {
-            ops.push(Op::Offline { db, epoch, why: format!("{p} has left") });
+            ops.push(Op::Offline {
+                db,
+                epoch,
+                why: format!("{p} has left"),
+            });
             return;
         };
         if let Some(why) = self.dead(k, n, d, ps, at) {
@@ -169,16 +203,27 @@
             return;
         }
         let off = server_off(k.st, ps);
-        let other = |h: &String| k.st.servers.get(h).is_some_and(|s| {
-            server_off(k.st, s).is_none() && self.sight(k, h, s.life, 0).is_some()
-        });
+        let other = |h: &String| {
+            k.st.servers.get(h).is_some_and(|s| {
+                server_off(k.st, s).is_none() && self.sight(k, h, s.life, 0).is_some()
+            })
+        };
         let can = k.cfg.databases.get(n).map(|d| d.can).unwrap_or_default();
         let ready = match can.confirms {
             true => d.heirs.keys().any(other),
-            false => off.is_some() && db_servers(k.cfg, k.st, n).iter().any(|s| s.name != *p && other(&s.name)),
+            false => {
+                off.is_some()
+                    && db_servers(k.cfg, k.st, n)
+                        .iter()
+                        .any(|s| s.name != *p && other(&s.name))
+            }
         };
         if let Some(w) = off.filter(|_| ready) {
-            ops.push(Op::Close { db, epoch, why: format!("{p}: {w}") });
+            ops.push(Op::Close {
+                db,
+                epoch,
+                why: format!("{p}: {w}"),
+            });
             return;
         }
         if can.confirms {
@@ -191,31 +236,66 @@
         if k.now < at + detect || self.placed.get(n).is_some_and(|e| k.now < e.1 + detect) {
             return None;
         }
-        let live: Vec<NodeId> = d.fencers.iter().filter(|f| k.c.alive(**f)).copied().collect();
-        let down = |f: &NodeId| self.seen.get(&(*f, p.name.clone())).is_some_and(|x| {
-            k.now < x.at + SIGHT_STALE && (!x.s.reach || x.s.life != p.life) && x.s.age >= detect
-        });
+        let live: Vec<NodeId> = d
+            .fencers
+            .iter()
+            .filter(|f| k.c.alive(**f))
+            .copied()
+            .collect();
+        let down = |f: &NodeId| {
+            self.seen.get(&(*f, p.name.clone())).is_some_and(|x| {
+                k.now < x.at + SIGHT_STALE
+                    && (!x.s.reach || x.s.life != p.life)
+                    && x.s.age >= detect
+            })
+        };
         let fenced = !live.is_empty() && live.iter().all(down);
         let links: Vec<bool> = d
             .heirs
             .keys()
-            .filter_map(|h| k.st.servers.get(h).and_then(|s| self.sight(k, h, s.life, 0)))
+            .filter_map(|h| {
+                k.st.servers
+                    .get(h)
+                    .and_then(|s| self.sight(k, h, s.life, 0))
+            })
             .map(|s| s.link)
             .collect();
         let can = k.cfg.databases.get(n).map(|d| d.can).unwrap_or_default();
         let second = live.len() > 1 || !can.confirms || links.iter().any(|l| !l);
         let reborn = !p.leads && k.now > at + detect;
         (fenced && second)
-            .then(|| format!("{} of {} fencing nodes lost {} for {detect} ms", live.len(), d.fencers.len(), p.name))
-            .or((reborn && live.len() > 1 && live.iter().all(|f| self.gave_up(k, *f, p, at)))
-                .then(|| format!("{} came back as a replica", p.name)))
+            .then(|| {
+                format!(
+                    "{} of {} fencing nodes lost {} for {detect} ms",
+                    live.len(),
+                    d.fencers.len(),
+                    p.name
+                )
+            })
+            .or(
+                (reborn && live.len() > 1 && live.iter().all(|f| self.gave_up(k, *f, p, at)))
+                    .then(|| format!("{} came back as a replica", p.name)),
+            )
     }
 
     fn gave_up(&self, k: &Sky, f: NodeId, p: &Server, at: Time) -> bool {
-        self.seen.get(&(f, p.name.clone())).is_some_and(|x| k.now < x.at + SIGHT_STALE && x.at.saturating_sub(x.s.age) > at && x.s.reach && !x.s.leads)
+        self.seen.get(&(f, p.name.clone())).is_some_and(|x| {
+            k.now < x.at + SIGHT_STALE
+                && x.at.saturating_sub(x.s.age) > at
+                && x.s.reach
+                && !x.s.leads
+        })
     }
 
-    pub fn promoted(&mut self, now: Time, db: &str, epoch: Mark, server: &str, terms: bool, done: Result<bool, bool>) -> Option<Op> {
+    pub fn promoted(
+        &mut self,
+        now: Time,
+        db: &str,
+        epoch: Mark,
+        server: &str,
+        terms: bool,
+        done: Result<bool, bool>,
+    ) -> Option<Op> {
         if done == Ok(false) {
             self.asks.insert(db.into(), (epoch, Ask3::Accepted(now)));
             return None;
@@ -224,13 +304,32 @@
             if unknown {
                 self.unknown.insert(db.into(), (epoch, now));
             }
-            self.asks.insert(db.into(), (epoch, Ask3::Wait(now + PROMOTE_AGAIN)));
+            self.asks
+                .insert(db.into(), (epoch, Ask3::Wait(now + PROMOTE_AGAIN)));
             let mine = self.chosen.get(db) == Some(&epoch);
-            let open = self.unknown.get(db).filter(|u| u.0 == epoch).map(|u| u.1).or(self.began.filter(|_| !mine));
+            let open = self
+                .unknown
+                .get(db)
+                .filter(|u| u.0 == epoch)
+                .map(|u| u.1)
+                .or(self.began.filter(|_| !mine));
             let sure = open.is_none_or(|t| terms && now > t + UNKNOWN_OVER);
-            let gone = sure && !unknown && self.seen.iter().all(|((_, s), x)| s != server || !x.s.reach || now >= x.at + SIGHT_STALE);
-            return gone.then(|| Op::Rejected { db: db.into(), epoch, server: server.into() });
+            let gone = sure
+                && !unknown
+                && self
+                    .seen
+                    .iter()
+                    .all(|((_, s), x)| s != server || !x.s.reach || now >= x.at + SIGHT_STALE);
+            return gone.then(|| Op::Rejected {
+                db: db.into(),
+                epoch,
+                server: server.into(),
+            });
         }
-        Some(Op::Promoted { db: db.into(), epoch, server: server.into() })
+        Some(Op::Promoted {
+            db: db.into(),
+            epoch,
+            server: server.into(),
+        })
     }
 }
--- a/tenet/src/plan.rs
+++ b/tenet/src/plan.rs
@@ -1,27 +1,46 @@
-use crate::plant::{planted, Bug};
 use crate::base::*;
 use crate::front::Front;
 use crate::kind::Kind;
 use crate::ledger::Plan;
+use crate::plant::{planted, Bug};
 use crate::route;
 use crate::table::*;
 use crate::wire::*;
 
 impl Front {
-    pub(crate) fn proof(&self, now: Time, t: &Table, db: usize, s: usize, pos: u64) -> Option<Time> {
+    pub(crate) fn proof(
+        &self,
+        now: Time,
+        t: &Table,
+        db: usize,
+        s: usize,
+        pos: u64,
+    ) -> Option<Time> {
         let d = &t.dbs[db];
         let lead = d.primary.map(|p| t.servers[p].name.as_str());
         if planted(Bug::AgeIgnored) {
             return Some(0);
         }
-        let heir = d.heirs.contains(&s).then(|| now.saturating_sub(self.until.saturating_sub(PERMIT)));
+        let heir = d
+            .heirs
+            .contains(&s)
+            .then(|| now.saturating_sub(self.until.saturating_sub(PERMIT)));
         let follows = Some(self.known[s].follows.as_str()) == lead;
         let seen = self.marks[db].age(now, d.epoch, pos).filter(|_| follows);
         heir.into_iter().chain(seen).min()
     }
 
     #[allow(clippy::too_many_arguments)]
-    pub(crate) fn replicas(&self, now: Time, t: &Table, sid: u64, row: &KindRow, l: &Load, bound: Time, own: u64) -> Vec<usize> {
+    pub(crate) fn replicas(
+        &self,
+        now: Time,
+        t: &Table,
+        sid: u64,
+        row: &KindRow,
+        l: &Load,
+        bound: Time,
+        own: u64,
+    ) -> Vec<usize> {
         let db = self.sessions[&sid].db;
         let d = &t.dbs[db];
         if d.can.guards && l.after == 0 {
@@ -32,7 +51,8 @@
             .iter()
             .filter(|i| {
                 let near = l.regions.contains(&t.servers[**i].region);
-                near && (d.can.guards || self.known[**i].pos >= own) && self.may_read(now, t, db, **i, row, bound).is_ok()
+                near && (d.can.guards || self.known[**i].pos >= own)
+                    && self.may_read(now, t, db, **i, row, bound).is_ok()
             })
             .map(|i| (t.servers[*i].region != t.region, self.pools[*i].used(), *i))
             .collect();
@@ -49,7 +69,10 @@
     pub(crate) fn guard(&self, now: Time, t: &Table, db: usize, bound: Time) -> Option<u64> {
         let d = &t.dbs[db];
         let most = by_slow_clock(bound).saturating_sub(GUARD_SPARE);
-        d.can.guards.then(|| self.marks[db].within(now, d.epoch, GUARD_SETTLED, most)).flatten()
+        d.can
+            .guards
+            .then(|| self.marks[db].within(now, d.epoch, GUARD_SETTLED, most))
+            .flatten()
     }
 
     pub(crate) fn load(&mut self, t: &Table, sid: u64, rid: Option<String>, act: Act) -> Load {
@@ -68,7 +91,14 @@
         }
     }
 
-    pub(crate) fn plan(&mut self, now: Time, t: &Table, sid: u64, l: &Load, budget: Option<Time>) -> Plan {
+    pub(crate) fn plan(
+        &mut self,
+        now: Time,
+        t: &Table,
+        sid: u64,
+        l: &Load,
+        budget: Option<Time>,
+    ) -> Plan {
         self.turn += 1;
         let d = &t.dbs[self.sessions[&sid].db];
         let c = &t.cfg.timeouts;
@@ -84,7 +114,11 @@
             patience: now + e.map_or(c.patience_ms, |e| e.patience_ms),
             looks_up: d.can.outcomes,
             opens: false,
-            none: if d.gateways.is_empty() { Kind::NoPrimary } else { Kind::NoHome },
+            none: if d.gateways.is_empty() {
+                Kind::NoPrimary
+            } else {
+                Kind::NoHome
+            },
         }
     }
 }
