--- a/tenet/src/polls.rs
+++ b/tenet/src/polls.rs
@@ -1,9 +1,9 @@
 use crate::base::*;
-use crate::plan::blank;
 use crate::front::*;
 use crate::job::Owner;
 use crate::kind::Kind;
 use crate::ledger::Plan;
+use crate::plan::blank;
 use crate::route;
 use crate::table::Table;
 use crate::trip::{For, Trip};
@@ -19,7 +19,13 @@
                     self.job_wait(now, j, out);
                 }
             }
-            for i in self.trips.iter().filter(|(_, t)| now >= t.wake).map(|(i, _)| i).collect::<Vec<_>>() {
+            for i in self
+                .trips
+                .iter()
+                .filter(|(_, t)| now >= t.wake)
+                .map(|(i, _)| i)
+                .collect::<Vec<_>>()
+            {
                 if self.trips.contains(i) {
                     self.trip_next(now, i, out);
                 }
@@ -59,8 +65,17 @@
 
     pub(crate) fn send_close(&mut self, now: Time, server: usize, conn: u64, out: &mut FrontOut) {
         let token = self.use_token(Use::Nobody);
-        let to = self.t.as_ref().map_or(Addr::NONE, |t| t.servers[server].addr);
-        out.back.push(BackCall { token, to, query: Query::Close { conn }, not_after: now + 1000, timeout: 1000 });
+        let to = self
+            .t
+            .as_ref()
+            .map_or(Addr::NONE, |t| t.servers[server].addr);
+        out.back.push(BackCall {
+            token,
+            to,
+            query: Query::Close { conn },
+            not_after: now + 1000,
+            timeout: 1000,
+        });
     }
 
     fn give_back(&mut self, now: Time, t: &Table, out: &mut FrontOut) {
@@ -81,14 +96,20 @@
 
     fn sights(&self, now: Time, t: &Table) -> Vec<Sight> {
         let late = |i: usize| now >= self.polled[i].max(self.known[i].heard) + SIGHT_STALE;
-        let mine = |i: &usize| t.dbs.iter().any(|d| d.servers.contains(i)) && self.polled[*i] > 0 && !late(*i);
+        let mine = |i: &usize| {
+            t.dbs.iter().any(|d| d.servers.contains(i)) && self.polled[*i] > 0 && !late(*i)
+        };
         (0..t.servers.len())
             .filter(mine)
             .map(|i| {
                 let k = &self.known[i];
                 Sight {
                     server: t.servers[i].name.clone(),
-                    life: if k.life == 0 { t.servers[i].life } else { k.life },
+                    life: if k.life == 0 {
+                        t.servers[i].life
+                    } else {
+                        k.life
+                    },
                     age: now.saturating_sub(if k.reach { k.at } else { k.heard }),
                     reach: k.reach,
                     pos: k.pos,
@@ -115,7 +136,10 @@
             load.act = Act::Pos;
             load.regions = route::homes(t, d, None);
             let plan = Plan {
-                gateways: route::gateways(t, d, &load, self.turn, &self.peers.silent).into_iter().take(1).collect(),
+                gateways: route::gateways(t, d, &load, self.turn, &self.peers.silent)
+                    .into_iter()
+                    .take(1)
+                    .collect(),
                 replicas: Vec::new(),
                 writes: false,
                 pinned: true,
@@ -133,8 +157,14 @@
     }
 
     pub fn drained(&self) -> bool {
-        let work = self.jobs.iter().any(|(_, j)| matches!(j.owner, Owner::Carry(..)));
-        let calls = self.trips.iter().any(|(_, t)| matches!(t.owner, For::Caller { .. }));
+        let work = self
+            .jobs
+            .iter()
+            .any(|(_, j)| matches!(j.owner, Owner::Carry(..)));
+        let calls = self
+            .trips
+            .iter()
+            .any(|(_, t)| matches!(t.owner, For::Caller { .. }));
         let open = self.sessions.values().any(|s| s.txn.is_some());
         !work && !calls && !open && self.txns.is_empty()
     }
--- a/tenet/src/pool.rs
+++ b/tenet/src/pool.rs
@@ -35,7 +35,17 @@
 
 impl Pool {
     pub fn new(life: u64, now: Time) -> Self {
-        Pool { life, share: 0, warm: 1, begun: now, idle: Vec::new(), out: 0, opening: 0, queue: VecDeque::new(), opened: 0 }
+        Pool {
+            life,
+            share: 0,
+            warm: 1,
+            begun: now,
+            idle: Vec::new(),
+            out: 0,
+            opening: 0,
+            queue: VecDeque::new(),
+            opened: 0,
+        }
     }
 
     pub fn limit(&self, now: Time, r: &Rules) -> u32 {
@@ -57,7 +67,10 @@
         if self.used() >= self.limit(now, r) {
             return self.wait(r);
         }
-        let same = self.idle.iter().rposition(|c| c.user == user && c.setup == setup);
+        let same = self
+            .idle
+            .iter()
+            .rposition(|c| c.user == user && c.setup == setup);
         let kin = same.or_else(|| self.idle.iter().rposition(|c| c.setup == setup));
         let any = kin.or_else(|| self.idle.len().checked_sub(1));
         if let Some(c) = any.map(|i| self.idle.remove(i)) {
@@ -101,7 +114,9 @@
         let over = self.total().saturating_sub(self.share) as usize;
         let n = over.min(self.idle.len());
         let mut v: Vec<u64> = self.idle.drain(..n).map(|c| c.id).collect();
-        let (old, keep) = std::mem::take(&mut self.idle).into_iter().partition(|c| now > c.idle + r.keep);
+        let (old, keep) = std::mem::take(&mut self.idle)
+            .into_iter()
+            .partition(|c| now > c.idle + r.keep);
         self.idle = keep;
         let old: Vec<Conn> = old;
         v.extend(old.iter().map(|c| c.id));
@@ -112,14 +127,22 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    const R: Rules = Rules { queue: 1, warm_ms: 100, keep: 1000 };
+    const R: Rules = Rules {
+        queue: 1,
+        warm_ms: 100,
+        keep: 1000,
+    };
 
     #[test]
     fn a_cold_server_is_ramped_and_the_share_is_never_passed() {
         let mut p = Pool::new(1, 0);
         p.share = 4;
         p.warm = 2;
-        let grab = |p: &mut Pool, t| (0..9).filter(|_| matches!(p.take(t, 0, 0, &R), Take::Open | Take::Conn(_))).count();
+        let grab = |p: &mut Pool, t| {
+            (0..9)
+                .filter(|_| matches!(p.take(t, 0, 0, &R), Take::Open | Take::Conn(_)))
+                .count()
+        };
         assert_eq!(grab(&mut p, 0), 2);
         assert_eq!(grab(&mut p, 50), 1);
         assert_eq!(grab(&mut p, 5000), 1);
@@ -135,10 +158,22 @@
         for i in 0..4 {
             assert!(matches!(p.take(5000, 0, 0, &R), Take::Open));
             p.opened();
-            p.put(Conn { id: i, user: 0, setup: 0, idle: 5000 });
+            p.put(Conn {
+                id: i,
+                user: 0,
+                setup: 0,
+                idle: 5000,
+            });
             assert!(matches!(p.take(5000, 0, 0, &R), Take::Conn(_)));
         }
-        (0..4).for_each(|i| p.put(Conn { id: i, user: 0, setup: 0, idle: 5000 }));
+        (0..4).for_each(|i| {
+            p.put(Conn {
+                id: i,
+                user: 0,
+                setup: 0,
+                idle: 5000,
+            })
+        });
         p.share = 1;
         assert_eq!(p.surplus(5001, &R).len(), 3);
         assert_eq!(p.total(), 1);
--- a/tenet/src/probe.rs
+++ b/tenet/src/probe.rs
@@ -6,8 +6,20 @@
     fn probe(&mut self, now: Time, id: NodeId, addr: Addr, send: &mut Vec<(Addr, Msg)>) {
         self.seq += 1;
         let news = self.news();
-        send.push((addr, Msg::Probe { seq: self.seq, news }));
-        self.open.push(Open { seq: self.seq, id, addr, at: now, helped: false });
+        send.push((
+            addr,
+            Msg::Probe {
+                seq: self.seq,
+                news,
+            },
+        ));
+        self.open.push(Open {
+            seq: self.seq,
+            id,
+            addr,
+            at: now,
+            helped: false,
+        });
     }
 
     pub fn tick(&mut self, now: Time, send: &mut Vec<(Addr, Msg)>) -> Time {
@@ -16,7 +28,10 @@
             self.seeds_wait = (self.seeds_wait * 2).clamp(SEEDS_FIRST, SEEDS_AGAIN);
             self.seeds_next = now + self.seeds_wait;
             for a in self.seeds.clone() {
-                let known = self.all.values().any(|c| c.s.addr == a && c.s.status == ALIVE);
+                let known = self
+                    .all
+                    .values()
+                    .any(|c| c.s.addr == a && c.s.status == ALIVE);
                 if a != self.me.addr && !known {
                     self.probe(now, 0, a, send);
                 }
@@ -24,18 +39,22 @@
         }
         if now >= self.next {
             self.next = now + PROBE_ROUND;
-            let disk = self.me.disk.then(|| self.turn_of(self.disk_cursor, true)).flatten();
+            let disk = self
+                .me
+                .disk
+                .then(|| self.turn_of(self.disk_cursor, true))
+                .flatten();
             let any = self.turn_of(self.cursor, false);
             disk.into_iter().for_each(|(id, _)| self.disk_cursor = id);
             any.into_iter().for_each(|(id, _)| self.cursor = id);
-            for n in [disk, any] {
-                if let Some((id, addr)) = n {
-                    if self.seq % 8 == 0 || self.all.get(&id).is_some_and(|c| c.wire < self.wire) {
-                        send.push((addr, Msg::Speaks { wire: self.wire }));
-                    }
-                    if !self.open.iter().any(|o| o.id == id) {
-                        self.probe(now, id, addr, send);
-                    }
+            for (id, addr) in [disk, any].into_iter().flatten() {
+                if self.seq.is_multiple_of(8)
+                    || self.all.get(&id).is_some_and(|c| c.wire < self.wire)
+                {
+                    send.push((addr, Msg::Speaks { wire: self.wire }));
+                }
+                if !self.open.iter().any(|o| o.id == id) {
+                    self.probe(now, id, addr, send);
                 }
             }
         }
@@ -44,22 +63,32 @@
 
     fn turn_of(&self, c: NodeId, disk: bool) -> Option<(NodeId, Addr)> {
         let mut all = self.all.range(c + 1..).chain(self.all.range(..=c));
-        all.find(|(_, c)| !disk || c.s.disk).map(|(i, c)| (*i, c.s.addr))
+        all.find(|(_, c)| !disk || c.s.disk)
+            .map(|(i, c)| (*i, c.s.addr))
     }
 
     /// Someone who may carry a packet to `to`, which this process does not reach itself.
     pub fn relay_to(&self, to: Addr) -> Option<Addr> {
-        let t = self.all.values().find(|c| c.s.addr == to && !c.direct && c.s.status != GONE)?;
-        let fit = |c: &&Colleague| c.direct && c.s.status == ALIVE && c.s.domain != t.s.domain && c.s.id != t.s.id;
+        let t = self
+            .all
+            .values()
+            .find(|c| c.s.addr == to && !c.direct && c.s.status != GONE)?;
+        let fit = |c: &&Colleague| {
+            c.direct && c.s.status == ALIVE && c.s.domain != t.s.domain && c.s.id != t.s.id
+        };
         let far = |c: &&Colleague| c.s.domain != self.me.domain;
         let v: Vec<&Colleague> = self.all.values().filter(fit).collect();
         let far: Vec<&Colleague> = v.into_iter().filter(far).collect();
-        far.get(self.seq as usize % far.len().max(1)).map(|c| c.s.addr)
+        far.get(self.seq as usize % far.len().max(1))
+            .map(|c| c.s.addr)
     }
 
     /// Something that was due from `to` did not come.
     pub fn doubt(&mut self, to: Addr) {
-        self.all.values_mut().filter(|c| c.s.addr == to).for_each(|c| c.direct = false);
+        self.all
+            .values_mut()
+            .filter(|c| c.s.addr == to)
+            .for_each(|c| c.direct = false);
     }
 
     /// Up to three others to probe through, no two of one domain while there are more domains.
@@ -70,7 +99,10 @@
         let rank = |i: usize| v[..i].iter().filter(|s| s.domain == v[i].domain).count();
         let mut by: Vec<(usize, usize)> = (0..v.len()).map(|i| (rank(i), i)).collect();
         by.sort_unstable();
-        by.into_iter().take(3).map(|(_, i)| (v[i].addr, v[i].id)).collect()
+        by.into_iter()
+            .take(3)
+            .map(|(_, i)| (v[i].addr, v[i].id))
+            .collect()
     }
 
     fn expire(&mut self, now: Time, send: &mut Vec<(Addr, Msg)>) {
@@ -84,12 +116,24 @@
             let gone = self.all.get(&id).is_none_or(|c| c.s.status == GONE);
             if !helped && now >= at + PROBE_DIRECT && !gone {
                 self.open[i].helped = true;
-                self.all.get_mut(&id).into_iter().for_each(|c| c.direct = false);
+                self.all
+                    .get_mut(&id)
+                    .into_iter()
+                    .for_each(|c| c.direct = false);
                 for (to, via) in self.helpers(id) {
                     let news = self.news();
                     let m = match self.all.get(&via).is_some_and(|c| c.wire >= 2) {
-                        true => Msg::ProbeOf { seq, target: addr, id, news },
-                        false => Msg::ProbeFor { seq, target: addr, news },
+                        true => Msg::ProbeOf {
+                            seq,
+                            target: addr,
+                            id,
+                            news,
+                        },
+                        false => Msg::ProbeFor {
+                            seq,
+                            target: addr,
+                            news,
+                        },
                     };
                     send.push((to, m));
                 }
@@ -109,7 +153,9 @@
             .filter(|(_, c)| c.s.status == SUSPECT && now >= c.since + SUSPICION)
             .map(|(i, _)| *i)
             .collect();
-        late.into_iter().for_each(|i| self.turn(i, "silent", "suspicion was not refuted", now));
-        self.all.retain(|_, c| c.s.status != GONE || now < c.since + FORGET);
+        late.into_iter()
+            .for_each(|i| self.turn(i, "silent", "suspicion was not refuted", now));
+        self.all
+            .retain(|_, c| c.s.status != GONE || now < c.since + FORGET);
     }
 }
--- a/tenet/src/publish.rs
+++ b/tenet/src/publish.rs
@@ -1,5 +1,5 @@
-use crate::base::*;
 use crate::apply::{stale, Res};
+use crate::base::*;
 use crate::state::*;
 
 impl State {
@@ -13,7 +13,11 @@
         self.cfg_base = base;
         self.cfg_mark = self.mark;
         self.cfg = text.into();
-        self.tell(at, "configuration", format!("configuration {} accepted over {base}", self.cfg_mark));
+        self.tell(
+            at,
+            "configuration",
+            format!("configuration {} accepted over {base}", self.cfg_mark),
+        );
         Ok(self.mark)
     }
 
@@ -22,7 +26,11 @@
             return Ok(self.cfg_mark);
         }
         (self.cfg_version, self.cfg_mark, self.cfg) = (version, self.mark, text.into());
-        self.tell(at, "configuration", format!("configuration of version {version} accepted"));
+        self.tell(
+            at,
+            "configuration",
+            format!("configuration of version {version} accepted"),
+        );
         Ok(self.mark)
     }
 
@@ -49,21 +57,37 @@
     }
 
     pub(crate) fn late(&self, s: &Server) -> bool {
-        let gone = self.departed.get(&s.name).is_some_and(|q| s.seq > 0 && s.seq <= *q);
-        gone || self.servers.get(&s.name).is_some_and(|o| o.life == s.life && s.seq > 0 && s.seq < o.seq)
+        let gone = self
+            .departed
+            .get(&s.name)
+            .is_some_and(|q| s.seq > 0 && s.seq <= *q);
+        gone || self
+            .servers
+            .get(&s.name)
+            .is_some_and(|o| o.life == s.life && s.seq > 0 && s.seq < o.seq)
     }
 
     pub(crate) fn displace(&mut self, at: u64, s: &Server) {
         let old = |o: &&Server| s.terms && o.addr == s.addr && o.name != s.name;
-        let v: Vec<String> = self.servers.values().filter(old).map(|o| o.name.clone()).collect();
+        let v: Vec<String> = self
+            .servers
+            .values()
+            .filter(old)
+            .map(|o| o.name.clone())
+            .collect();
         for n in v {
-            self.forget(at, &n, format!("server {n} is gone, {} stands at its address", s.name));
+            self.forget(
+                at,
+                &n,
+                format!("server {n} is gone, {} stands at its address", s.name),
+            );
         }
     }
 
     pub(crate) fn depart(&mut self, at: u64, server: &str, seq: u64) -> Res {
         self.forget(at, server, format!("server {server} has left"));
-        self.departed.insert(server.into(), seq.max(u64::MAX * (seq == 0) as u64));
+        self.departed
+            .insert(server.into(), seq.max(u64::MAX * (seq == 0) as u64));
         if self.departed.len() > DEPARTED {
             self.departed.pop_first();
         }
--- a/tenet/src/query.rs
+++ b/tenet/src/query.rs
@@ -1,21 +1,52 @@
-use std::fmt;
 use crate::wire::SetUp;
+use std::fmt;
 
 /// What a node asks of a database server. Positions (`pos`, `after`) order the server's log.
 #[derive(Clone, Debug)]
 pub enum Query {
-    Connect { service: String, server: String, user: String },
+    Connect {
+        service: String,
+        server: String,
+        user: String,
+    },
     /// Makes the connection's settings and prepared statements those of `setup`. With `from` the
     /// connection is known to hold just those, and nothing else of it may change.
-    Reset { conn: u64, from: Option<SetUp>, setup: SetUp },
-    Begin { conn: u64, after: u64, read_only: bool },
+    Reset {
+        conn: u64,
+        from: Option<SetUp>,
+        setup: SetUp,
+    },
+    Begin {
+        conn: u64,
+        after: u64,
+        read_only: bool,
+    },
     /// `after`: the log must hold this position, 0 for any.
-    Run { conn: u64, id: Option<String>, writes: bool, body: String, after: u64 },
-    Commit { conn: u64, id: String, body: String },
-    Rollback { conn: u64 },
-    Close { conn: u64 },
-    Outcome { id: String },
-    Position { service: String, server: String },
+    Run {
+        conn: u64,
+        id: Option<String>,
+        writes: bool,
+        body: String,
+        after: u64,
+    },
+    Commit {
+        conn: u64,
+        id: String,
+        body: String,
+    },
+    Rollback {
+        conn: u64,
+    },
+    Close {
+        conn: u64,
+    },
+    Outcome {
+        id: String,
+    },
+    Position {
+        service: String,
+        server: String,
+    },
 }
 
 /// `term` counts the leads of a server that numbers them; `follows` is then empty.
@@ -32,11 +63,21 @@
 /// What a server gave. `result` is passed on unread.
 #[derive(Clone, Debug)]
 pub enum Got {
-    Connected { conn: u64 },
+    Connected {
+        conn: u64,
+    },
     Done,
-    Ran { pos: u64, result: String, repeat: bool },
+    Ran {
+        pos: u64,
+        result: String,
+        repeat: bool,
+    },
     Position(Position),
-    Outcome { found: Option<(u64, String)>, life: u64, leads: bool },
+    Outcome {
+        found: Option<(u64, String)>,
+        life: u64,
+        leads: bool,
+    },
 }
 
 /// A server's rejection. Each means that nothing was kept.
--- a/tenet/src/reasons.rs
+++ b/tenet/src/reasons.rs
@@ -16,7 +16,12 @@
 
 impl Reasons {
     pub fn tell(&mut self, now: Time, topic: &str, text: String) {
-        self.v.push_back(Story { mark: 0, at: now, topic: topic.into(), text });
+        self.v.push_back(Story {
+            mark: 0,
+            at: now,
+            topic: topic.into(),
+            text,
+        });
         if self.v.len() > KEPT {
             self.v.pop_front();
         }
@@ -35,17 +40,21 @@
             "verdicts" => self.show_verdicts(),
             "reasons" => self.show_reasons(arg),
             "warnings" => self.show_warnings(arg),
-            "view" => json!({"view": self.f.view.n, "cluster": format!("{:x}", self.f.view.cluster),
+            "view" => {
+                json!({"view": self.f.view.n, "cluster": format!("{:x}", self.f.view.cluster),
                 "chain": self.f.view.chain.iter().map(|s| s.addr.to_string()).collect::<Vec<_>>(),
                 "voters": self.f.view.voters.iter().map(|s| s.addr.to_string()).collect::<Vec<_>>(),
-                "mark": self.f.state.mark, "confirmed": self.f.holds(now)}),
+                "mark": self.f.state.mark, "confirmed": self.f.holds(now)})
+            }
             _ => return Reply::Reject(Reject::new(Kind::NoRoute, what)),
         };
         Reply::Text(v.to_string())
     }
 
     fn show_warnings(&self, text: &str) -> Value {
-        let v = Config::parse(text).map(|c| c.warnings(Some(&self.f.state))).unwrap_or_default();
+        let v = Config::parse(text)
+            .map(|c| c.warnings(Some(&self.f.state)))
+            .unwrap_or_default();
         json!({ "warnings": v })
     }
 
@@ -67,13 +76,20 @@
                 "member": m.map(|m| m.phase.clone())})
         };
         let mut v = vec![sum(&self.c.me, 0, "this node")];
-        v.extend(self.c.all.values().map(|c| sum(&c.s, c.since + self.wall, &c.why)));
+        v.extend(
+            self.c
+                .all
+                .values()
+                .map(|c| sum(&c.s, c.since + self.wall, &c.why)),
+        );
         json!({"asked": format!("{:x}", self.me.id), "confirmed": self.f.holds(now), "nodes": v})
     }
 
     fn show_verdicts(&self) -> Value {
         let st = &self.f.state;
-        let Some((_, c)) = &self.cfg else { return json!({"databases": {}}) };
+        let Some((_, c)) = &self.cfg else {
+            return json!({"databases": {}});
+        };
         let mut dbs = serde_json::Map::new();
         for n in c.databases.keys() {
             let d = st.dbs.get(n).cloned().unwrap_or_default();
@@ -104,8 +120,21 @@
 
     fn show_reasons(&self, arg: &str) -> Value {
         let hit = |s: &&Story| arg.is_empty() || s.topic == arg || s.text.contains(arg);
-        let mut v: Vec<Value> = self.f.state.stories.iter().filter(hit).map(|s| tale(s, 0, "fleet")).collect();
-        v.extend(self.why.v.iter().filter(hit).map(|s| tale(s, self.wall, "this node")));
+        let mut v: Vec<Value> = self
+            .f
+            .state
+            .stories
+            .iter()
+            .filter(hit)
+            .map(|s| tale(s, 0, "fleet"))
+            .collect();
+        v.extend(
+            self.why
+                .v
+                .iter()
+                .filter(hit)
+                .map(|s| tale(s, self.wall, "this node")),
+        );
         v.sort_by_key(|x| x["at"].as_u64().unwrap_or(0));
         json!({"reasons": v})
     }
--- a/tenet/src/rules.rs
+++ b/tenet/src/rules.rs
@@ -1,6 +1,6 @@
-use crate::plant::{planted, Bug};
 use crate::config::{Config, Freshness, RequestKind};
 use crate::labels::{Labels, Selector};
+use crate::plant::{planted, Bug};
 use crate::state::{Server, State};
 use crate::table::labels_of;
 use garde::Validate;
@@ -42,7 +42,10 @@
 }
 
 fn selector(at: &str, s: &str, out: &mut Vec<String>) {
-    Selector::parse(s).err().into_iter().for_each(|e| out.push(format!("{at}: {e}")));
+    Selector::parse(s)
+        .err()
+        .into_iter()
+        .for_each(|e| out.push(format!("{at}: {e}")));
 }
 
 fn loose(f: &Freshness) -> bool {
@@ -51,7 +54,9 @@
 
 impl Config {
     fn matching(&self, kind: &str) -> Vec<(usize, &Rule)> {
-        let Some(k) = self.kinds.get(kind) else { return Vec::new() };
+        let Some(k) = self.kinds.get(kind) else {
+            return Vec::new();
+        };
         let mut l = k.labels.clone();
         l.insert("name".into(), kind.into());
         let hit = |r: &&(usize, &Rule)| Selector::parse(&r.1.kinds).is_ok_and(|s| s.matches(&l));
@@ -63,9 +68,16 @@
 
     pub fn effective(&self, kind: &str) -> RequestKind {
         let mut k = self.kinds.get(kind).cloned().unwrap_or_default();
-        let v = if planted(Bug::RuleIgnored) { Vec::new() } else { self.matching(kind) };
+        let v = if planted(Bug::RuleIgnored) {
+            Vec::new()
+        } else {
+            self.matching(kind)
+        };
         if k.servers.is_empty() {
-            k.servers = v.iter().find_map(|r| r.1.servers.clone()).unwrap_or_default();
+            k.servers = v
+                .iter()
+                .find_map(|r| r.1.servers.clone())
+                .unwrap_or_default();
         }
         if !k.writes && !loose(&k.fresh) {
             k.fresh = v.iter().find_map(|r| r.1.fresh.clone()).unwrap_or_default();
@@ -77,11 +89,16 @@
         for (i, r) in self.rules.iter().enumerate() {
             let at = format!("rules[{i}]");
             selector(&format!("{at}.kinds"), &r.kinds, out);
-            r.servers.iter().for_each(|s| selector(&format!("{at}.servers"), s, out));
+            r.servers
+                .iter()
+                .for_each(|s| selector(&format!("{at}.servers"), s, out));
             if r.servers.is_none() && r.fresh.is_none() {
                 out.push(format!("{at}: says neither servers nor fresh"));
             }
-            if r.fresh.as_ref().is_some_and(|f| f.own_changes && f.within_ms.is_none()) {
+            if r.fresh
+                .as_ref()
+                .is_some_and(|f| f.own_changes && f.within_ms.is_none())
+            {
                 out.push(format!("{at}.fresh.within_ms: own_changes needs a bound"));
             }
             if self.rules[..i].iter().any(|o| o.name == r.name) {
@@ -92,7 +109,8 @@
             let v = self.matching(n);
             for (x, (i, a)) in v.iter().enumerate() {
                 for (j, b) in v[x + 1..].iter().filter(|b| b.1.rank == a.rank) {
-                    let servers = a.servers.is_some() && b.servers.is_some() && a.servers != b.servers;
+                    let servers =
+                        a.servers.is_some() && b.servers.is_some() && a.servers != b.servers;
                     let fresh = a.fresh.is_some() && b.fresh.is_some() && a.fresh != b.fresh;
                     if servers || fresh {
                         let field = if servers { "servers" } else { "fresh" };
@@ -107,10 +125,17 @@
         let claims = |s: &Server| -> Vec<&String> {
             let l = labels_of(self, s);
             let hit = |d: &str| Selector::parse(d).is_ok_and(|x| x.matches(&l));
-            self.databases.iter().filter(|(_, d)| hit(&d.servers)).map(|(n, _)| n).collect()
+            self.databases
+                .iter()
+                .filter(|(_, d)| hit(&d.servers))
+                .map(|(n, _)| n)
+                .collect()
         };
         let two = |s: &Server| match claims(s)[..] {
-            [a, b, ..] => Some(format!("databases.{b}.servers: server {} is claimed by databases.{a} too", s.name)),
+            [a, b, ..] => Some(format!(
+                "databases.{b}.servers: server {} is claimed by databases.{a} too",
+                s.name
+            )),
             _ => None,
         };
         st.servers.values().filter_map(two).collect()
@@ -120,7 +145,11 @@
         let mut out = Vec::new();
         let parsed = |s: &str| Selector::parse(s).unwrap_or_default();
         for i in 0..self.rules.len() {
-            if !self.kinds.keys().any(|n| self.matching(n).iter().any(|m| m.0 == i)) {
+            if !self
+                .kinds
+                .keys()
+                .any(|n| self.matching(n).iter().any(|m| m.0 == i))
+            {
                 out.push(format!("rules[{i}].kinds: picks no kind"));
             }
         }
@@ -132,14 +161,34 @@
             }
         }
         let Some(st) = st else { return out };
-        let none = |s: &str| !st.servers.values().any(|x| parsed(s).matches(&labels_of(self, x)));
-        let told = |at: String, s: &str| none(s).then(|| format!("{at}: matches no server known now"));
-        out.extend(self.databases.iter().filter_map(|(n, d)| told(format!("databases.{n}.servers"), &d.servers)));
-        out.extend(self.kinds.iter().filter_map(|(n, k)| told(format!("kinds.{n}.servers"), &k.servers)));
+        let none = |s: &str| {
+            !st.servers
+                .values()
+                .any(|x| parsed(s).matches(&labels_of(self, x)))
+        };
+        let told =
+            |at: String, s: &str| none(s).then(|| format!("{at}: matches no server known now"));
+        out.extend(
+            self.databases
+                .iter()
+                .filter_map(|(n, d)| told(format!("databases.{n}.servers"), &d.servers)),
+        );
+        out.extend(
+            self.kinds
+                .iter()
+                .filter_map(|(n, k)| told(format!("kinds.{n}.servers"), &k.servers)),
+        );
         out.extend(self.rules.iter().enumerate().filter_map(|(i, r)| {
-            r.servers.as_ref().and_then(|s| told(format!("rules[{i}].servers"), s))
+            r.servers
+                .as_ref()
+                .and_then(|s| told(format!("rules[{i}].servers"), s))
         }));
-        out.extend(self.servers.keys().filter(|n| !st.servers.contains_key(*n)).map(|n| format!("servers.{n}: no such server known now")));
+        out.extend(
+            self.servers
+                .keys()
+                .filter(|n| !st.servers.contains_key(*n))
+                .map(|n| format!("servers.{n}: no such server known now")),
+        );
         out
     }
 
@@ -171,12 +220,13 @@
             let at = format!("kinds.{n}");
             selector(&format!("{at}.servers"), &k.servers, out);
             if k.writes && loose(&k.fresh) {
-                out.push(format!("{at}.fresh: a kind that writes goes to the primary alone"));
+                out.push(format!(
+                    "{at}.fresh: a kind that writes goes to the primary alone"
+                ));
             }
             if k.fresh.own_changes && k.fresh.within_ms.is_none() {
                 out.push(format!("{at}.fresh.within_ms: own_changes needs a bound"));
             }
         }
     }
-
 }
--- a/tenet/src/serve.rs
+++ b/tenet/src/serve.rs
@@ -7,26 +7,55 @@
 impl Chain {
     pub fn propose(&mut self, ask: Ask, out: &mut Out) {
         if !self.is_head() {
-            let to = self.d.view.chain.first().map(|s| s.addr).filter(|a| *a != self.me.addr);
+            let to = self
+                .d
+                .view
+                .chain
+                .first()
+                .map(|s| s.addr)
+                .filter(|a| *a != self.me.addr);
             out.send.extend(to.map(|a| (a, Msg::Propose { ask })));
             return;
         }
         if self.d.view.chain.len() < self.copies {
             let verdict = Verdict {
                 mark: 0,
-                reject: Some(Reject::new(Kind::NoCopies, "too few control disks hold the state")),
+                reject: Some(Reject::new(
+                    Kind::NoCopies,
+                    "too few control disks hold the state",
+                )),
             };
-            out.send.push((ask.from, Msg::Outcome { id: ask.id, verdict }));
+            out.send.push((
+                ask.from,
+                Msg::Outcome {
+                    id: ask.id,
+                    verdict,
+                },
+            ));
             return;
         }
-        let waiting = self.log.iter().rev().take(64).any(|e| e.ask.id == ask.id && e.mark > self.synced);
+        let waiting = self
+            .log
+            .iter()
+            .rev()
+            .take(64)
+            .any(|e| e.ask.id == ask.id && e.mark > self.synced);
         if waiting {
             return;
         }
         let known = self.d.state.verdict(&ask).is_some();
         if let (false, Err(r)) = (known, self.d.state.check(&ask.op)) {
-            let verdict = Verdict { mark: 0, reject: Some(r) };
-            out.send.push((ask.from, Msg::Outcome { id: ask.id, verdict }));
+            let verdict = Verdict {
+                mark: 0,
+                reject: Some(r),
+            };
+            out.send.push((
+                ask.from,
+                Msg::Outcome {
+                    id: ask.id,
+                    verdict,
+                },
+            ));
             return;
         }
         let mark = self.d.state.mark + 1;
@@ -43,12 +72,14 @@
                 .collect();
             for a in &v {
                 let got = self.d.state.verdict(a);
-                out.send.extend(got.map(|verdict| (a.from, Msg::Outcome { id: a.id, verdict })));
+                out.send
+                    .extend(got.map(|verdict| (a.from, Msg::Outcome { id: a.id, verdict })));
             }
             if !v.is_empty() {
                 self.subs.retain(|_, t| now < *t + 5000);
                 let mark = self.synced;
-                out.send.extend(self.subs.keys().map(|a| (*a, Msg::Nudge { mark })));
+                out.send
+                    .extend(self.subs.keys().map(|a| (*a, Msg::Nudge { mark })));
             }
         }
         self.pred().into_iter().for_each(|p| {
@@ -64,7 +95,14 @@
             match self.after(self.succ_have) {
                 Some(entries) => {
                     let prev = self.succ_have;
-                    out.send.push((s.addr, Msg::Append { view, prev, entries }));
+                    out.send.push((
+                        s.addr,
+                        Msg::Append {
+                            view,
+                            prev,
+                            entries,
+                        },
+                    ));
                 }
                 None => self.send_frame(s.addr, out),
             }
@@ -74,11 +112,25 @@
 
     pub(crate) fn send_frame(&mut self, to: Addr, out: &mut Out) {
         if self.whole() {
-            out.late.push((to, Msg::Frame { view: self.d.view.n, state: self.d.state.clone() }));
+            out.late.push((
+                to,
+                Msg::Frame {
+                    view: self.d.view.n,
+                    state: self.d.state.clone(),
+                },
+            ));
         }
     }
 
-    pub(crate) fn refresh(&mut self, now: Time, addr: Addr, seq: u64, have: Mark, cluster: u64, out: &mut Out) {
+    pub(crate) fn refresh(
+        &mut self,
+        now: Time,
+        addr: Addr,
+        seq: u64,
+        have: Mark,
+        cluster: u64,
+        out: &mut Out,
+    ) {
         let view = self.d.view.clone();
         if !self.is_tail() || !self.tail.holds(now) {
             if view.n > 0 {
@@ -88,9 +140,12 @@
         }
         self.subs.insert(addr, now);
         let quiet = self.synced == self.d.state.mark;
-        let part = match self.after(have).filter(|_| cluster == view.cluster && have <= self.synced) {
+        let part = match self
+            .after(have)
+            .filter(|_| cluster == view.cluster && have <= self.synced)
+        {
             Some(v) => Changes::Entries(v),
-            None if quiet => Changes::Frame(self.d.state.clone()),
+            None if quiet => Changes::Frame(Box::new(self.d.state.clone())),
             None => return,
         };
         let have = match &part {
@@ -98,7 +153,10 @@
             Changes::Frame(s) => s.mark,
         };
         let large = part.large();
-        let busy = self.under_way.get(&addr).is_some_and(|(m, t)| *m >= have && now < *t);
+        let busy = self
+            .under_way
+            .get(&addr)
+            .is_some_and(|(m, t)| *m >= have && now < *t);
         if large && busy {
             return;
         }
@@ -107,6 +165,14 @@
             self.under_way.insert(addr, (have, now + LARGE_AGAIN));
         }
         let seq = if have == self.synced { seq } else { 0 };
-        out.send.push((addr, Msg::Fresh { seq, have, part, view }));
+        out.send.push((
+            addr,
+            Msg::Fresh {
+                seq,
+                have,
+                part,
+                view,
+            },
+        ));
     }
 }
--- a/tenet/src/session.rs
+++ b/tenet/src/session.rs
@@ -39,7 +39,11 @@
 /// What a caller is answered when its request succeeded.
 #[derive(Clone, Debug)]
 pub enum Answer {
-    Opened { session: u64, node: NodeId, region: String },
+    Opened {
+        session: u64,
+        node: NodeId,
+        region: String,
+    },
     Set,
     Prepared,
     Released,
@@ -60,18 +64,60 @@
 }
 
 pub enum Req {
-    Open { db: String, user: String, tenant: Option<String>, settings: Vec<(String, String)> },
-    Set { session: u64, name: String, value: String },
-    Enter { entry: String, user: String },
-    Prepare { session: u64, name: String, text: String },
-    Release { session: u64, name: String },
-    Run { session: u64, kind: Want, id: Option<String>, body: String, prepared: Option<String>, budget: Option<Time> },
+    Open {
+        db: String,
+        user: String,
+        tenant: Option<String>,
+        settings: Vec<(String, String)>,
+    },
+    Set {
+        session: u64,
+        name: String,
+        value: String,
+    },
+    Enter {
+        entry: String,
+        user: String,
+    },
+    Prepare {
+        session: u64,
+        name: String,
+        text: String,
+    },
+    Release {
+        session: u64,
+        name: String,
+    },
+    Run {
+        session: u64,
+        kind: Want,
+        id: Option<String>,
+        body: String,
+        prepared: Option<String>,
+        budget: Option<Time>,
+    },
     /// `lazy`: nothing is sent before the first statement.
-    Begin { session: u64, kind: Option<Want>, id: Option<String>, lazy: bool, budget: Option<Time> },
-    Commit { session: u64, body: String, budget: Option<Time> },
-    Rollback { session: u64 },
-    Close { session: u64 },
-    Explain { id: String },
+    Begin {
+        session: u64,
+        kind: Option<Want>,
+        id: Option<String>,
+        lazy: bool,
+        budget: Option<Time>,
+    },
+    Commit {
+        session: u64,
+        body: String,
+        budget: Option<Time>,
+    },
+    Rollback {
+        session: u64,
+    },
+    Close {
+        session: u64,
+    },
+    Explain {
+        id: String,
+    },
     Figures,
     Verdicts,
 }
--- a/tenet/src/state.rs
+++ b/tenet/src/state.rs
@@ -2,7 +2,7 @@
 use crate::kind::{Kind, Reject};
 use crate::labels::Labels;
 use speedy::{Readable, Writable};
-use std::collections::{BTreeMap};
+use std::collections::BTreeMap;
 
 #[derive(Clone, Readable, Writable)]
 pub struct Member {
@@ -32,11 +32,27 @@
 
 impl Server {
     pub fn says(&self, o: &Server) -> bool {
-        Server { seq: o.seq, ..self.clone() } == *o
+        Server {
+            seq: o.seq,
+            ..self.clone()
+        } == *o
     }
 
     pub fn told(op: &Op) -> Option<Server> {
-        let Op::Announce { server, addr, domain, labels, life, leads, leaving, terms, seq } = op else { return None };
+        let Op::Announce {
+            server,
+            addr,
+            domain,
+            labels,
+            life,
+            leads,
+            leaving,
+            terms,
+            seq,
+        } = op
+        else {
+            return None;
+        };
         Some(Server {
             name: server.clone(),
             addr: *addr,
@@ -92,30 +108,117 @@
 
 #[derive(Clone, Readable, Writable, PartialEq, Debug)]
 pub enum Op {
-    Config { base: Mark, text: String },
+    Config {
+        base: Mark,
+        text: String,
+    },
     /// Holds when its version is above the one held; else it changes nothing.
-    Publish { version: u64, text: String },
-    Evacuate { domain: String, on: bool },
-    Drain { server: String, on: bool },
-    Enrol { id: NodeId, addr: Addr, http: Addr, domain: String, disk: bool },
-    Phase { id: NodeId, event: String },
-    Announce { server: String, addr: Addr, domain: String, labels: Labels, life: u64, leads: bool, leaving: bool, terms: bool, seq: u64 },
-    Depart { server: String, seq: u64 },
-    Place { db: String, fencers: Vec<NodeId>, gateways: Vec<NodeId> },
-    Adopt { db: String, server: String },
-    Close { db: String, epoch: Mark, why: String },
-    Reopen { db: String, epoch: Mark, why: String },
-    Offline { db: String, epoch: Mark, why: String },
-    Target { db: String, epoch: Mark, server: String, asker: NodeId, any: bool },
-    Asker { db: String, epoch: Mark, asker: NodeId },
-    Promoted { db: String, epoch: Mark, server: String },
-    HeirJoin { db: String, epoch: Mark, server: String },
-    HeirFull { db: String, epoch: Mark, server: String },
-    HeirLeave { db: String, epoch: Mark, server: String, why: String },
-    Rejected { db: String, epoch: Mark, server: String },
+    Publish {
+        version: u64,
+        text: String,
+    },
+    Evacuate {
+        domain: String,
+        on: bool,
+    },
+    Drain {
+        server: String,
+        on: bool,
+    },
+    Enrol {
+        id: NodeId,
+        addr: Addr,
+        http: Addr,
+        domain: String,
+        disk: bool,
+    },
+    Phase {
+        id: NodeId,
+        event: String,
+    },
+    Announce {
+        server: String,
+        addr: Addr,
+        domain: String,
+        labels: Labels,
+        life: u64,
+        leads: bool,
+        leaving: bool,
+        terms: bool,
+        seq: u64,
+    },
+    Depart {
+        server: String,
+        seq: u64,
+    },
+    Place {
+        db: String,
+        fencers: Vec<NodeId>,
+        gateways: Vec<NodeId>,
+    },
+    Adopt {
+        db: String,
+        server: String,
+    },
+    Close {
+        db: String,
+        epoch: Mark,
+        why: String,
+    },
+    Reopen {
+        db: String,
+        epoch: Mark,
+        why: String,
+    },
+    Offline {
+        db: String,
+        epoch: Mark,
+        why: String,
+    },
+    Target {
+        db: String,
+        epoch: Mark,
+        server: String,
+        asker: NodeId,
+        any: bool,
+    },
+    Asker {
+        db: String,
+        epoch: Mark,
+        asker: NodeId,
+    },
+    Promoted {
+        db: String,
+        epoch: Mark,
+        server: String,
+    },
+    HeirJoin {
+        db: String,
+        epoch: Mark,
+        server: String,
+    },
+    HeirFull {
+        db: String,
+        epoch: Mark,
+        server: String,
+    },
+    HeirLeave {
+        db: String,
+        epoch: Mark,
+        server: String,
+        why: String,
+    },
+    Rejected {
+        db: String,
+        epoch: Mark,
+        server: String,
+    },
     /// Evacuations that may overlap: each order is ended by one of its own. Orders without an id that
     /// come again within `REPEATS` ms are taken as the same one.
-    Hold { domain: String, on: bool },
+    Hold {
+        domain: String,
+        on: bool,
+    },
 }
 
 #[derive(Clone, Readable, Writable, PartialEq, Debug)]
@@ -166,7 +269,10 @@
         }
         let v = match self.step(&e.ask) {
             Ok(mark) => Verdict { mark, reject: None },
-            Err(r) => Verdict { mark: self.mark, reject: Some(r) },
+            Err(r) => Verdict {
+                mark: self.mark,
+                reject: Some(r),
+            },
         };
         self.recent.push((e.ask.id, print(&e.ask.op), v.clone()));
         if self.recent.len() > RECENT {
@@ -177,32 +283,49 @@
 
     pub fn verdict(&self, a: &Ask) -> Option<Verdict> {
         let (_, p, v) = self.recent.iter().rev().find(|(i, ..)| *i == a.id)?;
-        let other = || Reject::new(Kind::OtherBody, format!("id {} was used for another change", a.id));
+        let other = || {
+            Reject::new(
+                Kind::OtherBody,
+                format!("id {} was used for another change", a.id),
+            )
+        };
         Some(match *p == print(&a.op) {
             true => v.clone(),
-            false => Verdict { mark: self.mark, reject: Some(other()) },
+            false => Verdict {
+                mark: self.mark,
+                reject: Some(other()),
+            },
         })
     }
 
     pub fn tell(&mut self, at: u64, topic: &str, text: String) {
-        self.stories.push(Story { mark: self.mark, at, topic: topic.into(), text });
+        self.stories.push(Story {
+            mark: self.mark,
+            at,
+            topic: topic.into(),
+            text,
+        });
         if self.stories.len() > STORIES {
             self.stories.drain(..STORIES / 4);
         }
     }
 
     pub fn db(&mut self, n: &str) -> Result<&mut Db, Reject> {
-        self.dbs.get_mut(n).ok_or_else(|| Reject::new(Kind::UnknownDatabase, n))
+        self.dbs
+            .get_mut(n)
+            .ok_or_else(|| Reject::new(Kind::UnknownDatabase, n))
     }
 
     pub fn eligible(&self, db: &Db, server: &str) -> bool {
-        self.servers.get(server).is_some_and(|s| {
-            db.retired.get(server).is_none_or(|l| *l != s.life)
-        })
+        self.servers
+            .get(server)
+            .is_some_and(|s| db.retired.get(server).is_none_or(|l| *l != s.life))
     }
 
     pub fn heir(&self, db: &Db, server: &str) -> bool {
         let life = db.heirs.get(server);
-        life.is_some() && life == self.servers.get(server).map(|s| &s.life) && self.eligible(db, server)
+        life.is_some()
+            && life == self.servers.get(server).map(|s| &s.life)
+            && self.eligible(db, server)
     }
 }
--- a/tenet/src/table.rs
+++ b/tenet/src/table.rs
@@ -1,8 +1,8 @@
-use crate::plant::{planted, Bug};
 use crate::base::*;
 use crate::config::{Config, Database, RequestKind};
 use crate::entry::{Abilities, Entry, EntryRow};
 use crate::labels::{Labels, Selector};
+use crate::plant::{planted, Bug};
 use crate::state::*;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -99,40 +99,84 @@
         let region = c.region(self.domain).unwrap_or("").to_string();
         let full = |n: &NodeId| st.members.get(n).is_some_and(|m| m.phase == "full");
         let count = st.members.values().filter(|m| !m.disk).count().max(1) as u32;
-        let mut names: Vec<String> = self.old.map_or(Vec::new(), |t| t.servers.iter().map(|s| s.name.clone()).collect());
+        let mut names: Vec<String> = self.old.map_or(Vec::new(), |t| {
+            t.servers.iter().map(|s| s.name.clone()).collect()
+        });
         extend(&mut names, st.servers.keys());
-        let at: HashMap<&str, usize> = names.iter().enumerate().map(|(i, n)| (n.as_str(), i)).collect();
+        let at: HashMap<&str, usize> = names
+            .iter()
+            .enumerate()
+            .map(|(i, n)| (n.as_str(), i))
+            .collect();
         let ix = |n: &str| at.get(n).copied();
-        let mut servers: Vec<ServerRow> =
-            names.iter().enumerate().map(|(i, n)| st.servers.get(n).map_or_else(|| self.left(i, n), |s| self.server(s))).collect();
-        let mut order: Vec<String> = self.old.map_or(Vec::new(), |t| t.dbs.iter().map(|d| d.name.clone()).collect());
+        let mut servers: Vec<ServerRow> = names
+            .iter()
+            .enumerate()
+            .map(|(i, n)| {
+                st.servers
+                    .get(n)
+                    .map_or_else(|| self.left(i, n), |s| self.server(s))
+            })
+            .collect();
+        let mut order: Vec<String> = self.old.map_or(Vec::new(), |t| {
+            t.dbs.iter().map(|d| d.name.clone()).collect()
+        });
         extend(&mut order, c.databases.keys());
         let of = assigned(c, st);
         let mut dbs = Vec::new();
         for n in &order {
-            let mine = of.get(n).map_or(Vec::new(), |v| v.iter().filter_map(|s| ix(&s.name)).collect());
+            let mine = of.get(n).map_or(Vec::new(), |v| {
+                v.iter().filter_map(|s| ix(&s.name)).collect()
+            });
             let row = self.db(n, mine, &ix, &mut servers, count, full(&self.me));
             dbs.push(row);
         }
         let kinds: Vec<KindRow> = c
             .kinds
+            .keys()
+            .map(|n| (n, c.effective(n)))
+            .map(|(n, k)| KindRow {
+                name: n.clone(),
+                sel: Selector::parse(&k.servers).unwrap_or_default(),
+                cfg: k,
+            })
+            .collect();
+        let at_db: HashMap<&str, usize> = dbs
+            .iter()
+            .enumerate()
+            .map(|(i, d): (usize, &DbRow)| (d.name.as_str(), i))
+            .collect();
+        let at_kind: HashMap<&str, usize> = kinds
             .iter()
-            .map(|(n, _)| (n, c.effective(n)))
-            .map(|(n, k)| KindRow { name: n.clone(), sel: Selector::parse(&k.servers).unwrap_or_default(), cfg: k })
+            .enumerate()
+            .map(|(i, k)| (k.name.as_str(), i))
             .collect();
-        let at_db: HashMap<&str, usize> = dbs.iter().enumerate().map(|(i, d): (usize, &DbRow)| (d.name.as_str(), i)).collect();
-        let at_kind: HashMap<&str, usize> = kinds.iter().enumerate().map(|(i, k)| (k.name.as_str(), i)).collect();
         let db_at = |n: &String| at_db.get(n.as_str()).copied();
         let kind_at = |n: &String| at_kind.get(n.as_str()).copied();
-        let entry = |e: &Entry| Some(EntryRow { db: db_at(&e.database)?, reads: kind_at(&e.reads)?, writes: kind_at(&e.writes)?, cfg: e.clone() });
+        let entry = |e: &Entry| {
+            Some(EntryRow {
+                db: db_at(&e.database)?,
+                reads: kind_at(&e.reads)?,
+                writes: kind_at(&e.writes)?,
+                cfg: e.clone(),
+            })
+        };
         let node = |m: &Member| NodeRow {
             addr: m.addr,
             region: c.region(&m.domain).unwrap_or("").into(),
             alive: (self.alive)(m.id),
         };
         let closed = [
-            (c.region(self.domain).is_none(), "its domain is not in the configuration"),
-            (c.evacuates_nodes && st.evacuated.contains_key(self.domain) && !planted(Bug::EvacuatedServes), "its domain is evacuated"),
+            (
+                c.region(self.domain).is_none(),
+                "its domain is not in the configuration",
+            ),
+            (
+                c.evacuates_nodes
+                    && st.evacuated.contains_key(self.domain)
+                    && !planted(Bug::EvacuatedServes),
+                "its domain is evacuated",
+            ),
         ];
         Table {
             mark: st.mark,
@@ -141,9 +185,22 @@
             region,
             closed: closed.into_iter().find(|(b, _)| *b).map(|(_, w)| w),
             cfg: c.clone(),
-            db_ix: dbs.iter().enumerate().filter(|(_, d)| c.databases.contains_key(&d.name)).map(|(i, d)| (d.name.clone(), i)).collect(),
-            entries: c.entries.iter().filter_map(|(n, e)| Some((n.clone(), entry(e)?))).collect(),
-            kind_ix: kinds.iter().enumerate().map(|(i, k)| (k.name.clone(), i)).collect(),
+            db_ix: dbs
+                .iter()
+                .enumerate()
+                .filter(|(_, d)| c.databases.contains_key(&d.name))
+                .map(|(i, d)| (d.name.clone(), i))
+                .collect(),
+            entries: c
+                .entries
+                .iter()
+                .filter_map(|(n, e)| Some((n.clone(), entry(e)?)))
+                .collect(),
+            kind_ix: kinds
+                .iter()
+                .enumerate()
+                .map(|(i, k)| (k.name.clone(), i))
+                .collect(),
             dbs,
             servers,
             kinds,
@@ -152,8 +209,21 @@
     }
 
     fn left(&self, i: usize, n: &str) -> ServerRow {
-        let life = self.old.and_then(|t| t.servers.get(i)).map_or(0, |s| s.life);
-        let none = Server { name: n.into(), addr: Addr::NONE, domain: String::new(), labels: Labels::new(), life, leads: false, leaving: true, terms: true, seq: 0 };
+        let life = self
+            .old
+            .and_then(|t| t.servers.get(i))
+            .map_or(0, |s| s.life);
+        let none = Server {
+            name: n.into(),
+            addr: Addr::NONE,
+            domain: String::new(),
+            labels: Labels::new(),
+            life,
+            leads: false,
+            leaving: true,
+            terms: true,
+            seq: 0,
+        };
         self.server(&none)
     }
 
@@ -192,21 +262,29 @@
         for i in &mine {
             servers[*i].read_share = if full { (d.cap / 2) / count } else { 0 };
             let start = self.cfg.pool.warm_start / 2;
-            servers[*i].warm = (start / count).max(1) + if fences { (start / need).max(1) } else { 0 };
+            servers[*i].warm =
+                (start / count).max(1) + if fences { (start / need).max(1) } else { 0 };
             let s = &servers[*i];
             let stale = b.retired.get(&s.name) == Some(&s.life);
             if stale {
                 servers[*i].off = Some("was primary, not rebuilt since");
             }
-            if !fences && (primary == Some(*i) || b.old.as_deref() == Some(servers[*i].name.as_str())) {
+            if !fences
+                && (primary == Some(*i) || b.old.as_deref() == Some(servers[*i].name.as_str()))
+            {
                 servers[*i].addr = Addr::NONE;
             }
         }
-        let was = self.old.and_then(|t| t.db_ix.get(n).map(|i| &t.dbs[*i])).filter(|o| o.fences);
+        let was = self
+            .old
+            .and_then(|t| t.db_ix.get(n).map(|i| &t.dbs[*i]))
+            .filter(|o| o.fences);
         let fence_from = was.map_or(self.now + PERMIT + PERMIT_DRIFT, |o| o.fence_from);
         let list = |v: Vec<&String>| v.into_iter().filter_map(|s| ix(s)).collect::<Vec<_>>();
         let at = b.primary.as_ref().or(b.old.as_ref());
-        let home = at.and_then(|p| st.servers.get(p)).and_then(|s| self.cfg.region(&s.domain));
+        let home = at
+            .and_then(|p| st.servers.get(p))
+            .and_then(|s| self.cfg.region(&s.domain));
         DbRow {
             name: n.into(),
             epoch: b.epoch,
--- a/tenet/src/trace.rs
+++ b/tenet/src/trace.rs
@@ -26,6 +26,8 @@
     }
 
     pub fn show(&self, id: &str) -> Option<Value> {
-        self.by.get(id).map(|v| Value::Array(v.iter().map(|(t, s)| json!({"at": t, "text": s})).collect()))
+        self.by
+            .get(id)
+            .map(|v| Value::Array(v.iter().map(|(t, s)| json!({"at": t, "text": s})).collect()))
     }
 }
--- a/tenet/src/trip.rs
+++ b/tenet/src/trip.rs
@@ -27,7 +27,18 @@
 impl Trip {
     pub fn new(now: Time, owner: For, load: Load, plan: Plan, bound: Option<Time>) -> Trip {
         let (gos, why) = (Vec::new(), String::new());
-        Trip { owner, load, plan, gos, go_id: 0, born: now, wake: now, bound, done: None, why }
+        Trip {
+            owner,
+            load,
+            plan,
+            gos,
+            go_id: 0,
+            born: now,
+            wake: now,
+            bound,
+            done: None,
+            why,
+        }
     }
 }
 
@@ -39,8 +50,11 @@
 
     /// A request taken in before its database had gateways gets those of now.
     fn trip_gateways(&mut self, i: usize) {
-        let (Some(t), Some(x)) = (self.t.clone(), self.trips.get(i)) else { return };
-        if x.plan.gateways.is_empty() && x.plan.none == Kind::NoPrimary && x.plan.patience > x.born {
+        let (Some(t), Some(x)) = (self.t.clone(), self.trips.get(i)) else {
+            return;
+        };
+        if x.plan.gateways.is_empty() && x.plan.none == Kind::NoPrimary && x.plan.patience > x.born
+        {
             let d = t.db_ix.get(&x.load.db).map(|d| &t.dbs[*d]);
             let v = d.map(|d| route::gateways(&t, d, &x.load, self.turn, &self.peers.silent));
             self.trips[i].plan.gateways = v.unwrap_or_default();
@@ -56,17 +70,33 @@
                 if matches!(t.load.act, Act::Begin | Act::First | Act::Whole) {
                     t.load.txn = key;
                 }
-                t.gos.push(Go { to, at: now, end: End::Open, end_at: now });
+                t.gos.push(Go {
+                    to,
+                    at: now,
+                    end: End::Open,
+                    end_at: now,
+                });
                 let budget = t.plan.deadline - now;
-                let mut load = Load { look_up, budget, ..t.load.clone() };
+                let mut load = Load {
+                    look_up,
+                    budget,
+                    ..t.load.clone()
+                };
                 load.hops = vec![self.me];
                 let id = load.id.clone();
                 let n = t.gos.len();
                 match to {
                     To::Gateway(g) => self.trip_send(now, i, g, load, out),
                     To::Replica(s) => {
-                        let name = self.t.as_ref().map_or(String::new(), |t| t.servers[s].name.clone());
-                        self.traces.tell(now, &id, format!("go {n}: to replica {name}, recent enough"));
+                        let name = self
+                            .t
+                            .as_ref()
+                            .map_or(String::new(), |t| t.servers[s].name.clone());
+                        self.traces.tell(
+                            now,
+                            &id,
+                            format!("go {n}: to replica {name}, recent enough"),
+                        );
                         let go = self.ids.take();
                         self.trips[i].go_id = go;
                         self.job_start(now, crate::job::Owner::Trip(i, go), load, s, out);
@@ -75,7 +105,11 @@
             }
             Move::Wait(at) => t.wake = at,
             Move::Rest => {
-                let limit = self.t.as_ref().map_or(1500, |t| t.cfg.timeouts.statement_ms) + ANSWER_WAIT;
+                let limit = self
+                    .t
+                    .as_ref()
+                    .map_or(1500, |t| t.cfg.timeouts.statement_ms)
+                    + ANSWER_WAIT;
                 let at = t.gos.last().map_or(now, |g| g.at);
                 if now >= at + limit {
                     let n = t.gos.len();
@@ -90,10 +124,19 @@
     }
 
     fn trip_send(&mut self, now: Time, i: usize, g: NodeId, load: Load, out: &mut FrontOut) {
-        let addr = self.t.as_ref().and_then(|t| t.nodes.get(&g)).map(|n| n.addr);
+        let addr = self
+            .t
+            .as_ref()
+            .and_then(|t| t.nodes.get(&g))
+            .map(|n| n.addr);
         let n = self.trips[i].gos.len();
-        let what = if load.look_up { ", looking the id up first" } else { "" };
-        self.traces.tell(now, &load.id, format!("go {n}: to gateway {g:x}{what}"));
+        let what = if load.look_up {
+            ", looking the id up first"
+        } else {
+            ""
+        };
+        self.traces
+            .tell(now, &load.id, format!("go {n}: to gateway {g:x}{what}"));
         match addr {
             Some(a) => {
                 let go = self.ids.take();
@@ -103,13 +146,36 @@
                 }
                 self.trips[i].go_id = go;
                 let by = self.by(now, g, self.trips[i].plan.deadline);
-                out.send.push((a, Msg::Carry { go, to: g, by, load }));
+                out.send.push((
+                    a,
+                    Msg::Carry {
+                        go,
+                        to: g,
+                        by,
+                        load,
+                    },
+                ));
             }
-            None => self.go_end(now, i, n, End::Rejected(Kind::NoPrimary), "gateway unknown".into(), out),
+            None => self.go_end(
+                now,
+                i,
+                n,
+                End::Rejected(Kind::NoPrimary),
+                "gateway unknown".into(),
+                out,
+            ),
         }
     }
 
-    pub(crate) fn go_end(&mut self, now: Time, i: usize, n: usize, end: End, why: String, out: &mut FrontOut) {
+    pub(crate) fn go_end(
+        &mut self,
+        now: Time,
+        i: usize,
+        n: usize,
+        end: End,
+        why: String,
+        out: &mut FrontOut,
+    ) {
         if !self.trips.contains(i) || self.trips[i].gos.len() != n {
             return;
         }
@@ -127,13 +193,27 @@
         self.trip_next(now, i, out);
     }
 
-    pub(crate) fn trip_back(&mut self, now: Time, i: usize, n: usize, r: Result<Done, Reject>, out: &mut FrontOut) {
+    pub(crate) fn trip_back(
+        &mut self,
+        now: Time,
+        i: usize,
+        n: usize,
+        r: Result<Done, Reject>,
+        out: &mut FrontOut,
+    ) {
         match r {
             Ok(d) => {
                 let old = self.too_old(now, i, &d);
                 let e = if old { End::Old } else { End::Done };
                 self.trips[i].done = Some(d);
-                self.go_end(now, i, n, e, "its answer proved older than the bound".into(), out);
+                self.go_end(
+                    now,
+                    i,
+                    n,
+                    e,
+                    "its answer proved older than the bound".into(),
+                    out,
+                );
             }
             Err(r) => self.go_end(now, i, n, End::Rejected(r.kind), r.to_string(), out),
         }
@@ -142,10 +222,13 @@
     fn too_old(&self, now: Time, i: usize, d: &Done) -> bool {
         let t = &self.trips[i];
         let last = t.gos.last().map(|g| g.to);
-        let (For::Caller { session, .. }, Some(b), Some(To::Replica(s))) = (&t.owner, t.bound, last) else {
+        let (For::Caller { session, .. }, Some(b), Some(To::Replica(s))) =
+            (&t.owner, t.bound, last)
+        else {
             return false;
         };
-        let (Some(db), Some(table)) = (self.sessions.get(session).map(|s| s.db), self.t.as_ref()) else {
+        let (Some(db), Some(table)) = (self.sessions.get(session).map(|s| s.db), self.t.as_ref())
+        else {
             return true;
         };
         let age = match table.dbs[db].can.guards {
@@ -193,7 +276,9 @@
     }
 
     fn settle(&mut self, now: Time, session: u64, t: &Trip, r: &Result<Done, Reject>) {
-        let Some(s) = self.sessions.get_mut(&session) else { return };
+        let Some(s) = self.sessions.get_mut(&session) else {
+            return;
+        };
         s.busy = false;
         s.last = now;
         if let Ok(d) = r {
@@ -227,7 +312,17 @@
     }
 
     fn answer(&self, t: &Trip, done: Done) -> Answer {
-        let (id, step, leaving) = (t.load.id.clone(), matches!(t.load.act, Act::Step | Act::First), self.leaving.is_some());
-        Answer::Ran(Box::new(Ran { id, done, tries: t.gos.len(), step, leaving }))
+        let (id, step, leaving) = (
+            t.load.id.clone(),
+            matches!(t.load.act, Act::Step | Act::First),
+            self.leaving.is_some(),
+        );
+        Answer::Ran(Box::new(Ran {
+            id,
+            done,
+            tries: t.gos.len(),
+            step,
+            leaving,
+        }))
     }
 }
--- a/tenet/src/verdict.rs
+++ b/tenet/src/verdict.rs
@@ -12,8 +12,14 @@
 
 impl Front {
     pub fn explain(&self, id: &str) -> Vec<String> {
-        let v = self.traces.show(id).and_then(|v| v.as_array().cloned()).unwrap_or_default();
-        v.iter().map(|s| format!("{:x} +{} {}", self.me, s["at"], s["text"])).collect()
+        let v = self
+            .traces
+            .show(id)
+            .and_then(|v| v.as_array().cloned())
+            .unwrap_or_default();
+        v.iter()
+            .map(|s| format!("{:x} +{} {}", self.me, s["at"], s["text"]))
+            .collect()
     }
 
     pub(crate) fn figures(&self) -> Value {
@@ -23,22 +29,43 @@
             "connections": held, "trips": self.trips.len(), "jobs": self.jobs.len(), "transactions": self.txns.len()})
     }
 
-    pub(crate) fn may_read(&self, now: Time, t: &Table, db: usize, i: usize, row: &KindRow, bound: Time) -> Result<Time, String> {
+    pub(crate) fn may_read(
+        &self,
+        now: Time,
+        t: &Table,
+        db: usize,
+        i: usize,
+        row: &KindRow,
+        bound: Time,
+    ) -> Result<Time, String> {
         let (d, s, k) = (&t.dbs[db], &t.servers[i], &self.known[i]);
         let no = [
             (s.off.is_some(), s.off.unwrap_or("")),
             (Some(i) == d.primary, "takes writes; bounded reads spare it"),
             (s.addr == Addr::NONE, "being failed over"),
-            (!row.sel.matches(&s.labels), "the kind's selector leaves it out"),
-            (!d.can.guards && !k.reach || now < k.shun, "this node does not reach it"),
-            (!d.can.guards && k.life != s.life, "its data is not the data it announced"),
+            (
+                !row.sel.matches(&s.labels),
+                "the kind's selector leaves it out",
+            ),
+            (
+                !d.can.guards && !k.reach || now < k.shun,
+                "this node does not reach it",
+            ),
+            (
+                !d.can.guards && k.life != s.life,
+                "its data is not the data it announced",
+            ),
         ];
         if let Some((_, w)) = no.iter().find(|n| n.0) {
             return Err(w.to_string());
         }
         if d.can.guards {
-            let age = self.marks[db].newest_of(d.epoch).map(|t| now.saturating_sub(t));
-            return age.filter(|a| a + GUARD_SPARE < bound).ok_or("the primary's position was not seen lately".into());
+            let age = self.marks[db]
+                .newest_of(d.epoch)
+                .map(|t| now.saturating_sub(t));
+            return age
+                .filter(|a| a + GUARD_SPARE < bound)
+                .ok_or("the primary's position was not seen lately".into());
         }
         match self.proof(now, t, db, i, k.pos) {
             None => Err("no proof of what its log holds".into()),
@@ -53,7 +80,9 @@
         let mut m = Map::new();
         for r in t.kinds.iter().filter(|r| !r.cfg.writes) {
             let v = match r.cfg.fresh.within_ms {
-                None => json!({"may": Some(i) == d.primary, "why": "current reads go to the primary"}),
+                None => {
+                    json!({"may": Some(i) == d.primary, "why": "current reads go to the primary"})
+                }
                 Some(b) if Some(i) == d.primary && r.sel.matches(&t.servers[i].labels) => {
                     json!({"may": true, "behind_ms": 0, "bound_ms": b, "why": "the primary, when no replica is recent enough"})
                 }
@@ -74,7 +103,9 @@
             _ if d.primary != Some(i) => (false, "not the primary".into()),
             _ if d.phase != "steady" => (false, format!("failover is at '{}'", d.phase)),
             _ if self.off_long(now, i) => (false, crate::fence::OFF_LONG.into()),
-            _ if d.can.confirms && d.heirs.is_empty() => (false, "no replica counts as holding the log yet".into()),
+            _ if d.can.confirms && d.heirs.is_empty() => {
+                (false, "no replica counts as holding the log yet".into())
+            }
             _ => (true, "the primary".into()),
         }
     }
@@ -82,12 +113,16 @@
     pub(crate) fn note_standings(&mut self, now: Time) {
         let Some(t) = self.t.clone() else { return };
         let rules = self.rules();
-        self.standings.resize_with(t.servers.len(), Standing::default);
+        self.standings
+            .resize_with(t.servers.len(), Standing::default);
         for (db, d) in t.dbs.iter().enumerate() {
             for i in &d.servers {
                 let (may, why) = self.writes(now, &t, db, *i);
                 let warming = self.pools[*i].limit(now, &rules) < self.pools[*i].share;
-                let text = format!("{may} {why} {:?} {warming} {}", t.servers[*i].off, self.known[*i].reach);
+                let text = format!(
+                    "{may} {why} {:?} {warming} {}",
+                    t.servers[*i].off, self.known[*i].reach
+                );
                 if self.standings[*i].text != text {
                     self.standings[*i] = Standing { text, at: now };
                 }
@@ -96,7 +131,9 @@
     }
 
     pub fn verdicts(&self, now: Time) -> Value {
-        let Some(t) = self.t.as_ref() else { return json!({}) };
+        let Some(t) = self.t.as_ref() else {
+            return json!({});
+        };
         let rules = self.rules();
         let mut m = Map::new();
         for (db, d) in t.dbs.iter().enumerate() {
--- a/tenet/src/waits.rs
+++ b/tenet/src/waits.rs
@@ -34,26 +34,49 @@
         let unknown = |w: &str| Err(Reject::new(Kind::Unknown, w));
         match job.step {
             Step::Acks if !self.still(now, job.db, job.epoch) => {
-                self.job_end(now, j, unknown("the permit ended before a replica held it"), out);
+                self.job_end(
+                    now,
+                    j,
+                    unknown("the permit ended before a replica held it"),
+                    out,
+                );
             }
             Step::Acks if self.acked(&t.dbs[job.db], job.pos) => self.job_end(now, j, Ok(()), out),
-            Step::CloseFirst | Step::LookAfter | Step::Again(_) if fenced && !self.still(now, job.db, job.epoch) => {
-                self.job_end(now, j, unknown("the permit ended before it could be looked up"), out);
+            Step::CloseFirst | Step::LookAfter | Step::Again(_)
+                if fenced && !self.still(now, job.db, job.epoch) =>
+            {
+                self.job_end(
+                    now,
+                    j,
+                    unknown("the permit ended before it could be looked up"),
+                    out,
+                );
             }
             Step::Again(at) if now >= at && now < job.deadline => match job.lost {
                 0 => self.look_up(now, j, Step::LookUp, out),
                 _ => self.close_first(now, j, out),
             },
             Step::Held if !self.still(now, job.db, job.epoch) => {
-                self.job_end(now, j, Err(Reject::new(Kind::NoPrimary, "the primary fell silent before it was sent")), out);
+                self.job_end(
+                    now,
+                    j,
+                    Err(Reject::new(
+                        Kind::NoPrimary,
+                        "the primary fell silent before it was sent",
+                    )),
+                    out,
+                );
             }
-            Step::Held if now < job.deadline => {
-                if self.known[job.server].reach {
-                    self.job_take(now, j, out);
-                }
+            Step::Held if now < job.deadline && self.known[job.server].reach => {
+                self.job_take(now, j, out);
             }
             Step::Held | Step::Queue if now >= job.deadline => {
-                self.job_end(now, j, Err(Reject::new(Kind::Busy, "no connection came free in time")), out);
+                self.job_end(
+                    now,
+                    j,
+                    Err(Reject::new(Kind::Busy, "no connection came free in time")),
+                    out,
+                );
             }
             Step::Acks | Step::Again(_) if now >= job.deadline => {
                 let r = match sent {
@@ -66,4 +89,3 @@
         }
     }
 }
-
--- a/tenet/src/watch.rs
+++ b/tenet/src/watch.rs
@@ -10,7 +10,11 @@
         match () {
             _ if d.can.guards && !d.fences => None,
             _ if acks && heir => Some(ACK_POLL),
-            _ if d.can.guards && lead => Some(if now < self.known[s].heard + WATCH_QUIET { WATCH_QUIET } else { FENCE_POLL }),
+            _ if d.can.guards && lead => Some(if now < self.known[s].heard + WATCH_QUIET {
+                WATCH_QUIET
+            } else {
+                FENCE_POLL
+            }),
             _ if d.can.guards && d.phase == "steady" => self.failing(d).then_some(WATCH_REPLICA),
             _ if d.fences => Some(FENCE_POLL),
             _ => Some(READ_POLL),
@@ -25,7 +29,11 @@
 
     pub(crate) fn poll_servers(&mut self, now: Time, t: &Table, out: &mut FrontOut) {
         for (i, d) in t.dbs.iter().enumerate() {
-            let acks = d.can.confirms && self.jobs.iter().any(|(_, j)| j.db == i && j.step == Step::Acks);
+            let acks = d.can.confirms
+                && self
+                    .jobs
+                    .iter()
+                    .any(|(_, j)| j.db == i && j.step == Step::Acks);
             for s in &d.servers {
                 let row = &t.servers[*s];
                 let near = d.fences || d.homes.contains(&row.region);
@@ -33,20 +41,35 @@
                     true => self.polled[*s].max(self.known[*s].heard),
                     false => self.polled[*s],
                 };
-                let due = self.every(now, d, *s, acks).is_some_and(|e| now >= last + e);
+                let due = self
+                    .every(now, d, *s, acks)
+                    .is_some_and(|e| now >= last + e);
                 if row.addr != Addr::NONE && near && due {
                     self.polled[*s] = now;
                     let token = self.use_token(Use::Poll(*s, now));
                     let not_after = now + POLL_LIMIT;
-                    let query = Query::Position { service: d.name.clone(), server: row.name.clone() };
-                    out.back.push(BackCall { token, to: row.addr, query, not_after, timeout: POLL_LIMIT });
+                    let query = Query::Position {
+                        service: d.name.clone(),
+                        server: row.name.clone(),
+                    };
+                    out.back.push(BackCall {
+                        token,
+                        to: row.addr,
+                        query,
+                        not_after,
+                        timeout: POLL_LIMIT,
+                    });
                 }
             }
         }
     }
 
     fn followed(&self, t: &Table, s: usize) -> String {
-        let of = t.dbs.iter().find(|d| d.servers.contains(&s)).and_then(|d| d.primary);
+        let of = t
+            .dbs
+            .iter()
+            .find(|d| d.servers.contains(&s))
+            .and_then(|d| d.primary);
         let same = of.filter(|p| *p != s && self.known[*p].term == self.known[s].term);
         same.map_or(String::new(), |p| t.servers[p].name.clone())
     }
@@ -91,7 +114,11 @@
                 let k = &self.known[s];
                 let (life, pos, leads) = (k.life, k.pos, k.leads);
                 for (i, d) in t.dbs.iter().enumerate() {
-                    if d.primary == Some(s) && leads && life == t.servers[s].life && d.phase == "steady" {
+                    if d.primary == Some(s)
+                        && leads
+                        && life == t.servers[s].life
+                        && d.phase == "steady"
+                    {
                         self.marks[i].add(d.epoch, at, pos);
                     }
                 }
--- a/tenet/src/wire.rs
+++ b/tenet/src/wire.rs
@@ -37,7 +37,7 @@
 #[derive(Clone, Readable, Writable)]
 pub enum Changes {
     Entries(Vec<Entry>),
-    Frame(State),
+    Frame(Box<State>),
 }
 
 impl Changes {
@@ -45,7 +45,9 @@
     pub fn large(&self) -> bool {
         match self {
             Changes::Frame(_) => true,
-            Changes::Entries(v) => v.iter().any(|e| matches!(&e.ask.op, Op::Config { .. } | Op::Publish { .. })),
+            Changes::Entries(v) => v
+                .iter()
+                .any(|e| matches!(&e.ask.op, Op::Config { .. } | Op::Publish { .. })),
         }
     }
 }
@@ -115,38 +117,134 @@
 
 #[derive(Clone, Readable, Writable)]
 pub enum Msg {
-    Probe { seq: u32, news: Vec<Summary> },
-    ProbeAck { seq: u32, news: Vec<Summary> },
-    ProbeFor { seq: u32, target: Addr, news: Vec<Summary> },
-    Pledge { set: Vec<Seat> },
+    Probe {
+        seq: u32,
+        news: Vec<Summary>,
+    },
+    ProbeAck {
+        seq: u32,
+        news: Vec<Summary>,
+    },
+    ProbeFor {
+        seq: u32,
+        target: Addr,
+        news: Vec<Summary>,
+    },
+    Pledge {
+        set: Vec<Seat>,
+    },
     ViewAsk,
-    ViewIs { view: View },
-    Prepare { inst: Mark, ballot: u64 },
-    Promise { inst: Mark, ballot: u64, whole: Mark, accepted: u64, value: Option<View> },
-    Accept { inst: Mark, ballot: u64, value: View },
-    Accepted { inst: Mark, ballot: u64 },
-    Nack { inst: Mark, ballot: u64 },
-    TailAsk { view: Mark, seq: u64 },
-    TailGrant { view: Mark, seq: u64 },
-    Append { view: Mark, prev: Mark, entries: Vec<Entry> },
-    Have { view: Mark, mark: Mark },
-    FrameAsk { view: Mark },
-    Frame { view: Mark, state: State },
-    Propose { ask: Ask },
-    Outcome { id: u64, verdict: Verdict },
-    Refresh { seq: u64, have: Mark, cluster: u64 },
-    Fresh { seq: u64, have: Mark, part: Changes, view: View },
-    Nudge { mark: Mark },
-    Sights { v: Vec<Sight> },
-    Clean { db: String, epoch: Mark },
-    Carry { go: u64, to: NodeId, by: Time, load: Load },
-    Carried { go: u64, clock: Time, done: Result<Done, Reject> },
-    Speaks { wire: u8 },
-    TailGive { view: Mark, seq: u64 },
-    Echo { reply: bool },
+    ViewIs {
+        view: View,
+    },
+    Prepare {
+        inst: Mark,
+        ballot: u64,
+    },
+    Promise {
+        inst: Mark,
+        ballot: u64,
+        whole: Mark,
+        accepted: u64,
+        value: Option<View>,
+    },
+    Accept {
+        inst: Mark,
+        ballot: u64,
+        value: View,
+    },
+    Accepted {
+        inst: Mark,
+        ballot: u64,
+    },
+    Nack {
+        inst: Mark,
+        ballot: u64,
+    },
+    TailAsk {
+        view: Mark,
+        seq: u64,
+    },
+    TailGrant {
+        view: Mark,
+        seq: u64,
+    },
+    Append {
+        view: Mark,
+        prev: Mark,
+        entries: Vec<Entry>,
+    },
+    Have {
+        view: Mark,
+        mark: Mark,
+    },
+    FrameAsk {
+        view: Mark,
+    },
+    Frame {
+        view: Mark,
+        state: State,
+    },
+    Propose {
+        ask: Ask,
+    },
+    Outcome {
+        id: u64,
+        verdict: Verdict,
+    },
+    Refresh {
+        seq: u64,
+        have: Mark,
+        cluster: u64,
+    },
+    Fresh {
+        seq: u64,
+        have: Mark,
+        part: Changes,
+        view: View,
+    },
+    Nudge {
+        mark: Mark,
+    },
+    Sights {
+        v: Vec<Sight>,
+    },
+    Clean {
+        db: String,
+        epoch: Mark,
+    },
+    Carry {
+        go: u64,
+        to: NodeId,
+        by: Time,
+        load: Load,
+    },
+    Carried {
+        go: u64,
+        clock: Time,
+        done: Result<Done, Reject>,
+    },
+    Speaks {
+        wire: u8,
+    },
+    TailGive {
+        view: Mark,
+        seq: u64,
+    },
+    Echo {
+        reply: bool,
+    },
     /// A packet for `to` from a process that does not reach it itself.
-    Relay { to: Addr, packet: Vec<u8> },
-    ProbeOf { seq: u32, target: Addr, id: NodeId, news: Vec<Summary> },
+    Relay {
+        to: Addr,
+        packet: Vec<u8>,
+    },
+    ProbeOf {
+        seq: u32,
+        target: Addr,
+        id: NodeId,
+        news: Vec<Summary>,
+    },
 }
 
 #[derive(Clone, Readable, Writable)]
@@ -178,7 +276,9 @@
 
 pub fn decode(b: &[u8]) -> Result<Packet, String> {
     match b.split_first() {
-        Some((&v, r)) if (1..=WIRE).contains(&(v ^ GENERATION)) => Packet::read_from_buffer(r).map_err(|e| e.to_string()),
+        Some((&v, r)) if (1..=WIRE).contains(&(v ^ GENERATION)) => {
+            Packet::read_from_buffer(r).map_err(|e| e.to_string())
+        }
         Some((v, _)) => Err(format!("wire version {v}, this process speaks {WIRE}")),
         None => Err("empty packet".into()),
     }
--- a/tenet/tests/codec.rs
+++ b/tenet/tests/codec.rs
@@ -7,28 +7,111 @@
 use tenet::wire::*;
 
 fn packets() -> Vec<Packet> {
-    let seat = Seat { id: 5, addr: Addr { ip: [3; 16], port: 9 } };
-    let view = View { n: 3, cluster: 7, voters: vec![seat], chain: vec![seat, seat] };
-    let ask = Ask { id: 1, from: seat.addr, at: 2, op: Op::Config { base: 3, text: "{}".into() } };
-    let entry = Entry { mark: 4, ask: ask.clone() };
+    let seat = Seat {
+        id: 5,
+        addr: Addr {
+            ip: [3; 16],
+            port: 9,
+        },
+    };
+    let view = View {
+        n: 3,
+        cluster: 7,
+        voters: vec![seat],
+        chain: vec![seat, seat],
+    };
+    let ask = Ask {
+        id: 1,
+        from: seat.addr,
+        at: 2,
+        op: Op::Config {
+            base: 3,
+            text: "{}".into(),
+        },
+    };
+    let entry = Entry {
+        mark: 4,
+        ask: ask.clone(),
+    };
     let mut state = State::default();
-    state.apply(&Entry { mark: 1, ask: ask.clone() });
-    let setup = SetUp { user: "u".into(), settings: vec![("a".into(), "b".into())], prepared: vec![] };
+    state.apply(&Entry {
+        mark: 1,
+        ask: ask.clone(),
+    });
+    let setup = SetUp {
+        user: "u".into(),
+        settings: vec![("a".into(), "b".into())],
+        prepared: vec![],
+    };
     let load = Load {
-        db: "d".into(), id: "i".into(), act: Act::Commit, txn: 1, writes: true, look_up: true, budget: 9, limit: 3, after: 9,
-        setup, body: "null".into(), regions: vec!["r".into()], hops: vec![1, 2], fence: 3, session: 4, epoch: 5,
+        db: "d".into(),
+        id: "i".into(),
+        act: Act::Commit,
+        txn: 1,
+        writes: true,
+        look_up: true,
+        budget: 9,
+        limit: 3,
+        after: 9,
+        setup,
+        body: "null".into(),
+        regions: vec!["r".into()],
+        hops: vec![1, 2],
+        fence: 3,
+        session: 4,
+        epoch: 5,
     };
     let msgs = vec![
         Msg::ViewIs { view: view.clone() },
-        Msg::Promise { inst: 4, ballot: 5, whole: 3, accepted: 2, value: Some(view.clone()) },
-        Msg::Append { view: 3, prev: 3, entries: vec![entry.clone()] },
-        Msg::Frame { view: 3, state: state.clone() },
-        Msg::Fresh { seq: 1, have: 4, part: Changes::Frame(state), view },
-        Msg::Outcome { id: 1, verdict: Verdict { mark: 2, reject: Some(Reject::new(Kind::BadConfig, "x")) } },
-        Msg::Carry { go: 1, to: 2, by: 3, load },
-        Msg::Carried { go: 1, clock: 2, done: Err(Kind::Unknown.into()) },
+        Msg::Promise {
+            inst: 4,
+            ballot: 5,
+            whole: 3,
+            accepted: 2,
+            value: Some(view.clone()),
+        },
+        Msg::Append {
+            view: 3,
+            prev: 3,
+            entries: vec![entry.clone()],
+        },
+        Msg::Frame {
+            view: 3,
+            state: state.clone(),
+        },
+        Msg::Fresh {
+            seq: 1,
+            have: 4,
+            part: Changes::Frame(Box::new(state)),
+            view,
+        },
+        Msg::Outcome {
+            id: 1,
+            verdict: Verdict {
+                mark: 2,
+                reject: Some(Reject::new(Kind::BadConfig, "x")),
+            },
+        },
+        Msg::Carry {
+            go: 1,
+            to: 2,
+            by: 3,
+            load,
+        },
+        Msg::Carried {
+            go: 1,
+            clock: 2,
+            done: Err(Kind::Unknown.into()),
+        },
     ];
-    msgs.into_iter().map(|msg| Packet { from: 1, addr: seat.addr, cluster: 7, msg }).collect()
+    msgs.into_iter()
+        .map(|msg| Packet {
+            from: 1,
+            addr: seat.addr,
+            cluster: 7,
+            msg,
+        })
+        .collect()
 }
 
 #[test]
--- a/tenet/tests/disk.rs
+++ b/tenet/tests/disk.rs
@@ -5,8 +5,19 @@
 use tenet::state::*;
 
 fn entry(mark: u64) -> Rec {
-    let op = Op::Evacuate { domain: format!("d{mark}"), on: true };
-    Rec::Entry(Entry { mark, ask: Ask { id: mark * 7, from: Addr::NONE, at: mark, op } })
+    let op = Op::Evacuate {
+        domain: format!("d{mark}"),
+        on: true,
+    };
+    Rec::Entry(Entry {
+        mark,
+        ask: Ask {
+            id: mark * 7,
+            from: Addr::NONE,
+            at: mark,
+            op,
+        },
+    })
 }
 
 #[derive(Default, Clone)]
@@ -18,17 +29,26 @@
 impl Files {
     fn at(&mut self, name: &str) -> &mut Vec<u8> {
         let i = name.ends_with('1') as usize;
-        if name.starts_with("slot") { &mut self.slots[i] } else { &mut self.logs[i] }
+        if name.starts_with("slot") {
+            &mut self.slots[i]
+        } else {
+            &mut self.logs[i]
+        }
     }
     fn act(&mut self, op: &FileOp, upto: usize) {
         match op {
             FileOp::Settle => (),
             FileOp::Append { name, bytes } => self.at(name).extend(&bytes[..upto.min(bytes.len())]),
-            FileOp::Replace { name, bytes } => *self.at(name) = bytes[..upto.min(bytes.len())].to_vec(),
+            FileOp::Replace { name, bytes } => {
+                *self.at(name) = bytes[..upto.min(bytes.len())].to_vec()
+            }
         }
     }
     fn open(&self) -> Result<(Shelf, Option<Durable>), String> {
-        Shelf::recover([&self.slots[0], &self.slots[1]], [&self.logs[0], &self.logs[1]])
+        Shelf::recover(
+            [&self.slots[0], &self.slots[1]],
+            [&self.logs[0], &self.logs[1]],
+        )
     }
 }
 
@@ -36,7 +56,10 @@
     recs.iter().for_each(|r| {
         d.play(r);
     });
-    shelf.keep(recs, d).iter().for_each(|o| f.act(o, usize::MAX));
+    shelf
+        .keep(recs, d)
+        .iter()
+        .for_each(|o| f.act(o, usize::MAX));
 }
 
 fn start() -> (Files, Shelf, Durable) {
@@ -80,7 +103,11 @@
         }
         let (_, got) = f.open().expect("a torn write must not refuse the disk");
         let got = got.expect("a born disk stays born");
-        assert!(got.id == 9 && (got.state.mark == kept || got.state.mark == kept + 2), "{} of {kept}", got.state.mark);
+        assert!(
+            got.id == 9 && (got.state.mark == kept || got.state.mark == kept + 2),
+            "{} of {kept}",
+            got.state.mark
+        );
         Ok(())
     });
 }
@@ -99,7 +126,12 @@
             Err(_) => (),
             Ok((_, Some(d))) => {
                 let tail = tail_len(&f.logs[1]);
-                assert!(at >= f.logs[1].len() - tail, "byte {at} of {} changed unseen, mark {}", f.logs[1].len(), d.state.mark);
+                assert!(
+                    at >= f.logs[1].len() - tail,
+                    "byte {at} of {} changed unseen, mark {}",
+                    f.logs[1].len(),
+                    d.state.mark
+                );
             }
             Ok((_, None)) => panic!("the disk passed for empty"),
         }
--- a/tenet/tests/place.rs
+++ b/tenet/tests/place.rs
@@ -1,14 +1,14 @@
 #![cfg(not(loom))]
 use std::sync::Arc;
 use tenet::base::*;
+use tenet::colleagues::Colleagues;
 use tenet::config::Config;
 use tenet::kind::Kind;
+use tenet::pilot::{Sky, Watch};
 use tenet::place::place;
 use tenet::route::{hop, Hop, Silent};
 use tenet::state::*;
 use tenet::table::{Maker, Table};
-use tenet::colleagues::Colleagues;
-use tenet::pilot::{Sky, Watch};
 use tenet::wire::{Act, Load, Sight, Summary};
 
 const ALUMNI: &str = include_str!("../../examples/alumni.json");
@@ -16,7 +16,15 @@
 
 fn put(s: &mut State, op: Op) -> Mark {
     let mark = s.mark + 1;
-    let v = s.apply(&Entry { mark, ask: Ask { id: mark * 31, from: Addr::NONE, at: 0, op } });
+    let v = s.apply(&Entry {
+        mark,
+        ask: Ask {
+            id: mark * 31,
+            from: Addr::NONE,
+            at: 0,
+            op,
+        },
+    });
     assert_eq!(v.reject, None);
     mark
 }
@@ -24,28 +32,89 @@
 fn announce(name: &str, domain: &str, life: u64) -> Op {
     let labels = [("db".to_string(), "members".to_string())].into();
     let (server, domain) = (name.into(), domain.into());
-    let addr = Addr { ip: [1; 16], port: life as u16 };
-    Op::Announce { server, addr, domain, labels, life, leads: false, leaving: false, terms: false, seq: 0 }
+    let addr = Addr {
+        ip: [1; 16],
+        port: life as u16,
+    };
+    Op::Announce {
+        server,
+        addr,
+        domain,
+        labels,
+        life,
+        leads: false,
+        leaving: false,
+        terms: false,
+        seq: 0,
+    }
 }
 
 fn fleet() -> (Arc<Config>, State, Mark) {
     let c = Arc::new(Config::parse(ALUMNI).unwrap_or_else(|e| panic!("{e:?}")));
     let mut s = State::default();
-    put(&mut s, Op::Config { base: 0, text: ALUMNI.into() });
+    put(
+        &mut s,
+        Op::Config {
+            base: 0,
+            text: ALUMNI.into(),
+        },
+    );
     for id in 1..=9 {
         let domain = DOMAINS[id as usize % 3].to_string();
-        put(&mut s, Op::Enrol { id, addr: Addr::NONE, http: Addr::NONE, domain, disk: false });
-        put(&mut s, Op::Phase { id, event: "settle".into() });
+        put(
+            &mut s,
+            Op::Enrol {
+                id,
+                addr: Addr::NONE,
+                http: Addr::NONE,
+                domain,
+                disk: false,
+            },
+        );
+        put(
+            &mut s,
+            Op::Phase {
+                id,
+                event: "settle".into(),
+            },
+        );
     }
     for (i, n) in ["a", "b", "c"].iter().enumerate() {
         put(&mut s, announce(n, DOMAINS[i % 2], 10 + i as u64));
     }
     let db = || "members".to_string();
-    put(&mut s, Op::Place { db: db(), fencers: vec![], gateways: vec![] });
-    let epoch = put(&mut s, Op::Adopt { db: db(), server: "a".into() });
+    put(
+        &mut s,
+        Op::Place {
+            db: db(),
+            fencers: vec![],
+            gateways: vec![],
+        },
+    );
+    let epoch = put(
+        &mut s,
+        Op::Adopt {
+            db: db(),
+            server: "a".into(),
+        },
+    );
     for n in ["b", "c"] {
-        put(&mut s, Op::HeirJoin { db: db(), epoch, server: n.into() });
-        put(&mut s, Op::HeirFull { db: db(), epoch, server: n.into() });
+        put(
+            &mut s,
+            Op::HeirJoin {
+                db: db(),
+                epoch,
+                server: n.into(),
+            },
+        );
+        put(
+            &mut s,
+            Op::HeirFull {
+                db: db(),
+                epoch,
+                server: n.into(),
+            },
+        );
     }
     seat(&c, &mut s, &|_| true);
     (c, s, epoch)
@@ -53,15 +122,39 @@
 
 fn seat(c: &Config, s: &mut State, fit: &dyn Fn(&Member) -> bool) {
     let v = place(c, s, "members", fit, fit, fit).expect("a placement");
-    put(s, Op::Place { db: "members".into(), fencers: v.fencers, gateways: v.gateways });
+    put(
+        s,
+        Op::Place {
+            db: "members".into(),
+            fencers: v.fencers,
+            gateways: v.gateways,
+        },
+    );
 }
 
 fn maker<'a>(c: &'a Arc<Config>, s: &'a State) -> Maker<'a> {
-    Maker { me: 1, domain: DOMAINS[1], now: 1, cfg: c, st: s, alive: &|_| true, old: None }
+    Maker {
+        me: 1,
+        domain: DOMAINS[1],
+        now: 1,
+        cfg: c,
+        st: s,
+        alive: &|_| true,
+        old: None,
+    }
 }
 
 fn table(c: &Arc<Config>, s: &State, me: NodeId) -> Table {
-    Maker { me, domain: DOMAINS[me as usize % 3], now: 1, cfg: c, st: s, alive: &|_| true, old: None }.make()
+    Maker {
+        me,
+        domain: DOMAINS[me as usize % 3],
+        now: 1,
+        cfg: c,
+        st: s,
+        alive: &|_| true,
+        old: None,
+    }
+    .make()
 }
 
 fn load(regions: &[&str], hops: Vec<NodeId>) -> Load {
@@ -80,17 +173,34 @@
     assert_eq!(d.fencers.len(), 2);
     assert!(d.fencers.iter().all(|f| region(&s, f) == "geneva"));
     assert_eq!(d.gateways.len(), 4);
-    assert!(d.gateways.iter().all(|g| region(&s, g) != "lugano"), "lugano is no home of members");
+    assert!(
+        d.gateways.iter().all(|g| region(&s, g) != "lugano"),
+        "lugano is no home of members"
+    );
     let out = d.fencers[0];
-    let v = place(&c, &s, "members", &|m| m.id != out, &|_| true, &|m| m.id != out).unwrap();
-    assert!(v.fencers == d.fencers, "a stopping node keeps fencing what is open");
+    let v = place(&c, &s, "members", &|m| m.id != out, &|_| true, &|m| {
+        m.id != out
+    })
+    .unwrap();
+    assert!(
+        v.fencers == d.fencers,
+        "a stopping node keeps fencing what is open"
+    );
     assert!(!v.gateways.contains(&out) && v.gateways.len() == 4);
     let dead = d.fencers[0];
     seat(&c, &mut s, &|m| m.id != dead);
     let e = s.dbs["members"].clone();
-    assert!(e.fencers.contains(&d.fencers[1]) && !e.fencers.contains(&dead) && e.fencers.len() == 2);
+    assert!(
+        e.fencers.contains(&d.fencers[1]) && !e.fencers.contains(&dead) && e.fencers.len() == 2
+    );
     seat(&c, &mut s, &|m| c.region(&m.domain) != Some("geneva"));
-    assert!(s.dbs["members"].fencers.iter().all(|f| region(&s, f) == "zurich"), "the other home region takes over");
+    assert!(
+        s.dbs["members"]
+            .fencers
+            .iter()
+            .all(|f| region(&s, f) == "zurich"),
+        "the other home region takes over"
+    );
 }
 
 #[test]
@@ -99,14 +209,22 @@
     for me in 1..=9 {
         let t = table(&c, &s, me);
         let row = &t.servers[t.dbs[t.db_ix["members"]].primary.unwrap()];
-        assert_eq!(row.addr == Addr::NONE, !s.dbs["members"].fencers.contains(&me), "node {me}");
+        assert_eq!(
+            row.addr == Addr::NONE,
+            !s.dbs["members"].fencers.contains(&me),
+            "node {me}"
+        );
     }
 }
 
 #[test]
 fn a_rebuilt_heir_counts_no_more() {
     let (c, mut s, _) = fleet();
-    let heirs = |s: &State| table(&c, s, 1).dbs[table(&c, s, 1).db_ix["members"]].heirs.len();
+    let heirs = |s: &State| {
+        table(&c, s, 1).dbs[table(&c, s, 1).db_ix["members"]]
+            .heirs
+            .len()
+    };
     assert_eq!(heirs(&s), 2);
     put(&mut s, announce("b", DOMAINS[1], 99));
     assert_eq!(heirs(&s), 1);
@@ -126,27 +244,70 @@
     let homes = ["geneva", "zurich"];
     assert!(matches!(go(local, &load(&homes, vec![9])), Hop::Gateway(g) if region(g) == "zurich"));
     assert!(matches!(go(remote, &load(&homes, vec![9])), Hop::Fence(f) if d.fencers.contains(&f)));
-    assert!(matches!(go(local, &load(&homes, vec![9, remote])), Hop::Fence(_)));
-    assert!(matches!(go(local, &load(&["geneva"], vec![9])), Hop::Fence(_)));
-    assert!(matches!(go(remote, &load(&["zurich"], vec![9])), Hop::Nowhere(Kind::NoHome, _)));
+    assert!(matches!(
+        go(local, &load(&homes, vec![9, remote])),
+        Hop::Fence(_)
+    ));
+    assert!(matches!(
+        go(local, &load(&["geneva"], vec![9])),
+        Hop::Fence(_)
+    ));
+    assert!(matches!(
+        go(remote, &load(&["zurich"], vec![9])),
+        Hop::Nowhere(Kind::NoHome, _)
+    ));
 }
 
 #[test]
 fn the_last_heir_that_was_rebuilt_joins_anew() {
     let (c, mut s, epoch) = fleet();
     let why = String::new();
-    put(&mut s, Op::HeirLeave { db: "members".into(), epoch, server: "c".into(), why });
+    put(
+        &mut s,
+        Op::HeirLeave {
+            db: "members".into(),
+            epoch,
+            server: "c".into(),
+            why,
+        },
+    );
     put(&mut s, announce("b", DOMAINS[1], 99));
-    let me = Summary { id: 1, addr: Addr::NONE, http: Addr::NONE, domain: DOMAINS[1].into(), disk: true, life: 1, status: 0, view: 1, mark: 1, allows: true, stopping: false };
+    let me = Summary {
+        id: 1,
+        addr: Addr::NONE,
+        http: Addr::NONE,
+        domain: DOMAINS[1].into(),
+        disk: true,
+        life: 1,
+        status: 0,
+        view: 1,
+        mark: 1,
+        allows: true,
+        stopping: false,
+    };
     let peers = Colleagues::new(me, vec![], 2);
     let sight = |n: &str, life, leads: bool| Sight {
-        server: n.into(), life, age: 0, reach: true, pos: 5, follows: if leads { "" } else { "a" }.into(), leads, link: true,
+        server: n.into(),
+        life,
+        age: 0,
+        reach: true,
+        pos: 5,
+        follows: if leads { "" } else { "a" }.into(),
+        leads,
+        link: true,
     };
     let mut w = Watch::default();
     let mut joins = |now| {
         w.sights(now, 2, vec![sight("a", 10, true), sight("b", 99, false)]);
-        let (ops, _) = w.tick(&Sky { now, me: 1, st: &s, cfg: &c, c: &peers });
-        ops.iter().any(|o| matches!(o, Op::HeirJoin { server, .. } if server == "b"))
+        let (ops, _) = w.tick(&Sky {
+            now,
+            me: 1,
+            st: &s,
+            cfg: &c,
+            c: &peers,
+        });
+        ops.iter()
+            .any(|o| matches!(o, Op::HeirJoin { server, .. } if server == "b"))
     };
     assert!(joins(5000) && joins(9000));
 }
@@ -155,12 +316,25 @@
 fn a_server_that_left_keeps_its_place_in_the_table_so_that_the_others_keep_theirs() {
     let (c, mut s, _) = fleet();
     let old = table(&c, &s, 1);
-    put(&mut s, Op::Depart { server: "b".into(), seq: 0 });
+    put(
+        &mut s,
+        Op::Depart {
+            server: "b".into(),
+            seq: 0,
+        },
+    );
     put(&mut s, announce("d", DOMAINS[0], 20));
-    let t = Maker { old: Some(&old), ..maker(&c, &s) }.make();
+    let t = Maker {
+        old: Some(&old),
+        ..maker(&c, &s)
+    }
+    .make();
     let names: Vec<&str> = t.servers.iter().map(|r| r.name.as_str()).collect();
     assert_eq!(names, ["a", "b", "c", "d"]);
-    assert_eq!((t.servers[1].addr, t.servers[1].life), (Addr::NONE, old.servers[1].life));
+    assert_eq!(
+        (t.servers[1].addr, t.servers[1].life),
+        (Addr::NONE, old.servers[1].life)
+    );
     let db = &t.dbs[t.db_ix["members"]];
     assert!(!db.servers.contains(&1) && db.servers.contains(&3) && db.primary == Some(0));
 }
@@ -169,16 +343,38 @@
 fn a_late_announcement_changes_nothing_and_an_ended_server_stays_ended() {
     let (_, mut s, _) = fleet();
     let told = |seq, leaving| match announce("z", DOMAINS[0], 30) {
-        Op::Announce { server, addr, domain, labels, life, leads, .. } => {
-            Op::Announce { server, addr, domain, labels, life, leads, leaving, terms: true, seq }
-        }
+        Op::Announce {
+            server,
+            addr,
+            domain,
+            labels,
+            life,
+            leads,
+            ..
+        } => Op::Announce {
+            server,
+            addr,
+            domain,
+            labels,
+            life,
+            leads,
+            leaving,
+            terms: true,
+            seq,
+        },
         _ => unreachable!(),
     };
     put(&mut s, told(4, false));
     put(&mut s, told(6, true));
     put(&mut s, told(5, false));
     assert!(s.servers["z"].leaving);
-    put(&mut s, Op::Depart { server: "z".into(), seq: 0 });
+    put(
+        &mut s,
+        Op::Depart {
+            server: "z".into(),
+            seq: 0,
+        },
+    );
     put(&mut s, told(7, false));
     assert!(!s.servers.contains_key("z"));
 }
@@ -190,11 +386,24 @@
     let region = |n: NodeId| c.region(&s.members[&n].domain).unwrap().to_string();
     let far = *d.gateways.iter().find(|g| region(**g) == "zurich").unwrap();
     let t = table(&c, &s, far);
-    let go = |silent: &Silent, hops: Vec<NodeId>| hop(&t, &t.dbs[t.db_ix["members"]], &load(&["geneva", "zurich"], hops), 0, silent);
+    let go = |silent: &Silent, hops: Vec<NodeId>| {
+        hop(
+            &t,
+            &t.dbs[t.db_ix["members"]],
+            &load(&["geneva", "zurich"], hops),
+            0,
+            silent,
+        )
+    };
     let one: Silent = d.fencers[..1].iter().copied().collect();
     assert_eq!(go(&one, vec![far]), Hop::Fence(d.fencers[1]));
     let both: Silent = d.fencers.iter().copied().collect();
-    let way: Vec<NodeId> = d.gateways.iter().copied().filter(|g| region(*g) == "geneva" && !both.contains(g)).collect();
+    let way: Vec<NodeId> = d
+        .gateways
+        .iter()
+        .copied()
+        .filter(|g| region(*g) == "geneva" && !both.contains(g))
+        .collect();
     match way.first() {
         Some(_) => assert!(matches!(go(&both, vec![far]), Hop::Gateway(g) if way.contains(&g))),
         None => assert!(matches!(go(&both, vec![far]), Hop::Fence(_))),
@@ -220,22 +429,73 @@
 
 #[test]
 fn where_one_replica_holds_each_commit_both_are_seen_before_one_is_chosen() {
-    let text = ALUMNI.replacen("\"cap\":", "\"can\": {\"confirms\": false, \"synced\": 1}, \"cap\":", 9);
+    let text = ALUMNI.replacen(
+        "\"cap\":",
+        "\"can\": {\"confirms\": false, \"synced\": 1}, \"cap\":",
+        9,
+    );
     let c = Arc::new(Config::parse(&text).unwrap_or_else(|e| panic!("{e:?}")));
     let (_, mut s, epoch) = fleet();
-    put(&mut s, Op::Offline { db: "members".into(), epoch, why: String::new() });
-    let me = Summary { id: 1, addr: Addr::NONE, http: Addr::NONE, domain: DOMAINS[1].into(), disk: true, life: 1, status: 0, view: 1, mark: 1, allows: true, stopping: false };
+    put(
+        &mut s,
+        Op::Offline {
+            db: "members".into(),
+            epoch,
+            why: String::new(),
+        },
+    );
+    let me = Summary {
+        id: 1,
+        addr: Addr::NONE,
+        http: Addr::NONE,
+        domain: DOMAINS[1].into(),
+        disk: true,
+        life: 1,
+        status: 0,
+        view: 1,
+        mark: 1,
+        allows: true,
+        stopping: false,
+    };
     let peers = Colleagues::new(me, vec![], 2);
-    let sight = |n: &str, life, pos| Sight { server: n.into(), life, age: 0, reach: true, pos, follows: "a".into(), leads: false, link: true };
+    let sight = |n: &str, life, pos| Sight {
+        server: n.into(),
+        life,
+        age: 0,
+        reach: true,
+        pos,
+        follows: "a".into(),
+        leads: false,
+        link: true,
+    };
     let choose = |w: &mut Watch, now, v: Vec<Sight>| {
         w.sights(now, 2, v);
-        let (ops, _) = w.tick(&Sky { now, me: 1, st: &s, cfg: &c, c: &peers });
-        ops.into_iter().find_map(|o| if let Op::Target { server, .. } = o { Some(server) } else { None })
+        let (ops, _) = w.tick(&Sky {
+            now,
+            me: 1,
+            st: &s,
+            cfg: &c,
+            c: &peers,
+        });
+        ops.into_iter().find_map(|o| {
+            if let Op::Target { server, .. } = o {
+                Some(server)
+            } else {
+                None
+            }
+        })
     };
     let mut w = Watch::default();
     choose(&mut w, 1000, vec![]);
     let late = 1000 + 3 * FULL + HEIR_LOOK;
     assert_eq!(choose(&mut w, late, vec![sight("b", 11, 7)]), None);
     assert_eq!(choose(&mut w, late + 60_000, vec![sight("b", 11, 7)]), None);
-    assert_eq!(choose(&mut w, late + 60_100, vec![sight("b", 11, 7), sight("c", 12, 9)]), Some("c".into()));
+    assert_eq!(
+        choose(
+            &mut w,
+            late + 60_100,
+            vec![sight("b", 11, 7), sight("c", 12, 9)]
+        ),
+        Some("c".into())
+    );
 }
