--- a/tenet/src/bounds.rs
+++ b/tenet/src/bounds.rs
@@ -25,6 +25,28 @@
 pub const VIEW_ROUND: Time = 50;
 pub const VIEW_HOLD: Time = 300;
 pub const VIEW_OPEN: Time = 1500;
+/// How often a control machine tells the others whom it hears.
+pub const CONTACT_ROUND: Time = 120;
+/// How long a control machine may say nothing before direct contact with it counts as lost: four
+/// reports, since single datagrams get lost.
+pub const CONTACT_LOST: Time = 600;
+/// How long after its start a machine waits for the first reports before it takes a link for lost.
+pub const CONTACT_FIRST: Time = 1500;
+/// A gap between two rounds of this process from which on it counts as paused.
+pub const CONTACT_PAUSE: Time = 300;
+/// How long contact must hold before a machine joins the chain, at first and at most: the time doubles
+/// with each loss, and starts anew after contact held for `RETURN_FORGET`.
+pub const RETURN_FIRST: Time = 300;
+pub const RETURN_MOST: Time = 9_600;
+pub const RETURN_FORGET: Time = 30_000;
+/// From which wait on a write to the disk counts as stalled. Slow disks sync within 150 ms.
+pub const DISK_STALLED: Time = 600;
+/// How often a machine outside the chain writes to its disk, to know whether it answers.
+pub const DISK_PROBE: Time = 1000;
+/// How long a proposer waits for the promises of voters that it reaches.
+pub const PROMISE_WAIT: Time = 600;
+/// How long a voter grants no lease after it was asked to accept a value.
+pub const ACCEPT_WAIT: Time = 500;
 /// Most voters; their number grows by two, so that it stays odd.
 pub const VOTERS_MOST: usize = 5;
 pub const VOTER_REPLACE: Time = 2500;
--- a/tenet/src/chain.rs
+++ b/tenet/src/chain.rs
@@ -1,9 +1,11 @@
+use crate::agreement::Agreement;
 use crate::base::*;
 use crate::colleagues::Colleagues;
+use crate::contact::Contacts;
 use crate::disk::*;
-use crate::found::TailPermit;
+use crate::disk_health::DiskHealth;
+use crate::lease::TailLease;
 use crate::state::*;
-use crate::view::Agreement;
 use crate::wire::Msg;
 use std::collections::{BTreeMap, VecDeque};
 
@@ -30,7 +32,11 @@
     pub(crate) resend_at: Time,
     frame_at: Time,
     pub(crate) agree: Agreement,
-    pub(crate) tail: TailPermit,
+    pub(crate) tail: TailLease,
+    pub(crate) contacts: Contacts,
+    pub(crate) disk_health: DiskHealth,
+    pub(crate) disk_probe_at: Time,
+    now: Time,
     pub(crate) pledges: BTreeMap<NodeId, Vec<Seat>>,
     pub(crate) tick_at: Time,
     pub(crate) born: Time,
@@ -58,7 +64,11 @@
             resend_at: 0,
             frame_at: 0,
             agree: Agreement::default(),
-            tail: TailPermit::new(now),
+            tail: TailLease::new(now),
+            contacts: Contacts::new(me.id, now),
+            disk_health: DiskHealth::default(),
+            disk_probe_at: 0,
+            now,
             pledges: BTreeMap::new(),
             tick_at: 0,
             born: now,
@@ -88,6 +98,7 @@
     pub fn seq(&mut self, out: &mut Out) -> Option<u64> {
         (!out.write.is_empty()).then(|| {
             self.next_seq += 1;
+            self.disk_health.began(self.next_seq, self.now);
             self.sync_q.push_back((self.next_seq, self.d.state.mark));
             self.late_q
                 .push_back((self.next_seq, std::mem::take(&mut out.late)));
@@ -104,6 +115,7 @@
     }
 
     pub fn synced(&mut self, now: Time, seq: u64, out: &mut Out) {
+        self.disk_health.synced(seq);
         while self.sync_q.front().is_some_and(|(s, _)| *s <= seq) {
             if let Some((_, m)) = self.sync_q.pop_front() {
                 let from = self.synced;
@@ -264,6 +276,7 @@
     }
 
     pub fn tick(&mut self, now: Time, c: &Colleagues, out: &mut Out) -> Time {
+        self.now = now;
         if self.d.view.n == 0 {
             self.found_tick(now, c, out);
         } else {
--- a/tenet/src/follow.rs
+++ b/tenet/src/follow.rs
@@ -122,7 +122,12 @@
         use Msg::*;
         if matches!(
             p.msg,
-            Probe { .. } | ProbeAck { .. } | ProbeFor { .. } | ProbeOf { .. } | Speaks { .. }
+            Probe { .. }
+                | ProbeAck { .. }
+                | ProbeFor { .. }
+                | ProbeOf { .. }
+                | Speaks { .. }
+                | Contact { .. }
         ) {
             return (to, p);
         }
--- a/tenet/src/found.rs
+++ b/tenet/src/found.rs
@@ -1,52 +1,12 @@
+use crate::agreement::{seats, Agreement};
 use crate::base::*;
 use crate::chain::{Chain, Out};
 use crate::colleagues::Colleagues;
 use crate::disk::*;
-use crate::view::{seats, Agreement};
+use crate::lease::TailLease;
 use crate::wire::Msg;
-use std::collections::BTreeMap;
-
-pub struct TailPermit {
-    pub seq: u64,
-    pub asks: BTreeMap<u64, Time>,
-    pub got: BTreeMap<NodeId, Time>,
-    pub until: Time,
-    pub next: Time,
-    pub granted: Time,
-    pub granted_seq: u64,
-}
-
-impl TailPermit {
-    pub fn new(now: Time) -> Self {
-        TailPermit {
-            seq: 0,
-            asks: BTreeMap::new(),
-            got: BTreeMap::new(),
-            until: 0,
-            next: 0,
-            granted: now + TAIL_PERMIT + TAIL_DRIFT,
-            granted_seq: 0,
-        }
-    }
-    pub fn holds(&self, now: Time) -> bool {
-        now < self.until
-    }
-}
 
 impl Chain {
-    pub(crate) fn give_tail(&mut self, c: &Colleagues, out: &mut Out) {
-        if self.is_tail() && self.tail.until > 0 {
-            (self.tail.until, self.tail.seq) = (0, self.tail.seq + 1);
-            self.tail.asks.clear();
-            self.tail.got.clear();
-            let m = Msg::TailGive {
-                view: self.d.view.n,
-                seq: self.tail.seq,
-            };
-            self.to_voters(m, c, out);
-        }
-    }
-
     pub fn found_tick(&mut self, now: Time, c: &Colleagues, out: &mut Out) {
         if now < self.tick_at {
             return;
@@ -144,14 +104,22 @@
             seats(&view.voters)
         );
         out.stories.push(("view".into(), t));
+        let left: Vec<NodeId> = old
+            .chain
+            .iter()
+            .map(|s| s.id)
+            .filter(|id| seat(&view.chain, *id).is_none())
+            .collect();
+        left.into_iter()
+            .for_each(|id| self.contacts.set_back(id, now));
         self.keep(Rec::View { view, whole }, out);
         self.agree = Agreement {
             next: now + VIEW_HOLD,
             ..Agreement::default()
         };
-        self.tail = TailPermit {
+        self.tail = TailLease {
             granted: self.tail.granted,
-            ..TailPermit::new(now)
+            ..TailLease::new(now)
         };
         self.adopted(now);
     }
--- a/tenet/src/wire.rs
+++ b/tenet/src/wire.rs
@@ -5,7 +5,7 @@
 use speedy::{Readable, Writable};
 
 pub const WIRE: u8 = 2;
-const GENERATION: u8 = 0x10;
+const GENERATION: u8 = 0x20;
 
 #[derive(Clone, PartialEq, Debug, Readable, Writable)]
 pub struct Summary {
@@ -224,6 +224,11 @@
         clock: Time,
         done: Result<Done, Reject>,
     },
+    /// Whom a control machine hears directly, and whether its disk answers. Never relayed.
+    Contact {
+        hears: Vec<NodeId>,
+        disk_ready: bool,
+    },
     Speaks {
         wire: u8,
     },
