--- a/chance/src/cause.rs
+++ b/chance/src/cause.rs
@@ -96,6 +96,7 @@
             }
             Fault::Cut(a, b) => self.cuts.push((a, b)),
             Fault::CutNode(i) => self.lost_node = Some(i),
+            Fault::CutLink(a, b) => self.lost_links.push((a, b)),
             Fault::CutServer(n, way) => self
                 .server(&n)
                 .into_iter()
@@ -105,6 +106,7 @@
                 self.cuts.clear();
                 self.lost_servers.clear();
                 self.lost_node = None;
+                self.lost_links.clear();
             }
             Fault::Crash(n) => self.server(&n).into_iter().for_each(|s| self.crash(s)),
             Fault::CrashTarget(db) => {
--- a/chance/src/fault.rs
+++ b/chance/src/fault.rs
@@ -30,6 +30,8 @@
     StaleConfigure,
     BadConfigure,
     CutNode(usize),
+    /// Nothing passes from one node to another; the way back is not touched.
+    CutLink(usize, usize),
     CutServer(String, u8),
     FreezeFencer(String, usize),
     FreezeSending(String, usize),
--- a/chance/src/lib.rs
+++ b/chance/src/lib.rs
@@ -1,5 +1,6 @@
 pub mod cause;
 pub mod client;
+pub mod cuts;
 pub mod days;
 pub mod fault;
 pub mod node;
--- a/chance/src/wires.rs
+++ b/chance/src/wires.rs
@@ -53,8 +53,13 @@
                 .iter()
                 .any(|(s, w)| e == End::Server(*s) && (*w == 0 || *w == way))
         };
+        let link = match (a, b) {
+            (End::Node(i), End::Node(j)) => self.lost_links.contains(&(i, j)),
+            _ => false,
+        };
         gone(a)
             || gone(b)
+            || link
             || cut(b, 1)
             || cut(a, 2)
             || self.cut(self.domain_of(a), self.domain_of(b))
--- a/tenet/src/bounds.rs
+++ b/tenet/src/bounds.rs
@@ -35,11 +35,12 @@
 /// A gap between two rounds of this process from which on it counts as paused.
 pub const CONTACT_PAUSE: Time = 300;
 /// How long contact must hold before a machine joins the chain, at first and at most: the time doubles
-/// with each loss, and starts anew after contact held for `RETURN_FORGET`.
+/// with each loss that comes sooner than `RETURN_FORGET` after a return.
 pub const RETURN_FIRST: Time = 300;
 pub const RETURN_MOST: Time = 9_600;
-pub const RETURN_FORGET: Time = 30_000;
-/// From which wait on a write to the disk counts as stalled. Slow disks sync within 150 ms.
+pub const RETURN_FORGET: Time = 6_000;
+/// A disk that had something to sync and finished nothing for this long counts as stalled. Slow disks
+/// finish a sync within 150 ms.
 pub const DISK_STALLED: Time = 600;
 /// How often a machine outside the chain writes to its disk, to know whether it answers.
 pub const DISK_PROBE: Time = 1000;
--- a/tenet/src/chain.rs
+++ b/tenet/src/chain.rs
@@ -115,7 +115,7 @@
     }
 
     pub fn synced(&mut self, now: Time, seq: u64, out: &mut Out) {
-        self.disk_health.synced(seq);
+        self.disk_health.synced(seq, now);
         while self.sync_q.front().is_some_and(|(s, _)| *s <= seq) {
             if let Some((_, m)) = self.sync_q.pop_front() {
                 let from = self.synced;
--- a/tenet/src/contact.rs
+++ b/tenet/src/contact.rs
@@ -140,7 +140,7 @@
     }
 
     /// Whether contact with `id` has held long enough for it to join. The time doubles with each
-    /// loss of contact.
+    /// loss that comes soon after a return.
     pub fn steady(&self, id: NodeId, now: Time) -> bool {
         self.peers
             .get(&id)
@@ -167,11 +167,14 @@
     fn follow(&mut self, good: bool, now: Time) {
         match (self.since, good) {
             (None, true) => self.since = Some(now),
-            (Some(_), false) => {
+            (Some(since), false) => {
+                let flapped = now < since + RETURN_FORGET;
                 self.since = None;
-                self.hold = (self.hold * 2).min(RETURN_MOST);
+                self.hold = match flapped {
+                    true => (self.hold * 2).min(RETURN_MOST),
+                    false => RETURN_FIRST,
+                };
             }
-            (Some(since), true) if now > since + RETURN_FORGET => self.hold = RETURN_FIRST,
             _ => (),
         }
     }
--- a/tenet/src/disk_health.rs
+++ b/tenet/src/disk_health.rs
@@ -1,4 +1,4 @@
-//! Whether the disk of this machine answers: how long its oldest write has waited.
+//! Whether the disk of this machine answers: how long it has finished nothing while writes wait.
 
 use crate::base::*;
 use std::collections::VecDeque;
@@ -6,27 +6,31 @@
 /// The writes that were handed to the disk and are not synced yet.
 #[derive(Default)]
 pub struct DiskHealth {
-    waiting: VecDeque<(u64, Time)>,
+    waiting: VecDeque<u64>,
+    /// When the disk last finished a batch, or was handed one while idle.
+    progress: Time,
 }
 
 impl DiskHealth {
     /// A batch of writes was handed to the disk.
     pub fn began(&mut self, seq: u64, now: Time) {
-        self.waiting.push_back((seq, now));
+        if self.waiting.is_empty() {
+            self.progress = now;
+        }
+        self.waiting.push_back(seq);
     }
 
     /// All batches up to `seq` are synced.
-    pub fn synced(&mut self, seq: u64) {
-        while self.waiting.front().is_some_and(|(s, _)| *s <= seq) {
+    pub fn synced(&mut self, seq: u64, now: Time) {
+        self.progress = now;
+        while self.waiting.front().is_some_and(|s| *s <= seq) {
             self.waiting.pop_front();
         }
     }
 
-    /// Whether no batch has waited too long.
+    /// Whether the disk made progress of late, or has nothing to do.
     pub fn ready(&self, now: Time) -> bool {
-        self.waiting
-            .front()
-            .is_none_or(|(_, began)| now < *began + DISK_STALLED)
+        self.idle() || now < self.progress + DISK_STALLED
     }
 
     /// Whether nothing is on its way to the disk.
