Choose the chain's members by direct contact, keep leases while a view is agreed

Cause: the cut machine still reaches the flow nodes, so gossip called it silent and alive by turns. Each turn proposed a view, often equal to the present one; each proposal made the tail give its lease up and voters stop granting; after 1.5 s no node held a lease. A status told by others also set the way to a node direct again, so that its answers were sent into the cut.

Ruled out: the disks (no sync over 20 ms in the logs) and the load (quiet zones too).

Change: control machines report whom they hear, directly and never relayed. Members are those in contact pairwise with the proposer; who reaches no majority proposes nothing, and no voter promises to it; a machine outside the chain judges no member; a return needs contact that held, for a time that doubles with each flap; no view equal to the present one. Leases are granted until a value is to be accepted. A stalled disk is told and its machine put out before writes wait for it.

--- a/chance/src/scripts.rs
+++ b/chance/src/scripts.rs
@@ -1,3 +1,4 @@
+use crate::cuts::CUTS;
 use crate::fault::Fault;
 use crate::fault::{Fault::*, Mood};
 use crate::sim::*;
@@ -562,5 +563,5 @@
 };
 
 pub fn find(n: &str) -> Option<&'static Script> {
-    ALL.iter().find(|s| s.name == n)
+    ALL.iter().chain(CUTS).find(|s| s.name == n)
 }
--- a/tenet/src/agreement.rs
+++ b/tenet/src/agreement.rs
@@ -57,18 +57,6 @@
         self.d.view.voters.iter().any(|s| s.id == self.me.id)
     }
 
-    /// Where a member is reached now.
-    pub(crate) fn now_at(&self, s: &Seat, c: &Colleagues) -> Addr {
-        match s.id == self.me.id {
-            true => self.me.addr,
-            false => c
-                .all
-                .get(&s.id)
-                .filter(|_| c.alive(s.id))
-                .map_or(s.addr, |k| k.s.addr),
-        }
-    }
-
     pub(crate) fn to_voters(&self, m: Msg, c: &Colleagues, out: &mut Out) {
         let voters = self.d.view.voters.iter();
         out.late
@@ -94,36 +82,6 @@
         }
     }
 
-    /// Tells the voters, the chain and those that may join whom this machine hears.
-    fn report_contacts(&mut self, now: Time, c: &Colleagues, out: &mut Out) {
-        let ready = self.disk_health.ready(now);
-        let Some(report) = self.contacts.report(now, ready) else {
-            return;
-        };
-        let view = &self.d.view;
-        let seats = view.voters.iter().chain(&view.chain);
-        let mut targets: BTreeSet<Addr> = seats.map(|s| self.now_at(s, c)).collect();
-        let seated = view.voters.iter().any(|s| s.id == self.me.id) || self.place().is_some();
-        if seated {
-            targets.extend(self.joiners(c).iter().map(|s| s.addr));
-        }
-        targets.remove(&self.me.addr);
-        let m = Msg::Contact {
-            hears: report.hears,
-            disk_ready: report.disk_ready,
-        };
-        out.send.extend(targets.into_iter().map(|a| (a, m.clone())));
-    }
-
-    /// A machine outside the chain writes a small record from time to time, so that the others know
-    /// whether its disk answers before they let it join.
-    fn probe_own_disk(&mut self, now: Time, out: &mut Out) {
-        if self.place().is_none() && now >= self.disk_probe_at && self.disk_health.idle() {
-            self.disk_probe_at = now + DISK_PROBE;
-            self.keep(Rec::Born(self.me.id), out);
-        }
-    }
-
     fn drive(&mut self, now: Time, c: &Colleagues, out: &mut Out) {
         let lower = self.d.view.voters.iter().filter(|s| s.id < self.me.id);
         let rank = lower.filter(|s| self.contacts.reaches(s.id, now)).count() as Time;
@@ -264,72 +222,6 @@
         }
     }
 
-    /// Promises, unless the proposer is out of direct contact: who reaches no majority opens nothing.
-    fn prepare(&mut self, now: Time, from: NodeId, addr: Addr, ballot: u64, out: &mut Out) {
-        if !self.contacts.reaches(from, now) {
-            return;
-        }
-        let inst = self.d.view.n + 1;
-        self.agree.heard = self.agree.heard.max(ballot);
-        self.agree.touched = now;
-        if ballot < self.d.promised {
-            let ballot = self.d.promised;
-            out.send.push((addr, Msg::Nack { inst, ballot }));
-            return;
-        }
-        let (accepted, value) = (self.d.accepted, self.d.value.clone());
-        if ballot > self.d.promised {
-            let vote = Rec::Vote {
-                promised: ballot,
-                accepted,
-                value: value.clone(),
-            };
-            self.keep(vote, out);
-        }
-        let promise = Msg::Promise {
-            inst,
-            ballot,
-            whole: self.d.whole,
-            accepted,
-            value,
-        };
-        out.late.push((addr, promise));
-    }
-
-    /// Accepts, once the lease that this voter granted to the tail has ended. From the asking on it
-    /// grants none, and a tail gives its own back.
-    fn accept(
-        &mut self,
-        now: Time,
-        addr: Addr,
-        ballot: u64,
-        value: View,
-        c: &Colleagues,
-        out: &mut Out,
-    ) {
-        let inst = self.d.view.n + 1;
-        if ballot < self.d.promised {
-            let ballot = self.d.promised;
-            out.send.push((addr, Msg::Nack { inst, ballot }));
-            return;
-        }
-        self.agree.touched = now;
-        self.agree.accepting_until = now + ACCEPT_WAIT;
-        self.give_tail(c, out);
-        if now < self.tail.granted {
-            return;
-        }
-        if ballot != self.d.accepted {
-            let vote = Rec::Vote {
-                promised: ballot,
-                accepted: ballot,
-                value: Some(value),
-            };
-            self.keep(vote, out);
-        }
-        out.late.push((addr, Msg::Accepted { inst, ballot }));
-    }
-
     fn accepted(&mut self, now: Time, from: NodeId, c: &Colleagues, out: &mut Out) {
         self.agree.accepts.insert(from);
         if self.agree.accepts.len() < majority(&self.d.view) {
--- a/tenet/src/bounds.rs
+++ b/tenet/src/bounds.rs
@@ -78,6 +78,8 @@
 pub const FULL: Time = PERMIT + PERMIT_DRIFT;
 pub const SIGHT_STALE: Time = 1500;
 pub const SEE_OFF: Time = 2500;
+/// How many others are asked to probe who does not answer.
+pub const PROBE_HELPERS: usize = 3;
 pub const PROBE_ROUND: Time = 200;
 pub const PROBE_DIRECT: Time = 250;
 pub const PROBE_INDIRECT: Time = 350;
--- a/tenet/src/colleagues.rs
+++ b/tenet/src/colleagues.rs
@@ -185,6 +185,8 @@
             let mut s = s;
             s.status = s.status.min(GONE);
             let wire = self.all.get(&id).map_or(1, |c| c.wire);
+            // What others tell of it says nothing of the way to it.
+            let direct = self.all.get(&id).is_none_or(|c| c.direct);
             self.all.insert(
                 id,
                 Colleague {
@@ -193,7 +195,7 @@
                     heard: now,
                     why: "told".into(),
                     wire,
-                    direct: true,
+                    direct,
                 },
             );
             self.fresh.push_back((id, 6));
--- a/tenet/src/membership.rs
+++ b/tenet/src/membership.rs
@@ -52,7 +52,19 @@
 }
 
 impl Chain {
-    fn in_chain(&self, id: NodeId) -> bool {
+    /// Where a member is reached now.
+    pub(crate) fn now_at(&self, s: &Seat, c: &Colleagues) -> Addr {
+        match s.id == self.me.id {
+            true => self.me.addr,
+            false => c
+                .all
+                .get(&s.id)
+                .filter(|_| c.alive(s.id))
+                .map_or(s.addr, |k| k.s.addr),
+        }
+    }
+
+    pub(crate) fn in_chain(&self, id: NodeId) -> bool {
         self.d.view.chain.iter().any(|s| s.id == id)
     }
 
@@ -150,7 +162,7 @@
     }
 
     /// Whether contact with `id` has held, here and, as far as is known, with each member.
-    fn fits_chain(&self, id: NodeId, now: Time) -> bool {
+    pub(crate) fn fits_chain(&self, id: NodeId, now: Time) -> bool {
         let chain = &self.d.view.chain;
         self.contacts.steady(id, now) && !chain.iter().any(|s| self.contacts.lost(s.id, id, now))
     }
@@ -180,113 +192,9 @@
     }
 
     /// Those of the joiners that have been in contact for long enough.
-    fn steady_joiners(&self, now: Time, c: &Colleagues) -> Vec<Seat> {
+    pub(crate) fn steady_joiners(&self, now: Time, c: &Colleagues) -> Vec<Seat> {
         let mut joiners = self.joiners(c);
         joiners.retain(|s| self.fits_chain(s.id, now));
         joiners
     }
-
-    /// The next view, from the promises of this agreement. A value that a voter accepted before goes
-    /// first. `None`: nothing would change, or no member that is in sync promised.
-    pub(crate) fn build(&self, now: Time, c: &Colleagues) -> Option<View> {
-        let accepted = self.agree.promises.values().filter(|p| p.1 > 0);
-        if let Some(value) = accepted.max_by_key(|p| p.1).and_then(|p| p.2.clone()) {
-            return Some(value);
-        }
-        let old = &self.d.view;
-        let mut chain = self.next_members(now, c);
-        if chain.is_empty() {
-            return None;
-        }
-        let mut voters = self.next_voters(now, c);
-        chain.extend(self.next_joiners(&voters, &chain, now, c));
-        for seat in chain.iter_mut().chain(voters.iter_mut()) {
-            seat.addr = self.now_at(seat, c);
-        }
-        if chain == old.chain && voters == old.voters {
-            return None;
-        }
-        Some(View {
-            n: old.n + 1,
-            cluster: old.cluster,
-            voters,
-            chain,
-        })
-    }
-
-    /// Members in sync that promised and reach each other and this machine, in their order.
-    fn next_members(&self, now: Time, c: &Colleagues) -> Vec<Seat> {
-        let view = &self.d.view;
-        let in_sync = |id: NodeId| {
-            let promise = self.agree.promises.get(&id);
-            promise.is_some_and(|p| p.0 == view.n)
-        };
-        let mut members: Vec<Seat> = Vec::new();
-        for seat in view.chain.iter().filter(|s| in_sync(s.id)) {
-            let apart = self.contacts.lost(seat.id, self.me.id, now)
-                || members
-                    .iter()
-                    .any(|m| self.contacts.lost(m.id, seat.id, now));
-            if !apart {
-                members.push(*seat);
-            }
-        }
-        if self.stuck(now) {
-            let behind = self.succ().map(|s| s.id);
-            members.sort_by_key(|s| Some(s.id) == behind);
-        }
-        let leaving = members.iter().filter(|s| c.stops(s.id)).count();
-        if members.len() >= leaving + 2 {
-            members.retain(|s| !c.stops(s.id));
-        }
-        members
-    }
-
-    /// The voters, those whose disk is gone replaced, and two more where there are disks for them.
-    fn next_voters(&self, now: Time, c: &Colleagues) -> Vec<Seat> {
-        let mut voters = self.d.view.voters.clone();
-        let gone = |s: &Seat| {
-            s.id != self.me.id
-                && !self.agree.promises.contains_key(&s.id)
-                && self.missing(s.id, now, c)
-        };
-        let mut candidates = self.steady_joiners(now, c);
-        for seat in &candidates {
-            if let Some(at) = voters.iter().position(gone) {
-                voters[at] = *seat;
-            }
-        }
-        candidates.retain(|s| !voters.iter().any(|v| v.id == s.id));
-        if voters.len() + 2 <= VOTERS_MOST && candidates.len() >= 2 {
-            voters.extend(&candidates[..2]);
-        }
-        voters
-    }
-
-    /// Voters that join the end of the chain.
-    fn next_joiners(
-        &self,
-        voters: &[Seat],
-        chain: &[Seat],
-        now: Time,
-        c: &Colleagues,
-    ) -> Vec<Seat> {
-        let promised = |id: NodeId| self.agree.promises.contains_key(&id);
-        let fits = |id: NodeId| match self.in_chain(id) {
-            true => promised(id),
-            false => self.fits_chain(id, now),
-        };
-        let apart = |id: NodeId| chain.iter().any(|m| self.contacts.lost(m.id, id, now));
-        let skipped = |id: NodeId| match self.agree.cause {
-            Some(Cause::NotSyncing(behind) | Cause::DiskStalled(behind)) => behind == id,
-            _ => false,
-        };
-        voters
-            .iter()
-            .filter(|s| c.alive(s.id) && !c.stops(s.id) && !skipped(s.id))
-            .filter(|s| !chain.iter().any(|m| m.id == s.id))
-            .filter(|s| s.id == self.me.id || (fits(s.id) && !apart(s.id)))
-            .copied()
-            .collect()
-    }
 }
--- a/tenet/src/probe.rs
+++ b/tenet/src/probe.rs
@@ -91,17 +91,29 @@
             .for_each(|c| c.direct = false);
     }
 
-    /// Up to three others to probe through, no two of one domain while there are more domains.
+    /// Up to three others to probe through: those that are reached without help first, no two of one
+    /// zone while there are more zones, and none on the machine of either end while there are others,
+    /// since what cuts a process off cuts off all of its machine.
     pub fn helpers(&self, id: NodeId) -> Vec<(Addr, NodeId)> {
-        let mut v: Vec<&Summary> = self.live().filter(|s| s.id != id).collect();
-        let n = v.len().max(1);
-        v.rotate_left(self.seq as usize % n);
-        let rank = |i: usize| v[..i].iter().filter(|s| s.domain == v[i].domain).count();
-        let mut by: Vec<(usize, usize)> = (0..v.len()).map(|i| (rank(i), i)).collect();
-        by.sort_unstable();
-        by.into_iter()
-            .take(3)
-            .map(|(_, i)| (v[i].addr, v[i].id))
+        let target = self.all.get(&id).map(|c| c.s.addr.ip);
+        let on_either_end = |s: &Summary| s.addr.ip == self.me.addr.ip || Some(s.addr.ip) == target;
+        let mut others: Vec<&Summary> = self.live().filter(|s| s.id != id).collect();
+        if others.iter().any(|s| !on_either_end(s)) {
+            others.retain(|s| !on_either_end(s));
+        }
+        let count = others.len().max(1);
+        others.rotate_left(self.seq as usize % count);
+        others.sort_by_key(|s| !self.all.get(&s.id).is_some_and(|c| c.direct));
+        let zone_rank = |i: usize| {
+            let before = others[..i].iter();
+            before.filter(|s| s.domain == others[i].domain).count()
+        };
+        let mut order: Vec<(usize, usize)> = (0..others.len()).map(|i| (zone_rank(i), i)).collect();
+        order.sort_unstable();
+        order
+            .into_iter()
+            .take(PROBE_HELPERS)
+            .map(|(_, i)| (others[i].addr, others[i].id))
             .collect()
     }
 
