--- a/flow/src/main.rs
+++ b/flow/src/main.rs
@@ -1,12 +1,13 @@
+//! The data plane daemon.
+
 use bpaf::Parser;
 
 fn main() -> eyre::Result<()> {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    let about = "flow: firramp's data plane. Collects callers' sessions; acts as gateway and fencing node where the fleet places those roles.";
-    let f = medium::settings::flags()
+    let flags = medium::settings::flags()
         .to_options()
-        .descr(about)
+        .descr("flow: firramp's data plane. Collects callers' sessions; acts as gateway and fencing node where the fleet places those roles.")
         .version(env!("CARGO_PKG_VERSION"))
         .run();
-    medium::run::start(f, false)
+    medium::run::start(flags, false)
 }
