--- a/medium/src/back.rs
+++ b/medium/src/back.rs
@@ -1,3 +1,5 @@
+//! HTTP client for servers, the platform and other nodes, over pooled connections.
+
 use crate::clock::Clock;
 use crate::dialect;
 use crate::link::{Link, Links, Went};
@@ -17,12 +19,17 @@
 /// How a call over HTTP ended. `NotSent` promises that the other side never saw it.
 #[derive(Debug, Clone)]
 pub enum HttpRes {
+    /// The other side answered 200 with this body.
     Ok(Value),
+    /// The other side answered another status, with this text.
     Rejected(u16, String),
+    /// Nothing was sent.
     NotSent,
+    /// It is not known what the other side did.
     Lost,
 }
 
+/// An HTTP client. Clones share their connections.
 #[derive(Clone)]
 pub struct Back {
     links: Arc<Links>,
@@ -30,9 +37,11 @@
     head: Vec<(String, String)>,
 }
 
+/// How long a GET may take, ms.
 const ASK: Time = 1500;
 
 impl Back {
+    /// A client without open connections.
     pub fn new(clock: Clock) -> eyre::Result<Back> {
         Ok(Back {
             links: Arc::new(Links::default()),
@@ -53,6 +62,7 @@
         }
     }
 
+    /// Posts a body, unless the address is none or it is `not_after` already.
     pub async fn post(
         &self,
         to: Addr,
@@ -70,6 +80,7 @@
         }
     }
 
+    /// Sends a body with any method, at any time.
     pub async fn send(
         &self,
         m: Method,
@@ -82,6 +93,7 @@
             .await
     }
 
+    /// Sends a body unless it is `not_after` already, and waits at most `timeout` ms.
     pub async fn bounded(
         &self,
         m: Method,
@@ -143,6 +155,7 @@
         }
     }
 
+    /// Gets a body; `None` for anything but 200.
     pub async fn get(&self, to: SocketAddr, path: &str) -> Option<Value> {
         match self
             .bounded(Method::GET, to, path, &Value::Null, Time::MAX, ASK)
--- a/medium/src/calls.rs
+++ b/medium/src/calls.rs
@@ -1,7 +1,10 @@
+//! Calls that wait for their answer from another thread.
+
 use std::collections::HashMap;
 use std::sync::Mutex;
 use tokio::sync::oneshot;
 
+/// Open calls by number.
 pub struct Calls<T> {
     m: Mutex<(u64, HashMap<u64, oneshot::Sender<T>>)>,
 }
@@ -15,6 +18,7 @@
 }
 
 impl<T> Calls<T> {
+    /// Opens a call: its number, and where its answer arrives.
     pub fn open(&self) -> (u64, oneshot::Receiver<T>) {
         let (tx, rx) = oneshot::channel();
         let mut g = self.m.lock().unwrap_or_else(|e| e.into_inner());
@@ -24,6 +28,7 @@
         (k, rx)
     }
 
+    /// Answers a call; nothing happens if it is not open.
     pub fn end(&self, k: u64, t: T) {
         let mut g = self.m.lock().unwrap_or_else(|e| e.into_inner());
         if let Some(tx) = g.1.remove(&k) {
--- a/medium/src/dialect.rs
+++ b/medium/src/dialect.rs
@@ -22,6 +22,7 @@
     json!({"conn": conn, "user": s.user, "settings": pairs(&s.settings), "prepared": pairs(&s.prepared)})
 }
 
+/// The path and body that carry a query.
 pub fn ask(q: &Query) -> (&'static str, Value) {
     match q {
         Query::Connect { user, .. } => ("/connect", json!({ "user": user })),
@@ -60,6 +61,7 @@
     v.get("result").map_or("null".into(), |r| r.to_string())
 }
 
+/// What a server gave, from the response to the query at `path`.
 pub fn got(path: &str, r: HttpRes) -> BackRes {
     let v = match r {
         HttpRes::Ok(v) => v,
@@ -94,6 +96,7 @@
     })
 }
 
+/// The body that tells a caller an answer.
 pub fn told(a: Answer) -> Value {
     match a {
         Answer::Opened {
--- a/medium/src/doors.rs
+++ b/medium/src/doors.rs
@@ -1,3 +1,5 @@
+//! Answers requests over HTTP: passes them to the control thread or to the traffic thread.
+
 use crate::back::Back;
 use crate::calls::Calls;
 use crate::dialect;
@@ -15,21 +17,34 @@
 use volo_http::http::{header, HeaderValue, StatusCode};
 use volo_http::response::Response;
 
+/// Largest body that is taken, in bytes.
 pub const BODY_LIMIT: usize = 1 << 20;
 
+/// What the HTTP interface of a process works with.
 pub struct App {
+    /// Inputs of the control thread.
     pub control: Sender<In>,
+    /// Calls that the control thread answers.
     pub control_calls: Arc<Calls<Reply>>,
+    /// Inputs of the traffic thread; `accord` has none.
     pub front: Option<UnboundedSender<FrontIn>>,
+    /// Calls that the traffic thread answers.
     pub front_calls: Arc<Calls<Result<tenet::session::Answer, Reject>>>,
+    /// Client for other nodes.
     pub back: Back,
+    /// Set when the process was asked to stop.
     pub stopping: Arc<AtomicBool>,
+    /// Set while nothing is under way that must end before the process.
     pub drained: Arc<AtomicBool>,
+    /// Set while no session is open.
     pub empty: Arc<AtomicBool>,
+    /// Requests under way.
     pub busy: AtomicUsize,
+    /// Whether the process runs the control plane.
     pub disk: bool,
 }
 
+/// A body, or why the request is refused.
 pub type Answer = Result<Value, Reject>;
 
 impl App {
@@ -40,6 +55,7 @@
         rx.await.map_err(|_| gone())
     }
 
+    /// Shows a part of the state, for operators.
     pub async fn show(&self, what: String, arg: String) -> Answer {
         match self.control(|call| In::Show { call, what, arg }).await? {
             Reply::Text(t) => Ok(serde_json::from_str(&t).unwrap_or(Value::Null)),
@@ -59,6 +75,7 @@
         rx.await.map_err(|_| gone())?.map(dialect::told)
     }
 
+    /// Puts an order to the control plane and waits for its decision.
     pub async fn verdict(&self, f: impl FnOnce(u64) -> In) -> Answer {
         match self.control(f).await? {
             Reply::Verdict(v) => v
@@ -132,6 +149,7 @@
         }
     }
 
+    /// Whether the process takes callers.
     pub async fn ready(&self) -> Answer {
         if self.stopping.load(Ordering::Relaxed) {
             return Err(Reject::new(Kind::Leaving, "stopping"));
@@ -146,6 +164,7 @@
         }
     }
 
+    /// Answers a request.
     pub async fn handle(&self, method: &str, path: &str, query: &str, body: &[u8]) -> Answer {
         if body.len() > BODY_LIMIT {
             return Err(Reject::new(
@@ -166,6 +185,7 @@
     }
 }
 
+/// The HTTP response that tells an answer.
 pub fn response(a: Answer) -> Response {
     let (code, retry, v) = match a {
         Ok(v) => (200, 0, v),
--- a/medium/src/files.rs
+++ b/medium/src/files.rs
@@ -1,3 +1,5 @@
+//! The data folder: carries out the file operations of `tenet::disk`, with syncs.
+
 use eyre::{eyre, Result, WrapErr};
 use std::fs::{self, File, OpenOptions};
 use std::io::Write;
@@ -6,9 +8,11 @@
 use tenet::control::In;
 use tenet::disk::*;
 
+/// An open data folder, locked against other processes.
 pub struct Folder {
     path: PathBuf,
     shelf: Shelf,
+    /// What it held when it was opened.
     pub durable: Option<Durable>,
     _lock: File,
 }
@@ -20,6 +24,7 @@
     }
 }
 
+/// Opens a folder and reads it. One that is damaged is refused and left as it is.
 pub fn open(path: &Path) -> Result<Folder> {
     fs::create_dir_all(path).wrap_err_with(|| format!("data folder {}", path.display()))?;
     let lock = OpenOptions::new()
@@ -87,6 +92,7 @@
         Ok(())
     }
 
+    /// Writes and syncs records as they arrive and says which are kept. Ends at the first failure.
     pub fn serve(mut self, rx: Receiver<(u64, Vec<Rec>)>, tx: Sender<In>, fail: impl Fn(String)) {
         let mut d = self.durable.take().unwrap_or_default();
         if let Err(e) = self.settle(&d) {
--- a/medium/src/http.rs
+++ b/medium/src/http.rs
@@ -1,3 +1,5 @@
+//! HTTP server: connections, size limits and the end of the process.
+
 use crate::doors::{response, BODY_LIMIT};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -14,6 +16,7 @@
 use tokio::signal::unix::{signal, SignalKind};
 use volo_http::response::Response;
 
+/// How long a connection may take to send the head of a request.
 const HEADERS: Duration = Duration::from_secs(10);
 /// A body up to this many bytes is read, also to reject it, so that its connection stays of use.
 const READ_LIMIT: usize = 4 * BODY_LIMIT;
--- a/medium/src/lib.rs
+++ b/medium/src/lib.rs
@@ -1,3 +1,8 @@
+//! What the daemons share: the clock, sockets, HTTP, files, threads and settings.
+//!
+//! The core (`tenet`) decides and does no I/O; the modules here carry out what it returns and feed it
+//! what arrives.
+
 pub mod back;
 pub mod calls;
 pub mod clock;
--- a/medium/src/line.rs
+++ b/medium/src/line.rs
@@ -1,3 +1,8 @@
+//! Streams of packets between two processes, compressed between regions.
+//!
+//! A packet has its length before it, in four bytes; the first byte of a stream tells whether it is
+//! compressed.
+
 use crate::link::connect;
 use crate::net::Sink;
 use flate2::{Compress, Compression, Decompress, FlushCompress, FlushDecompress};
@@ -9,17 +14,26 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 
+/// A packet to send, with the time at which it was handed over.
 pub type Letter = (Instant, Vec<u8>);
 
 /// Longest packet on a line, in bytes.
 pub const LARGE: usize = 16 << 20;
+/// A packet that waited longer is dropped.
 const OLD: Duration = Duration::from_millis(LINE_OLD);
+/// A stream from which nothing came for so long is closed.
 const QUIET: Duration = Duration::from_secs(60);
+/// First byte of a stream that is not compressed.
 const PLAIN: u8 = 0;
+/// First byte of a compressed stream.
 const DEFLATED: u8 = 1;
+/// Bytes that are written at once; larger buffers are given back.
 const BATCH: usize = 64 << 10;
+/// Bytes that are read or inflated in a step.
 const STEP: usize = 4096;
+/// A packet from this size on is compressed by itself, in bytes.
 const ALONE: usize = 4096;
+/// Bit of the length that marks such a packet.
 const ALONE_BIT: u32 = 1 << 31;
 
 /// A packet with its length before it; a large one deflated, which the length's top bit tells.
--- a/medium/src/link.rs
+++ b/medium/src/link.rs
@@ -1,3 +1,5 @@
+//! TCP connections with bounded times, and HTTP connections that are used again.
+
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::client::conn::http1::{handshake, SendRequest};
@@ -13,10 +15,15 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+/// How long connecting may take.
 const CONNECT: Duration = Duration::from_millis(400);
+/// Largest answer that is read, in bytes.
 const ANSWER: usize = 16 << 20;
+/// Most idle connections to one address.
 const IDLE: usize = 256;
 
+/// Connects within `limit`; bytes unacknowledged for `unacked` ms end the connection, and closing it
+/// drops what was not sent.
 pub async fn connect(to: SocketAddr, limit: Duration, unacked: Time) -> io::Result<TcpStream> {
     let s = tokio::time::timeout(limit, TcpStream::connect(to)).await??;
     s.set_nodelay(true)?;
@@ -26,6 +33,7 @@
     Ok(s)
 }
 
+/// An HTTP connection, closed when it is dropped.
 pub struct Link {
     send: SendRequest<Full<Bytes>>,
     task: AbortHandle,
@@ -37,13 +45,18 @@
     }
 }
 
+/// How a request went.
 pub enum Went {
+    /// The other side answered with this status and body.
     Answer(u16, Bytes),
+    /// Nothing was sent; the request is given back.
     NotSent(Box<Request<Full<Bytes>>>),
+    /// It is not known what the other side did.
     Lost,
 }
 
 impl Link {
+    /// Connects.
     pub async fn open(to: SocketAddr) -> io::Result<Link> {
         let s = connect(to, CONNECT, BYTES_ACK).await?;
         let (send, conn) = handshake(TokioIo::new(s)).await.map_err(io::Error::other)?;
@@ -56,6 +69,7 @@
         })
     }
 
+    /// Sends a request and waits for its answer.
     pub async fn go(&mut self, r: Request<Full<Bytes>>) -> Went {
         match self.send.try_send_request(r).await {
             Ok(r) => read(r).await,
@@ -72,12 +86,14 @@
     b.map_or(Went::Lost, |b| Went::Answer(code, b.to_bytes()))
 }
 
+/// Idle connections by address.
 #[derive(Default)]
 pub struct Links {
     idle: Mutex<HashMap<SocketAddr, Vec<Link>>>,
 }
 
 impl Links {
+    /// Takes an idle connection that is still open.
     pub fn take(&self, to: SocketAddr) -> Option<Link> {
         let mut g = self.idle.lock().unwrap_or_else(|e| e.into_inner());
         let v = g.get_mut(&to)?;
@@ -85,6 +101,7 @@
         v.pop()
     }
 
+    /// Gives a connection back for later requests.
     pub fn put(&self, to: SocketAddr, l: Link) {
         let mut g = self.idle.lock().unwrap_or_else(|e| e.into_inner());
         let v = g.entry(to).or_default();
--- a/medium/src/net.rs
+++ b/medium/src/net.rs
@@ -1,3 +1,5 @@
+//! Packets between the processes: small ones as datagrams, others over streams.
+
 use crate::line::{framed, hear, write, Letter, LARGE};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -8,8 +10,10 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc;
 
+/// Packets that may wait for a stream.
 const QUEUE: usize = 4096;
 
+/// The socket and the streams of a process.
 pub struct Net {
     udp: Arc<UdpSocket>,
     lines: Mutex<HashMap<Addr, mpsc::Sender<Letter>>>,
@@ -17,9 +21,11 @@
     rt: tokio::runtime::Handle,
 }
 
+/// Where packets that arrive go.
 pub type Sink = Arc<dyn Fn(Packet) + Send + Sync>;
 
 impl Net {
+    /// Listens at an address; what arrives goes to `sink`.
     pub async fn start(at: SocketAddr, sink: Sink) -> std::io::Result<Arc<Net>> {
         let udp = Arc::new(UdpSocket::bind(at).await?);
         let tcp = TcpListener::bind(at).await?;
@@ -39,6 +45,7 @@
         *self.far.lock().unwrap_or_else(|e| e.into_inner()) = v;
     }
 
+    /// Sends a packet; it may be lost.
     pub fn send(&self, to: Addr, p: &Packet) {
         let b = encode(p);
         if !by_line(p, b.len()) {
--- a/medium/src/paths.rs
+++ b/medium/src/paths.rs
@@ -1,3 +1,5 @@
+//! Reads requests to the HTTP interface: which path asks for what, with strict bodies.
+
 use serde_json::Value;
 use std::collections::BTreeMap;
 use tenet::base::Addr;
@@ -5,12 +7,19 @@
 use tenet::session::{Req, Want};
 use tenet::state::Op;
 
+/// What a request asks for.
 pub enum Door {
+    /// Something of the traffic thread.
     Front(Req),
+    /// An order to the control plane, with its id if it may be sent again.
     Ask(Option<u64>, Op),
+    /// A server announces itself.
     Announce(Op),
+    /// A part of the state, and an argument.
     Show(String, String),
+    /// Why a request went where it went; `true` for what this node alone knows.
     Explain(String, bool),
+    /// Whether the process takes callers.
     Ready,
 }
 
@@ -83,6 +92,7 @@
     }
 }
 
+/// Reads a request.
 pub fn door(method: &str, path: &str, query: &str, b: &[u8]) -> Result<Door, Reject> {
     let seg: Vec<&str> = path.trim_matches('/').split('/').collect();
     let none = || Reject::new(Kind::NoRoute, format!("{method} {path}"));
--- a/medium/src/settings.rs
+++ b/medium/src/settings.rs
@@ -1,27 +1,43 @@
+//! Settings of the daemons: flags and a file, checked before anything starts.
+
 use bpaf::{construct, long, Parser};
 use eyre::{eyre, Result, WrapErr};
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+/// The settings file, as it is written.
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Settings {
+    /// Address for the other processes.
     pub listen: String,
+    /// Address for callers, servers, the platform and operators.
     pub http: String,
+    /// Zone of the machine.
     pub domain: String,
+    /// Addresses of other processes.
     pub seeds: Vec<String>,
+    /// Data folder.
     pub data: Option<PathBuf>,
+    /// Address of the platform.
     pub platform: Option<String>,
 }
 
+/// Where a process stands, after all checks.
 #[derive(Clone, Debug)]
 pub struct Place {
+    /// Address for the other processes.
     pub listen: SocketAddr,
+    /// Address for callers, servers, the platform and operators.
     pub http: SocketAddr,
+    /// Zone of the machine.
     pub domain: String,
+    /// Addresses of other processes.
     pub seeds: Vec<SocketAddr>,
+    /// Data folder.
     pub data: Option<PathBuf>,
+    /// Address of the platform.
     pub platform: Option<SocketAddr>,
     /// The fleet may be founded now.
     pub found: bool,
@@ -31,6 +47,7 @@
     pub copies: usize,
 }
 
+/// The command line; flags win over the file.
 #[derive(Clone, Debug)]
 pub struct Flags {
     file: Option<PathBuf>,
@@ -42,6 +59,7 @@
     platform: Option<String>,
 }
 
+/// Parses the command line.
 pub fn flags() -> impl Parser<Flags> {
     let file = long("settings")
         .help("Settings file (JSON); flags given beside it win")
@@ -88,6 +106,7 @@
 }
 
 impl Flags {
+    /// Reads the file, if there is one, and checks everything.
     pub fn place(self, disk: bool) -> Result<Place> {
         let mut s = match &self.file {
             Some(f) => {
--- a/medium/src/threads.rs
+++ b/medium/src/threads.rs
@@ -1,3 +1,5 @@
+//! The control thread: feeds the core's control machine and carries out what it returns.
+
 use crate::back::{Back, HttpRes};
 use crate::calls::Calls;
 use crate::clock::Clock;
@@ -17,16 +19,21 @@
 use tokio::runtime::Handle;
 use tokio::sync::mpsc::UnboundedSender;
 
+/// A future that another thread may run.
 pub type Soon<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
 
 /// The way to the platform's promote call. Gives whether the server leads already. Errors: `true` when the outcome is unknown, `false`
 /// when nothing was promoted.
 pub trait Promoter: Send + Sync {
+    /// Orders a promotion.
     fn promote<'a>(&'a self, p: &'a Promote) -> Soon<'a, Result<bool, bool>>;
 }
 
+/// Promotes over the product's own HTTP interface.
 pub struct HttpPromoter {
+    /// HTTP client.
     pub back: Back,
+    /// Address of the platform; without one nothing is promoted.
     pub to: Option<SocketAddr>,
 }
 
@@ -51,21 +58,34 @@
     }
 }
 
+/// What the control thread works with.
 pub struct ControlSide {
+    /// Clock of the process.
     pub clock: Clock,
+    /// Its inputs.
     pub rx: Receiver<In>,
+    /// The other end of its inputs, for results that come later.
     pub tx: Sender<In>,
+    /// Packets to other processes.
     pub net: Arc<Net>,
+    /// Records to write, with their number.
     pub disk: Option<Sender<(u64, Vec<Rec>)>>,
+    /// Calls that it answers.
     pub calls: Arc<Calls<Reply>>,
+    /// Routing tables for the traffic thread.
     pub news: Giver<News>,
+    /// Inputs of the traffic thread, to wake it.
     pub front: Option<UnboundedSender<FrontIn>>,
+    /// The way to the platform.
     pub promoter: Arc<dyn Promoter>,
+    /// Runtime for promotions under way.
     pub rt: Handle,
+    /// Set when the process has left the fleet.
     pub left: Option<Arc<std::sync::atomic::AtomicBool>>,
 }
 
 impl ControlSide {
+    /// Runs until its inputs end.
     pub fn run(self, mut c: Control, first: Effect) {
         let mut e = first;
         loop {
--- a/medium/src/traffic.rs
+++ b/medium/src/traffic.rs
@@ -1,3 +1,5 @@
+//! The traffic thread: feeds the core's data plane and carries out what it returns.
+
 use crate::calls::Calls;
 use crate::clock::Clock;
 use crate::net::Net;
@@ -19,30 +21,46 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::{sleep, Duration};
 
+/// A routing table, and until when it holds.
 pub type News = Option<(Arc<Table>, Time)>;
+/// A future that its own thread runs.
 pub type Later<T> = Pin<Box<dyn Future<Output = T>>>;
 
 /// The way to the database servers. Answers `NotSent` only when no byte of the query left.
 pub trait Servers {
+    /// Carries a query to a server.
     fn call(self: Rc<Self>, c: BackCall) -> Later<BackRes>;
 }
 
+/// What the traffic thread works with.
 pub struct Traffic {
+    /// Clock of the process.
     pub clock: Clock,
+    /// The core's data plane.
     pub front: RefCell<Front>,
+    /// Routing tables from the control thread.
     pub news: RefCell<Handoff<News>>,
+    /// Packets to other processes.
     pub net: Arc<Net>,
+    /// Inputs of the control thread.
     pub control: Sender<In>,
+    /// Calls that it answers.
     pub calls: Arc<Calls<Result<Answer, Reject>>>,
+    /// The way to the servers.
     pub servers: Rc<dyn Servers>,
+    /// Set while no request and no transaction is under way.
     pub drained: Arc<AtomicBool>,
+    /// Set while no session is open.
     pub empty: Arc<AtomicBool>,
+    /// When the core wants to be polled next.
     pub wake: Cell<Time>,
 }
 
+/// Inputs that are taken before others have their turn.
 const BATCH: usize = 64;
 
 impl Traffic {
+    /// Feeds an input, after a newer routing table if there is one.
     pub fn drive(self: &Rc<Self>, i: FrontIn) {
         if let Some((t, until)) = self.news.borrow_mut().newer().flatten() {
             self.net.set_far(
@@ -99,6 +117,7 @@
         }
     }
 
+    /// Puts a request and waits for its answer.
     pub async fn call(self: &Rc<Self>, req: Req) -> Result<Answer, Reject> {
         let (call, rx) = self.calls.open();
         self.drive(FrontIn::Call { call, req });
@@ -106,6 +125,7 @@
             .unwrap_or_else(|_| Err(Reject::new(Kind::Starting, "the process is ending")))
     }
 
+    /// Feeds inputs and timers until the inputs end.
     pub async fn run(self: Rc<Self>, mut rx: UnboundedReceiver<FrontIn>) {
         loop {
             let t = self
