--- a/guise/src/fleet/mod.rs
+++ b/guise/src/fleet/mod.rs
@@ -127,6 +127,15 @@
         })
     }
 
+    /// Starts a fleet, configures it through process `via` and waits until it is ready. Also gives
+    /// the version of the configuration.
+    pub async fn start_ready(plan: &Plan, via: usize) -> Result<(Fleet, u64)> {
+        let fleet = Fleet::start(plan).await?;
+        let version = fleet.configure(0, via).await?;
+        fleet.ready().await?;
+        Ok((fleet, version))
+    }
+
     /// HTTP addresses of the `flow` processes.
     pub fn flows(&self) -> Vec<SocketAddr> {
         let flows = self.procs.iter().filter(|process| !process.disk);
--- a/guise/src/stand_ins.rs
+++ b/guise/src/stand_ins.rs
@@ -7,6 +7,7 @@
 use medium::doors::response;
 use medium::http::serve;
 use serde_json::Value;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -60,6 +61,25 @@
     }
 }
 
+/// Serves an HTTP interface whose requests and replies are JSON; no reply means silence.
+async fn serve_json<F, R>(address: SocketAddr, answer: F) -> eyre::Result<()>
+where
+    F: Fn(String, Value) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = Option<Reply>> + Send + 'static,
+{
+    let handler = move |_method: String, path: String, _query: String, body: Vec<u8>| {
+        let body = serde_json::from_slice(&body).unwrap_or(Value::Null);
+        let reply = answer(path, body);
+        async move {
+            match reply.await {
+                Some(reply) => http_response(reply),
+                None => std::future::pending().await,
+            }
+        }
+    };
+    serve(address, handler, async {}).await
+}
+
 /// Serves the stand-in server with number `index`; one that is down never answers.
 pub async fn server(
     world: SharedWorld,
@@ -68,27 +88,19 @@
     clock: Clock,
     costs: Arc<Costs>,
 ) -> eyre::Result<()> {
-    let handler = move |_method: String, path: String, _query: String, body: Vec<u8>| {
+    let answer = move |path: String, body: Value| {
         let (world, costs) = (world.clone(), costs.clone());
         async move {
-            let body: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
             let cost = costs.of(&path);
             if cost > 0 {
                 tokio::time::sleep(Duration::from_millis(cost)).await;
             }
-            let reply = {
-                let mut world = lock(&world);
-                world.servers[index]
-                    .up
-                    .then(|| world.handle(clock.now(), index, &path, &body))
-            };
-            match reply {
-                Some(reply) => http_response(reply),
-                None => std::future::pending().await,
-            }
+            let mut world = lock(&world);
+            let up = world.servers[index].up;
+            up.then(|| world.handle(clock.now(), index, &path, &body))
         }
     };
-    serve(address, handler, async {}).await
+    serve_json(address, answer).await
 }
 
 /// Serves the platform, which promotes servers on demand.
@@ -98,19 +110,18 @@
     clock: Clock,
     costs: Arc<Costs>,
 ) -> eyre::Result<()> {
-    let handler = move |_method: String, path: String, _query: String, body: Vec<u8>| {
+    let answer = move |path: String, body: Value| {
         let (world, costs) = (world.clone(), costs.clone());
         async move {
-            let body: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
             if path != "/promote" {
-                return http_response(Err((404, "no such path".into())));
+                return Some(Err((404, "no such path".into())));
             }
             tokio::time::sleep(Duration::from_millis(costs.promote)).await;
             let server = body["server"].as_str().unwrap_or("");
-            http_response(lock(&world).promote(clock.now(), server))
+            Some(lock(&world).promote(clock.now(), server))
         }
     };
-    serve(address, handler, async {}).await
+    serve_json(address, answer).await
 }
 
 /// What one server announced last.
--- a/guise/tests/doors.rs
+++ b/guise/tests/doors.rs
@@ -27,9 +27,7 @@
     let rt = tokio::runtime::Runtime::new().unwrap();
     rt.block_on(async {
         let p = Plan::small("doors", 7, 0);
-        let s = Fleet::start(&p).await.unwrap();
-        let mark = s.configure(0, 6).await.unwrap();
-        s.ready().await.unwrap();
+        let (s, mark) = Fleet::start_ready(&p, 6).await.unwrap();
         let at = s.flows()[0];
         let (_, v) = post(&s, at, "/sessions", json!({"database": "ledger", "user": "u"})).await;
         let ses = format!("/sessions/{}", v["session"]);
@@ -125,9 +123,7 @@
     let rt = tokio::runtime::Runtime::new().unwrap();
     rt.block_on(async {
         let p = Plan::small("stop", 7, 0);
-        let mut s = Fleet::start(&p).await.unwrap();
-        s.configure(0, 3).await.unwrap();
-        s.ready().await.unwrap();
+        let (mut s, _) = Fleet::start_ready(&p, 3).await.unwrap();
         let at = s.procs[6].http;
         let (_, v) = post(&s, at, "/sessions", json!({"database": "ledger"})).await;
         let ses = format!("/sessions/{}", v["session"]);
--- a/guise/tests/fleet.rs
+++ b/guise/tests/fleet.rs
@@ -29,9 +29,7 @@
     let rt = tokio::runtime::Runtime::new().unwrap();
     rt.block_on(async {
         let p = Plan::small("fleet", 9, 24);
-        let mut s = Fleet::start(&p).await.unwrap();
-        s.configure(0, 8).await.unwrap();
-        s.ready().await.unwrap();
+        let (mut s, _) = Fleet::start_ready(&p, 8).await.unwrap();
         s.learn_regions().await;
         let callers = s.start_callers(p.sessions);
         served(&s, 200).await;
--- a/guise/tests/operators.rs
+++ b/guise/tests/operators.rs
@@ -46,9 +46,7 @@
     let rt = tokio::runtime::Runtime::new().unwrap();
     rt.block_on(async {
         let p = Plan::small("prepared", 9, 0);
-        let s = Fleet::start(&p).await.unwrap();
-        s.configure(0, 4).await.unwrap();
-        s.ready().await.unwrap();
+        let (s, _) = Fleet::start_ready(&p, 4).await.unwrap();
         let at = s.flows()[0];
         let (a, b) = (session(&s, at).await, session(&s, at).await);
         let run = |x: &str| format!("{x}/run");
@@ -119,9 +117,7 @@
     let rt = tokio::runtime::Runtime::new().unwrap();
     rt.block_on(async {
         let p = Plan::small("operators", 9, 0);
-        let mut s = Fleet::start(&p).await.unwrap();
-        let mark = s.configure(0, 4).await.unwrap();
-        s.ready().await.unwrap();
+        let (mut s, mark) = Fleet::start_ready(&p, 4).await.unwrap();
         let first = primary(&s, s.flows()[0]).await;
         let home = first["servers"].as_array().unwrap().iter().find(|x| x["server"] == first["primary"]).unwrap()["labels"]["domain"].clone();
         let home = home.as_str().unwrap().to_string();
