--- a/medium/src/dialect.rs
+++ b/medium/src/dialect.rs
@@ -45,15 +45,17 @@
     }
 }
 
-fn refusal(code: u16) -> Refusal {
-    match code {
+/// A refusal promises that nothing was kept; none for a status that promises nothing.
+fn refusal(code: u16) -> Option<Refusal> {
+    Some(match code {
         403 => Refusal::NotLeading,
         409 => Refusal::OtherBody,
         410 => Refusal::ConnClosed,
         422 => Refusal::Failed,
-        429 => Refusal::Busy,
-        _ => Refusal::Other,
-    }
+        429 | 503 => Refusal::Busy,
+        400..=499 => Refusal::Other,
+        _ => return None,
+    })
 }
 
 fn result(v: &Value) -> String {
@@ -63,7 +65,9 @@
 pub fn got(path: &str, r: HttpRes) -> BackRes {
     let v = match r {
         HttpRes::Ok(v) => v,
-        HttpRes::Rejected(c, w) => return BackRes::Rejected(refusal(c), w),
+        HttpRes::Rejected(c, w) => {
+            return refusal(c).map_or(BackRes::Lost, |r| BackRes::Rejected(r, w))
+        }
         HttpRes::NotSent => return BackRes::NotSent,
         HttpRes::Lost => return BackRes::Lost,
     };
--- a/medium/src/link.rs
+++ b/medium/src/link.rs
@@ -3,11 +3,12 @@
 use hyper::client::conn::http1::{handshake, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use socket2::SockRef;
+use socket2::{SockRef, Socket};
 use std::collections::HashMap;
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
 use tenet::base::{Time, BYTES_ACK};
 use tokio::net::TcpStream;
@@ -26,8 +27,18 @@
     Ok(s)
 }
 
+/// Whether the other side has neither sent nor closed, by the kernel's word. The runtime's own
+/// readiness may lag behind it, and what lies there unread is no answer to the next question.
+pub fn is_quiet(s: &Socket) -> bool {
+    let mut byte = [MaybeUninit::uninit()];
+    s.peek(&mut byte)
+        .is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+}
+
 pub struct Link {
     send: SendRequest<Full<Bytes>>,
+    /// The connection's socket, while hyper holds the connection.
+    socket: Weak<Socket>,
     task: AbortHandle,
 }
 
@@ -46,16 +57,24 @@
 impl Link {
     pub async fn open(to: SocketAddr) -> io::Result<Link> {
         let s = connect(to, CONNECT, BYTES_ACK).await?;
+        let socket = Arc::new(SockRef::from(&s).try_clone()?);
+        let weak = Arc::downgrade(&socket);
         let (send, conn) = handshake(TokioIo::new(s)).await.map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
             let _ = conn.await;
+            drop(socket);
         });
         Ok(Link {
             send,
+            socket: weak,
             task: task.abort_handle(),
         })
     }
 
+    fn is_quiet(&self) -> bool {
+        self.socket.upgrade().is_some_and(|s| is_quiet(&s))
+    }
+
     pub async fn go(&mut self, r: Request<Full<Bytes>>) -> Went {
         match self.send.try_send_request(r).await {
             Ok(r) => read(r).await,
@@ -82,7 +101,12 @@
         let mut g = self.idle.lock().unwrap_or_else(|e| e.into_inner());
         let v = g.get_mut(&to)?;
         v.retain(|l| l.send.is_ready());
-        v.pop()
+        while let Some(l) = v.pop() {
+            if l.is_quiet() {
+                return Some(l);
+            }
+        }
+        None
     }
 
     pub fn put(&self, to: SocketAddr, l: Link) {
