Tie every answer between nodes to its question, by number and life of the process

Cause, from the code: `Carried` named only the number of an attempt, so an answer for an earlier process at the same address, or from another node than the one asked, counted if the numbers were equal. `Outcome` named the id of the change, which operators choose: of two orders under one id at one node the first was never answered, and the second got the first one's verdict. Asks of the follower began at 1 in each life, so an answer to an earlier life extended the lease of this one. A connection to an earlier life of a server was put into the pool of the next. A step of a transaction whose lease ended between run and answer was called not current, which sent it again.

Now `Carried` names the process and is taken only from the node asked; `Outcome` answers a question by its own number; asks start at a number of their own per life; connections carry the life of their server, and none of an earlier life is used or counted; such a step is aborted and rolled back. Packets for the traffic side are translated in one place (`FrontIn::from_packet`, three before).

--- a/chance/src/wires.rs
+++ b/chance/src/wires.rs
@@ -205,39 +205,9 @@
         };
         let life = self.nodes[j].life;
         let stream = by_line(&p, size);
-        let make = |p: Packet| match p.msg {
-            Msg::Carry { go, to, by, load } => Ev::Front(
-                j,
-                life,
-                FrontIn::Carry {
-                    from: p.from,
-                    addr: p.addr,
-                    go,
-                    to,
-                    by,
-                    load,
-                },
-            ),
-            Msg::Echo { reply } => Ev::Front(
-                j,
-                life,
-                FrontIn::Echo {
-                    from: p.from,
-                    addr: p.addr,
-                    reply,
-                },
-            ),
-            Msg::Carried { go, clock, done } => Ev::Front(
-                j,
-                life,
-                FrontIn::Carried {
-                    from: p.from,
-                    go,
-                    clock,
-                    done,
-                },
-            ),
-            _ => Ev::Control(j, life, In::Packet(p)),
+        let make = |p: Packet| match FrontIn::from_packet(p) {
+            Ok(input) => Ev::Front(j, life, input),
+            Err(p) => Ev::Control(j, life, In::Packet(*p)),
         };
         if stream {
             return self.line(i, j, make(p));
--- a/chance/tests/platter.rs
+++ b/chance/tests/platter.rs
@@ -11,6 +11,7 @@
     Rec::Entry(Entry {
         mark,
         ask: Ask {
+            question: 0,
             id: mark,
             from: Addr::NONE,
             at: 0,
--- a/guise/tests/sockets.rs
+++ b/guise/tests/sockets.rs
@@ -78,6 +78,7 @@
         cluster: 0,
         msg: Msg::Propose {
             ask: Ask {
+                question: 0,
                 id,
                 from,
                 at: 0,
--- a/medium/src/run.rs
+++ b/medium/src/run.rs
@@ -20,7 +20,7 @@
 use tenet::drain::Drain;
 use tenet::front::{Front, FrontIn};
 use tenet::handoff::Handoff;
-use tenet::wire::Msg;
+use tenet::wire::Packet;
 use tokio::sync::mpsc::unbounded_channel;
 use tokio::task::LocalSet;
 use volo_http::http::HeaderValue;
@@ -100,40 +100,14 @@
     let (ftx, frx) = unbounded_channel::<FrontIn>();
     let front = (!disk).then(|| ftx.clone());
     let (c2, f2) = (tx.clone(), front.clone());
-    let sink = Arc::new(move |p: tenet::wire::Packet| match p.msg {
-        Msg::Carry { go, to, by, load } => {
+    let sink = Arc::new(move |p: Packet| match FrontIn::from_packet(p) {
+        Ok(input) => {
             if let Some(front) = f2.as_ref() {
-                let _ = front.send(FrontIn::Carry {
-                    from: p.from,
-                    addr: p.addr,
-                    go,
-                    to,
-                    by,
-                    load,
-                });
+                let _ = front.send(input);
             }
         }
-        Msg::Carried { go, clock, done } => {
-            if let Some(front) = f2.as_ref() {
-                let _ = front.send(FrontIn::Carried {
-                    from: p.from,
-                    go,
-                    clock,
-                    done,
-                });
-            }
-        }
-        Msg::Echo { reply } => {
-            if let Some(front) = f2.as_ref() {
-                let _ = front.send(FrontIn::Echo {
-                    from: p.from,
-                    addr: p.addr,
-                    reply,
-                });
-            }
-        }
-        _ => {
-            let _ = c2.send(In::Packet(p));
+        Err(p) => {
+            let _ = c2.send(In::Packet(*p));
         }
     });
     let net = Net::start(p.listen, sink)
--- a/medium/tests/line.rs
+++ b/medium/tests/line.rs
@@ -15,6 +15,7 @@
         .map(|i| char::from(b'a' + (i * i % 23) as u8))
         .collect();
     let ask = Ask {
+        question: 0,
         id: n as u64,
         from: Addr::NONE,
         at: 0,
--- a/tenet/src/answer.rs
+++ b/tenet/src/answer.rs
@@ -2,6 +2,7 @@
 use crate::front::*;
 use crate::job::*;
 use crate::kind::{Kind, Reject};
+use crate::plant::{planted, Bug};
 use crate::query::word;
 use crate::wire::*;
 
@@ -77,13 +78,15 @@
         let s = self.jobs[j].server;
         match res {
             BackRes::Ok(Got::Connected { conn }) => {
-                self.pools[s].opened();
+                let life = self.jobs[j].opens_to;
+                self.pools[s].opened(life);
                 let (user, setup) = (
                     self.jobs[j].load.session,
                     crate::session::setup_digest(&self.jobs[j].load.setup),
                 );
                 self.jobs[j].conn = Some(crate::pool::Conn {
                     id: conn,
+                    life,
                     user,
                     setup,
                     idle: now,
@@ -91,7 +94,7 @@
                 self.reset_now(now, j, None, out);
             }
             r => {
-                self.pools[s].not_opened();
+                self.pools[s].not_opened(self.jobs[j].opens_to);
                 let e = match r {
                     BackRes::Rejected(Refusal::Busy, _) => {
                         Reject::new(Kind::Busy, "the server allows no more connections")
@@ -107,7 +110,7 @@
         }
     }
 
-    fn again_or(&mut self, now: Time, j: usize, r: Reject, out: &mut FrontOut) {
+    pub(crate) fn again_or(&mut self, now: Time, j: usize, r: Reject, out: &mut FrontOut) {
         self.jobs[j].tries += 1;
         match self.jobs[j].tries < 3 {
             true => self.job_take(now, j, out),
@@ -181,6 +184,10 @@
                 };
                 self.job_end(now, j, Err(Reject::new(k, w)), out);
             }
+            BackRes::Lost if planted(Bug::ResetSentAgain) => {
+                self.job_discard(now, j, out);
+                self.again_or(now, j, Reject::new(Kind::Busy, "lost"), out);
+            }
             BackRes::Lost if (writes || commits) && !self.looks_up(j) => {
                 self.job_discard(now, j, out);
                 let r = Reject::new(
@@ -240,7 +247,6 @@
         let key = job.load.txn;
         match act {
             Act::Begin | Act::First => {
-                let life = self.t.as_ref().map_or(0, |t| t.servers[job.server].life);
                 if let Some(c) = job.conn.take() {
                     let x = TxnHeld {
                         conn: c.id,
@@ -251,7 +257,7 @@
                         session: job.load.session,
                         last: now,
                         busy: false,
-                        life,
+                        life: c.life,
                     };
                     self.txns.insert(key, x);
                 }
--- a/tenet/src/asks.rs
+++ b/tenet/src/asks.rs
@@ -9,14 +9,16 @@
 impl Control {
     pub(crate) fn ask(&mut self, now: Time, call: u64, id: Option<u64>, op: Op, out: &mut Out) {
         let id = id.unwrap_or_else(|| self.ids.take());
+        let question = self.ids.take();
         let ask = Ask {
             id,
+            question,
             from: self.me.addr,
             at: self.wall(now),
             op,
         };
         self.pending.insert(
-            id,
+            question,
             Pending {
                 call,
                 ask: ask.clone(),
@@ -52,17 +54,18 @@
     pub(crate) fn resend(&mut self, now: Time, out: &mut Out, e: &mut Effect) {
         let head = self.head();
         let mut late = Vec::new();
-        for (id, p) in self.pending.iter_mut() {
+        for (question, p) in self.pending.iter_mut() {
             if now > p.born + ASK_GIVE_UP {
-                late.push(*id);
+                late.push(*question);
             } else if now > p.sent + 300 {
                 p.sent = now;
                 out.send
                     .extend(head.map(|a| (a, Msg::Propose { ask: p.ask.clone() })));
             }
         }
-        for id in late {
-            if let Some(p) = self.pending.remove(&id).filter(|p| p.call != 0) {
+        for question in late {
+            if let Some(p) = self.pending.remove(&question).filter(|p| p.call != 0) {
+                let id = p.ask.id;
                 let why =
                     format!("the control chain did not answer in time; ask again with id {id}");
                 e.response
--- a/tenet/src/control.rs
+++ b/tenet/src/control.rs
@@ -30,6 +30,7 @@
     pub(crate) chain: Option<Chain>,
     pub(crate) f: Follow,
     pub(crate) watch: Watch,
+    /// Questions to the chain that wait for their outcome, by number.
     pub(crate) pending: BTreeMap<u64, Pending>,
     pub(crate) ids: Ids,
     pub(crate) why: Reasons,
@@ -75,7 +76,7 @@
             chain: s
                 .disk
                 .then(|| Chain::new(me, d, now).with(s.found, s.founders, s.copies)),
-            f: Follow::new(view),
+            f: Follow::new(view, mix(s.seed ^ 3) >> 1),
             watch: Watch::default(),
             pending: BTreeMap::new(),
             ids: Ids::new(s.seed),
@@ -169,8 +170,8 @@
         }
         self.c.take(now, from, addr, &msg, &mut out.send);
         match msg {
-            Msg::Outcome { id, verdict } => {
-                if let Some(p) = self.pending.remove(&id).filter(|p| p.call != 0) {
+            Msg::Outcome { question, verdict } => {
+                if let Some(p) = self.pending.remove(&question).filter(|p| p.call != 0) {
                     e.response.push((p.call, Reply::Verdict(verdict)));
                 }
             }
--- a/tenet/src/fence.rs
+++ b/tenet/src/fence.rs
@@ -105,15 +105,8 @@
             hops: load.hops.clone(),
             server: s.name.clone(),
         };
-        if let Owner::Carry(addr, go) = owner {
-            out.send.push((
-                addr,
-                Msg::Carried {
-                    go,
-                    clock: now,
-                    done: Ok(done),
-                },
-            ));
+        if let Owner::Carry(asker) = owner {
+            out.send.push(asker.reply(now, Ok(done)));
         }
         Ok(())
     }
@@ -155,6 +148,7 @@
                 let setup = crate::session::setup_digest(&load.setup);
                 let conn = crate::pool::Conn {
                     id: x.conn,
+                    life: x.life,
                     user: x.session,
                     setup,
                     idle: now,
@@ -233,7 +227,7 @@
 
     pub(crate) fn txn_drop(&mut self, now: Time, key: u64, out: &mut FrontOut) {
         if let Some(x) = self.txns.remove(&key) {
-            self.discard(now, x.server, x.conn, out);
+            self.discard(now, x.server, x.conn, x.life, out);
         }
     }
 
--- a/tenet/src/follow.rs
+++ b/tenet/src/follow.rs
@@ -22,13 +22,15 @@
 }
 
 impl Follow {
-    pub fn new(view: View) -> Self {
+    /// `first` numbers the first ask; it differs by each life of the process, so that no answer to
+    /// an earlier one counts for this.
+    pub fn new(view: View, first: u64) -> Self {
         Follow {
             state: State::default(),
             view,
             until: 0,
             asks: BTreeMap::new(),
-            seq: 0,
+            seq: first,
             next: 0,
             wanted: 0,
             turn: 0,
--- a/tenet/src/front.rs
+++ b/tenet/src/front.rs
@@ -1,6 +1,7 @@
 use crate::base::*;
 use crate::fresh::{Known, Marks};
 pub use crate::held::*;
+pub use crate::inbound::FrontIn;
 use crate::job::Job;
 use crate::kind::{Kind, Reject};
 use crate::peers::Peers;
@@ -18,37 +19,12 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-pub enum FrontIn {
-    Wakeup,
-    Table(Arc<Table>, Time),
-    Call {
-        call: u64,
-        req: Req,
-    },
-    Carry {
-        from: NodeId,
-        addr: Addr,
-        go: u64,
-        to: NodeId,
-        by: Time,
-        load: Load,
-    },
-    Carried {
-        from: NodeId,
-        go: u64,
-        clock: Time,
-        done: Result<Done, Reject>,
-    },
-    Back {
-        token: u64,
-        res: BackRes,
-    },
-    Echo {
-        from: NodeId,
-        addr: Addr,
-        reply: bool,
-    },
-    Stopping,
+/// Seeds the numbers that a process gives, so that no life of a process gives those of another.
+fn own_numbers(me: NodeId, seed: u64) -> u64 {
+    match planted(Bug::IncarnationIgnored) {
+        true => mix(seed ^ 77),
+        false => mix(seed ^ 77 ^ mix(me)),
+    }
 }
 
 pub struct BackCall {
@@ -81,7 +57,7 @@
     pub(crate) sessions: BTreeMap<u64, Session>,
     pub(crate) trips: Slab<Trip>,
     pub(crate) jobs: Slab<Job>,
-    pub(crate) gos: BTreeMap<u64, usize>,
+    pub(crate) gos: BTreeMap<u64, Attempt>,
     pub(crate) clocks: BTreeMap<NodeId, (Time, Time)>,
     pub(crate) relays: BTreeMap<u64, Relay>,
     pub(crate) pools: Vec<Pool>,
@@ -115,7 +91,7 @@
             until: 0,
             leaving: None,
             stop_at: None,
-            ids: Ids::new(mix(seed ^ 77)),
+            ids: Ids::new(own_numbers(me, seed)),
             sessions: BTreeMap::new(),
             trips: Slab::new(),
             jobs: Slab::new(),
@@ -197,7 +173,12 @@
                 load,
             } => {
                 self.peers.heard(from);
-                self.carry(now, addr, go, to, by, load, &mut out)
+                let asker = Asker {
+                    node: from,
+                    addr,
+                    go,
+                };
+                self.carry(now, asker, to, by, load, &mut out)
             }
             FrontIn::Echo { from, addr, reply } => {
                 self.peers.heard(from);
@@ -206,13 +187,14 @@
             }
             FrontIn::Carried {
                 from,
+                to,
                 go,
                 clock,
                 done,
             } => {
                 self.peers.heard(from);
                 self.clocks.insert(from, (clock, now));
-                self.carried(now, go, done, &mut out)
+                self.carried(now, from, to, go, done, &mut out)
             }
             FrontIn::Back { token, res } => match self.uses.remove(&token) {
                 Some(Use::Poll(s, at)) => self.poll_back(now, s, at, res),
@@ -230,31 +212,17 @@
             out.send = far;
             own.into_iter().map(|(_, m)| m).collect()
         };
-        for m in own {
-            let (from, addr) = (self.me, self.addr);
-            let x = match m {
-                Msg::Carry { go, to, by, load } => self.poll(
-                    now,
-                    FrontIn::Carry {
-                        from,
-                        addr,
-                        go,
-                        to,
-                        by,
-                        load,
-                    },
-                ),
-                Msg::Carried { go, clock, done } => self.poll(
-                    now,
-                    FrontIn::Carried {
-                        from,
-                        go,
-                        clock,
-                        done,
-                    },
-                ),
-                _ => continue,
+        for msg in own {
+            let packet = Packet {
+                from: self.me,
+                addr: self.addr,
+                cluster: 0,
+                msg,
             };
+            let Ok(input) = FrontIn::from_packet(packet) else {
+                continue;
+            };
+            let x = self.poll(now, input);
             out.send.extend(x.send);
             out.back.extend(x.back);
             out.response.extend(x.response);
@@ -289,8 +257,10 @@
             self.wanted.push(0);
         }
         for (i, s) in t.servers.iter().enumerate() {
-            if self.pools[i].life != s.life {
-                self.pools[i] = Pool::new(s.life, now);
+            if self.pools[i].life != s.life && !planted(Bug::IncarnationIgnored) {
+                for conn in self.pools[i].renew(s.life, now) {
+                    self.send_close(now, i, conn, out);
+                }
             }
             self.off_at[i] = if s.off.is_some() {
                 self.off_at[i].min(now)
--- a/tenet/src/gate.rs
+++ b/tenet/src/gate.rs
@@ -3,6 +3,7 @@
 use crate::job::Owner;
 use crate::kind::{Kind, Reject};
 use crate::ledger::End;
+use crate::plant::{planted, Bug};
 use crate::route::{self, Hop};
 use crate::table::Table;
 use crate::wire::*;
@@ -20,8 +21,7 @@
     pub(crate) fn carry(
         &mut self,
         now: Time,
-        addr: Addr,
-        go: u64,
+        asker: Asker,
         to: NodeId,
         by: Time,
         mut load: Load,
@@ -45,24 +45,15 @@
             load.budget = 500;
         }
         let r = late.map_or(Ok(()), |(k, w)| Err(Reject::new(k, w)));
-        match r.and_then(|_| self.carry_on(now, addr, go, load, out)) {
-            Ok(()) => (),
-            Err(r) => out.send.push((
-                addr,
-                Msg::Carried {
-                    go,
-                    clock: now,
-                    done: Err(r),
-                },
-            )),
+        if let Err(r) = r.and_then(|_| self.carry_on(now, asker, load, out)) {
+            out.send.push(asker.reply(now, Err(r)));
         }
     }
 
     fn carry_on(
         &mut self,
         now: Time,
-        addr: Addr,
-        go: u64,
+        asker: Asker,
         mut load: Load,
         out: &mut FrontOut,
     ) -> Result<(), Reject> {
@@ -89,12 +80,12 @@
         }
         load.hops.push(self.me);
         match h {
-            Hop::Serve => self.fence_start(now, Owner::Carry(addr, go), load, i, out),
+            Hop::Serve => self.fence_start(now, Owner::Carry(asker), load, i, out),
             Hop::Fence(n) => {
                 load.fence = n;
-                self.pass(now, &t, addr, go, n, load, out)
+                self.pass(now, &t, asker, n, load, out)
             }
-            Hop::Gateway(n) => self.pass(now, &t, addr, go, n, load, out),
+            Hop::Gateway(n) => self.pass(now, &t, asker, n, load, out),
             Hop::Nowhere(k, w) => Err(Reject::new(k, w)),
         }
     }
@@ -104,8 +95,7 @@
         &mut self,
         now: Time,
         t: &Table,
-        addr: Addr,
-        go: u64,
+        asker: Asker,
         to: NodeId,
         load: Load,
         out: &mut FrontOut,
@@ -118,8 +108,7 @@
         self.relays.insert(
             k,
             Relay {
-                addr,
-                go,
+                asker,
                 to,
                 until: now + load.budget,
             },
@@ -152,32 +141,49 @@
         Ok(())
     }
 
+    /// Takes an answer of another node. It counts when it is for this life of the process, for an
+    /// attempt that is still open, and from the node that the attempt was sent to.
     pub(crate) fn carried(
         &mut self,
         now: Time,
+        from: NodeId,
+        to: NodeId,
         go: u64,
         done: Result<Done, Reject>,
         out: &mut FrontOut,
     ) {
-        if let Some(r) = self.relays.remove(&go) {
-            out.send.push((
-                r.addr,
-                Msg::Carried {
-                    go: r.go,
-                    clock: now,
-                    done,
-                },
-            ));
-        } else if let Some(i) = self.gos.remove(&go) {
-            if self.trips.get(i).is_some_and(|t| t.go_id == go) {
-                let n = self.trips[i].gos.len();
-                match done {
-                    Err(r) if r.kind == Kind::Unknown => {
-                        self.go_end(now, i, n, End::Lost, r.to_string(), out)
-                    }
-                    d => self.trip_back(now, i, n, d, out),
-                }
+        let unchecked = planted(Bug::IncarnationIgnored);
+        if to != self.me && !unchecked {
+            return;
+        }
+        if self
+            .relays
+            .get(&go)
+            .is_some_and(|r| r.to == from || unchecked)
+        {
+            let relay = self.relays.remove(&go);
+            out.send.extend(relay.map(|r| r.asker.reply(now, done)));
+            return;
+        }
+        if self
+            .gos
+            .get(&go)
+            .is_none_or(|a| a.gateway != from && !unchecked)
+        {
+            return;
+        }
+        let Some(i) = self.gos.remove(&go).map(|a| a.trip) else {
+            return;
+        };
+        if self.trips.get(i).is_none_or(|t| t.go_id != go) {
+            return;
+        }
+        let n = self.trips[i].gos.len();
+        match done {
+            Err(r) if r.kind == Kind::Unknown => {
+                self.go_end(now, i, n, End::Lost, r.to_string(), out)
             }
+            d => self.trip_back(now, i, n, d, out),
         }
     }
 
--- a/tenet/src/held.rs
+++ b/tenet/src/held.rs
@@ -1,5 +1,6 @@
 use crate::base::*;
-use crate::wire::SetUp;
+use crate::kind::Reject;
+use crate::wire::{Done, Msg, SetUp};
 
 #[derive(Clone, Copy)]
 pub enum Use {
@@ -8,9 +9,35 @@
     Nobody,
 }
 
-pub struct Relay {
+/// Whose question a node works at: the process that asked (each life of one has its own id), its
+/// address, and the number that it gave the attempt.
+#[derive(Clone, Copy, PartialEq)]
+pub struct Asker {
+    pub node: NodeId,
     pub addr: Addr,
     pub go: u64,
+}
+
+impl Asker {
+    pub fn reply(&self, now: Time, done: Result<Done, Reject>) -> (Addr, Msg) {
+        let answer = Msg::Carried {
+            to: self.node,
+            go: self.go,
+            clock: now,
+            done,
+        };
+        (self.addr, answer)
+    }
+}
+
+/// An attempt of a request that was sent to another node: only that node may answer it.
+pub struct Attempt {
+    pub trip: usize,
+    pub gateway: NodeId,
+}
+
+pub struct Relay {
+    pub asker: Asker,
     pub to: NodeId,
     pub until: Time,
 }
--- a/tenet/src/job.rs
+++ b/tenet/src/job.rs
@@ -17,7 +17,7 @@
 #[derive(Clone, Copy, PartialEq)]
 pub enum Owner {
     Trip(usize, u64),
-    Carry(Addr, u64),
+    Carry(Asker),
 }
 
 #[derive(Clone, Copy, PartialEq, Debug)]
@@ -50,6 +50,8 @@
     pub tries: u32,
     pub lost: u64,
     pub life: u64,
+    /// The life of the server that the job's connection is being opened to.
+    pub opens_to: u64,
     pub sent: Time,
     pub begun: bool,
 }
@@ -73,6 +75,7 @@
             tries: 0,
             lost: 0,
             life: 0,
+            opens_to: 0,
             sent: now,
             begun: false,
         }
@@ -132,10 +135,10 @@
             Take::Conn(c) => {
                 let same = (c.user == user || !keeps) && c.setup == setup || planted(Bug::NoReset);
                 job.conn = Some(Conn {
-                    id: c.id,
                     user,
                     setup,
                     idle: now,
+                    ..c
                 });
                 match same {
                     true => self.job_run(now, j, out),
@@ -143,6 +146,7 @@
                 }
             }
             Take::Open => {
+                job.opens_to = self.pools[s].life;
                 let user = job.load.setup.user.clone();
                 let server = self
                     .t
@@ -259,6 +263,10 @@
                 out,
             );
         }
+        if self.conn_is_old(j) {
+            return self.job_on_old_conn(now, j, out);
+        }
+        let job = &self.jobs[j];
         if fenced && job.load.act != Act::Pos {
             let t = format!("fencing {:x} sends it to the primary", self.me);
             let id = job.load.id.clone();
@@ -315,7 +323,10 @@
     pub(crate) fn job_put(&mut self, now: Time, j: usize, out: &mut FrontOut) {
         let s = self.jobs[j].server;
         if let Some(c) = self.jobs[j].conn.take() {
-            self.pools[s].put(Conn { idle: now, ..c });
+            let old = self.pools[s].put(Conn { idle: now, ..c });
+            if let Some(c) = old {
+                self.send_close(now, s, c.id, out);
+            }
         }
         self.pump(now, s, out);
     }
@@ -359,8 +370,12 @@
             let k = match job.load.act {
                 _ if job.load.writes || job.load.act.commits() => Kind::Unknown,
                 Act::First => Kind::Aborted,
+                Act::Step if !planted(Bug::StepSentAgain) => Kind::Aborted,
                 _ => Kind::NotCurrent,
             };
+            if k == Kind::Aborted {
+                self.txn_drop(now, job.load.txn, out);
+            }
             r = Err(Reject::new(
                 k,
                 "the permit ended before success could be told",
@@ -381,7 +396,7 @@
             server,
         });
         match job.owner {
-            Owner::Carry(addr, go) => {
+            Owner::Carry(asker) => {
                 if let Err(e) = &done {
                     self.traces.tell(
                         now,
@@ -389,14 +404,7 @@
                         format!("fencing {:x} rejects it: {e}", self.me),
                     );
                 }
-                out.send.push((
-                    addr,
-                    Msg::Carried {
-                        go,
-                        clock: now,
-                        done,
-                    },
-                ));
+                out.send.push(asker.reply(now, done));
             }
             Owner::Trip(i, g) if self.trips.get(i).is_some_and(|t| t.go_id == g) => {
                 let n = self.trips[i].gos.len();
--- a/tenet/src/lib.rs
+++ b/tenet/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod handoff;
 pub mod heirs;
 pub mod held;
+pub mod inbound;
 pub mod job;
 pub mod kind;
 pub mod labels;
--- a/tenet/src/peers.rs
+++ b/tenet/src/peers.rs
@@ -87,14 +87,7 @@
         for k in gone {
             if let Some(r) = self.relays.remove(&k) {
                 let done = Err(Reject::new(Kind::Unknown, "the next hop fell silent"));
-                out.send.push((
-                    r.addr,
-                    Msg::Carried {
-                        go: r.go,
-                        clock: now,
-                        done,
-                    },
-                ));
+                out.send.push(r.asker.reply(now, done));
             }
         }
         let open = |t: &crate::trip::Trip| {
--- a/tenet/src/plant.rs
+++ b/tenet/src/plant.rs
@@ -18,6 +18,9 @@
     RuleIgnored,
     BoundIgnored,
     LostSentAgain,
+    IncarnationIgnored,
+    ResetSentAgain,
+    StepSentAgain,
 }
 
 #[cfg(plant)]
--- a/tenet/src/pool.rs
+++ b/tenet/src/pool.rs
@@ -1,8 +1,11 @@
 use crate::base::*;
+use crate::plant::{planted, Bug};
 use std::collections::VecDeque;
 
 pub struct Conn {
     pub id: u64,
+    /// The life of the server that it was opened to.
+    pub life: u64,
     pub user: u64,
     pub setup: u64,
     pub idle: Time,
@@ -92,22 +95,50 @@
         Take::Wait
     }
 
-    pub fn opened(&mut self) {
-        self.opening = self.opening.saturating_sub(1);
-        self.out += 1;
+    /// Begins anew with a new life of the server: who waits goes on waiting, and the connections
+    /// given back are to be closed.
+    pub fn renew(&mut self, life: u64, now: Time) -> Vec<u64> {
+        let new = Pool {
+            queue: std::mem::take(&mut self.queue),
+            ..Pool::new(life, now)
+        };
+        let old = std::mem::replace(self, new);
+        old.idle.iter().map(|c| c.id).collect()
     }
 
-    pub fn not_opened(&mut self) {
-        self.opening = self.opening.saturating_sub(1);
+    /// Whether a connection to that life of the server is counted here. A server that began a new
+    /// life has a new pool; what was under way to the earlier life is not part of it.
+    pub fn counts(&self, life: u64) -> bool {
+        self.life == life || planted(Bug::IncarnationIgnored)
     }
 
-    pub fn put(&mut self, c: Conn) {
-        self.out = self.out.saturating_sub(1);
-        self.idle.push(c);
+    pub fn opened(&mut self, life: u64) {
+        if self.counts(life) {
+            self.opening = self.opening.saturating_sub(1);
+            self.out += 1;
+        }
+    }
+
+    pub fn not_opened(&mut self, life: u64) {
+        if self.counts(life) {
+            self.opening = self.opening.saturating_sub(1);
+        }
     }
 
-    pub fn lost(&mut self) {
+    /// Takes a connection back; one to an earlier life of the server is returned, to be closed.
+    pub fn put(&mut self, connection: Conn) -> Option<Conn> {
+        if !self.counts(connection.life) {
+            return Some(connection);
+        }
         self.out = self.out.saturating_sub(1);
+        self.idle.push(connection);
+        None
+    }
+
+    pub fn lost(&mut self, life: u64) {
+        if self.counts(life) {
+            self.out = self.out.saturating_sub(1);
+        }
     }
 
     pub fn surplus(&mut self, now: Time, r: &Rules) -> Vec<u64> {
@@ -133,6 +164,16 @@
         keep: 1000,
     };
 
+    fn idle(id: u64) -> Conn {
+        Conn {
+            id,
+            life: 1,
+            user: 0,
+            setup: 0,
+            idle: 5000,
+        }
+    }
+
     #[test]
     fn a_cold_server_is_ramped_and_the_share_is_never_passed() {
         let mut p = Pool::new(1, 0);
@@ -157,23 +198,11 @@
         p.share = 4;
         for i in 0..4 {
             assert!(matches!(p.take(5000, 0, 0, &R), Take::Open));
-            p.opened();
-            p.put(Conn {
-                id: i,
-                user: 0,
-                setup: 0,
-                idle: 5000,
-            });
+            p.opened(1);
+            assert!(p.put(idle(i)).is_none());
             assert!(matches!(p.take(5000, 0, 0, &R), Take::Conn(_)));
         }
-        (0..4).for_each(|i| {
-            p.put(Conn {
-                id: i,
-                user: 0,
-                setup: 0,
-                idle: 5000,
-            })
-        });
+        (0..4).for_each(|i| assert!(p.put(idle(i)).is_none()));
         p.share = 1;
         assert_eq!(p.surplus(5001, &R).len(), 3);
         assert_eq!(p.total(), 1);
--- a/tenet/src/serve.rs
+++ b/tenet/src/serve.rs
@@ -28,7 +28,7 @@
             out.send.push((
                 ask.from,
                 Msg::Outcome {
-                    id: ask.id,
+                    question: ask.question,
                     verdict,
                 },
             ));
@@ -52,7 +52,7 @@
             out.send.push((
                 ask.from,
                 Msg::Outcome {
-                    id: ask.id,
+                    question: ask.question,
                     verdict,
                 },
             ));
@@ -71,9 +71,10 @@
                 .map(|e| e.ask.clone())
                 .collect();
             for a in &v {
+                let question = a.question;
                 let got = self.d.state.verdict(a);
                 out.send
-                    .extend(got.map(|verdict| (a.from, Msg::Outcome { id: a.id, verdict })));
+                    .extend(got.map(|verdict| (a.from, Msg::Outcome { question, verdict })));
             }
             if !v.is_empty() {
                 self.subs.retain(|_, t| now < *t + 5000);
--- a/tenet/src/state.rs
+++ b/tenet/src/state.rs
@@ -223,7 +223,10 @@
 
 #[derive(Clone, Readable, Writable, PartialEq, Debug)]
 pub struct Ask {
+    /// Names the change: the same change asked again under it gets its first verdict.
     pub id: u64,
+    /// Names the question: its outcome goes to whoever waits for just this one.
+    pub question: u64,
     pub from: Addr,
     pub at: u64,
     pub op: Op,
--- a/tenet/src/trip.rs
+++ b/tenet/src/trip.rs
@@ -140,7 +140,11 @@
         match addr {
             Some(a) => {
                 let go = self.ids.take();
-                self.gos.insert(go, i);
+                let attempt = Attempt {
+                    trip: i,
+                    gateway: g,
+                };
+                self.gos.insert(go, attempt);
                 if g != self.me {
                     self.peers.sent(now, g, a);
                 }
--- a/tenet/src/wire.rs
+++ b/tenet/src/wire.rs
@@ -188,8 +188,9 @@
     Propose {
         ask: Ask,
     },
+    /// Answers the question of that number.
     Outcome {
-        id: u64,
+        question: u64,
         verdict: Verdict,
     },
     Refresh {
@@ -219,7 +220,9 @@
         by: Time,
         load: Load,
     },
+    /// Answers attempt `go` of the process `to`.
     Carried {
+        to: NodeId,
         go: u64,
         clock: Time,
         done: Result<Done, Reject>,
--- a/tenet/tests/chain.rs
+++ b/tenet/tests/chain.rs
@@ -34,6 +34,7 @@
 
 fn ask() -> Ask {
     Ask {
+        question: 0,
         id: 1,
         from: seat(8, 8).addr,
         at: 0,
--- a/tenet/tests/codec.rs
+++ b/tenet/tests/codec.rs
@@ -21,6 +21,7 @@
         chain: vec![seat, seat],
     };
     let ask = Ask {
+        question: 0,
         id: 1,
         from: seat.addr,
         at: 2,
@@ -86,7 +87,7 @@
             view,
         },
         Msg::Outcome {
-            id: 1,
+            question: 1,
             verdict: Verdict {
                 mark: 2,
                 reject: Some(Reject::new(Kind::BadConfig, "x")),
@@ -99,6 +100,7 @@
             load,
         },
         Msg::Carried {
+            to: 4,
             go: 1,
             clock: 2,
             done: Err(Kind::Unknown.into()),
--- a/tenet/tests/config.rs
+++ b/tenet/tests/config.rs
@@ -107,6 +107,7 @@
             let (was, was_mark) = (s.cfg.clone(), s.cfg_mark);
             let mark = s.mark + 1;
             let ask = Ask {
+                question: 0,
                 id,
                 from: Addr::NONE,
                 at: 0,
@@ -205,6 +206,7 @@
     st.apply(&Entry {
         mark: 1,
         ask: Ask {
+            question: 0,
             id: 1,
             from: Addr::NONE,
             at: 0,
--- a/tenet/tests/disk.rs
+++ b/tenet/tests/disk.rs
@@ -12,6 +12,7 @@
     Rec::Entry(Entry {
         mark,
         ask: Ask {
+            question: 0,
             id: mark * 7,
             from: Addr::NONE,
             at: mark,
--- a/tenet/tests/place.rs
+++ b/tenet/tests/place.rs
@@ -19,6 +19,7 @@
     let v = s.apply(&Entry {
         mark,
         ask: Ask {
+            question: 0,
             id: mark * 31,
             from: Addr::NONE,
             at: 0,
--- a/tenet/tests/state.rs
+++ b/tenet/tests/state.rs
@@ -8,6 +8,7 @@
     s.apply(&Entry {
         mark,
         ask: Ask {
+            question: 0,
             id,
             from: Addr::NONE,
             at: 0,
@@ -107,6 +108,7 @@
         s.apply(&Entry {
             mark,
             ask: Ask {
+                question: 0,
                 id: mark * 31,
                 from: Addr::NONE,
                 at,
