Give no lease and no verdict by an answer to an earlier life

Cause: the tail's and the followers' asks for a lease began at the same number in each life of a process. A line keeps packets for up to 600 ms and hands them to the next process at the address, so a grant to the earlier life counted for an ask of this one, and the lease held longer than the voters keep theirs. Asks now begin at a number of the life (wall clock above 20 random bits).

Moved, without change: requests that nodes pass on (load.rs), changes asked of the chain (order.rs), connections in the hands of jobs (connections.rs), the end of a request (trip_end.rs).

--- a/chance/src/step.rs
+++ b/chance/src/step.rs
@@ -7,7 +7,6 @@
 use tenet::base::*;
 use tenet::control::*;
 use tenet::front::*;
-use tenet::query::Query;
 use tenet::wire::Packet;
 
 impl Sim {
--- a/tenet/src/answer.rs
+++ b/tenet/src/answer.rs
@@ -74,50 +74,6 @@
         }
     }
 
-    fn back_open(&mut self, now: Time, j: usize, res: BackRes, out: &mut FrontOut) {
-        let s = self.jobs[j].server;
-        match res {
-            BackRes::Ok(Got::Connected { conn }) => {
-                let life = self.jobs[j].opens_to;
-                self.pools[s].opened(life);
-                let (user, setup) = (
-                    self.jobs[j].load.session,
-                    crate::session::setup_digest(&self.jobs[j].load.setup),
-                );
-                self.jobs[j].conn = Some(crate::pool::Conn {
-                    id: conn,
-                    life,
-                    user,
-                    setup,
-                    idle: now,
-                });
-                self.reset_now(now, j, None, out);
-            }
-            r => {
-                self.pools[s].not_opened(self.jobs[j].opens_to);
-                let e = match r {
-                    BackRes::Rejected(Refusal::Busy, _) => {
-                        Reject::new(Kind::Busy, "the server allows no more connections")
-                    }
-                    r => Reject::new(
-                        Kind::NoPrimary,
-                        format!("no connection to the server: {}", word(&r)),
-                    ),
-                };
-                self.job_end(now, j, Err(e), out);
-                self.pump(now, s, out);
-            }
-        }
-    }
-
-    pub(crate) fn again_or(&mut self, now: Time, j: usize, r: Reject, out: &mut FrontOut) {
-        self.jobs[j].tries += 1;
-        match self.jobs[j].tries < 3 {
-            true => self.job_take(now, j, out),
-            false => self.job_end(now, j, Err(r), out),
-        }
-    }
-
     fn back_run(&mut self, now: Time, j: usize, res: BackRes, out: &mut FrontOut) {
         let act = self.jobs[j].load.act.clone();
         let writes = self.jobs[j].load.writes;
--- a/tenet/src/asks.rs
+++ b/tenet/src/asks.rs
@@ -7,6 +7,19 @@
 use crate::wire::Msg;
 
 impl Control {
+    pub(crate) fn hand_to_chain(
+        &mut self,
+        now: Time,
+        from: NodeId,
+        addr: Addr,
+        m: Msg,
+        out: &mut Out,
+    ) {
+        if let Some(c) = self.chain.as_mut() {
+            c.take(now, from, addr, m, &self.c, out);
+        }
+    }
+
     pub(crate) fn ask(&mut self, now: Time, call: u64, id: Option<u64>, op: Op, out: &mut Out) {
         let id = id.unwrap_or_else(|| self.ids.take());
         let question = self.ids.take();
--- a/tenet/src/base.rs
+++ b/tenet/src/base.rs
@@ -74,3 +74,10 @@
         mix(self.seed ^ mix(self.n)) & 0x001f_ffff_ffff_ffff
     }
 }
+
+/// The first number of a life's asks for a lease: above those of earlier lives while the wall
+/// clock does not step back, and other than theirs if it does.
+pub(crate) fn first_ask(wall: u64, seed: u64) -> u64 {
+    const RANDOM_BITS: u32 = 20;
+    (wall << RANDOM_BITS) | (mix(seed ^ 5) >> (u64::BITS - RANDOM_BITS))
+}
--- a/tenet/src/control.rs
+++ b/tenet/src/control.rs
@@ -75,7 +75,8 @@
             c: Colleagues::new(sum, s.seeds, s.wire),
             chain: s
                 .disk
-                .then(|| Chain::new(me, d, now).with(s.found, s.founders, s.copies)),
+                .then(|| Chain::new(me, d, now).with(s.found, s.founders, s.copies))
+                .map(|c| c.asking_from(first_ask(s.wall, s.seed))),
             f: Follow::new(view, mix(s.seed ^ 3) >> 1),
             watch: Watch::default(),
             pending: BTreeMap::new(),
@@ -215,12 +216,6 @@
         }
     }
 
-    fn hand_to_chain(&mut self, now: Time, from: NodeId, addr: Addr, m: Msg, out: &mut Out) {
-        if let Some(c) = self.chain.as_mut() {
-            c.take(now, from, addr, m, &self.c, out);
-        }
-    }
-
     fn finish(&mut self, now: Time, mut out: Out, e: &mut Effect) {
         let mut wake = self.c.tick(now, &mut out.send);
         if let Some(c) = self.chain.as_mut() {
--- a/tenet/src/job.rs
+++ b/tenet/src/job.rs
@@ -2,8 +2,7 @@
 use crate::front::*;
 use crate::kind::{Kind, Reject};
 use crate::plant::{planted, Bug};
-use crate::pool::{Conn, Take};
-use crate::session::setup_digest;
+use crate::pool::Conn;
 use crate::wire::*;
 
 fn margin() -> Time {
@@ -101,86 +100,6 @@
         self.job_take(now, j, out)
     }
 
-    pub(crate) fn job_take(&mut self, now: Time, j: usize, out: &mut FrontOut) {
-        let rules = self.rules();
-        let silent = !self.known[self.jobs[j].server].reach
-            && matches!(self.jobs[j].owner, Owner::Carry(..));
-        if silent {
-            let held = self
-                .jobs
-                .iter()
-                .filter(|(_, x)| x.step == Step::Held)
-                .count();
-            if held >= rules.queue as usize {
-                return self.job_end(
-                    now,
-                    j,
-                    Err(Reject::new(
-                        Kind::Busy,
-                        "too many wait for a silent primary",
-                    )),
-                    out,
-                );
-            }
-            return self.jobs[j].step = Step::Held;
-        }
-        let job = &mut self.jobs[j];
-        let setup = setup_digest(&job.load.setup);
-        let (s, user) = (job.server, job.load.session);
-        let keeps = self
-            .t
-            .as_ref()
-            .is_none_or(|t| t.dbs[job.db].can.keeps_state);
-        match self.pools[s].take(now, user, setup, &rules) {
-            Take::Conn(c) => {
-                let same = (c.user == user || !keeps) && c.setup == setup || planted(Bug::NoReset);
-                job.conn = Some(Conn {
-                    user,
-                    setup,
-                    idle: now,
-                    ..c
-                });
-                match same {
-                    true => self.job_run(now, j, out),
-                    false => self.reset_now(now, j, None, out),
-                }
-            }
-            Take::Open => {
-                job.opens_to = self.pools[s].life;
-                let user = job.load.setup.user.clone();
-                let server = self
-                    .t
-                    .as_ref()
-                    .map_or(String::new(), |t| t.servers[s].name.clone());
-                let service = self.jobs[j].load.db.clone();
-                self.job_call(
-                    now,
-                    j,
-                    Step::Open,
-                    Query::Connect {
-                        service,
-                        server,
-                        user,
-                    },
-                    out,
-                );
-            }
-            Take::Wait => {
-                self.jobs[j].step = Step::Queue;
-                self.pools[s].queue.push_back(j);
-            }
-            Take::Full => self.job_end(
-                now,
-                j,
-                Err(Reject::new(
-                    Kind::Busy,
-                    "all connections of this server are taken",
-                )),
-                out,
-            ),
-        }
-    }
-
     pub(crate) fn job_call(
         &mut self,
         now: Time,
@@ -222,18 +141,6 @@
         });
     }
 
-    pub(crate) fn reset_now(
-        &mut self,
-        now: Time,
-        j: usize,
-        from: Option<SetUp>,
-        out: &mut FrontOut,
-    ) {
-        let setup = self.jobs[j].load.setup.clone();
-        let conn = self.jobs[j].conn.as_ref().map_or(0, |c| c.id);
-        self.job_call(now, j, Step::Reset, Query::Reset { conn, from, setup }, out);
-    }
-
     pub(crate) fn job_run(&mut self, now: Time, j: usize, out: &mut FrontOut) {
         let job = &self.jobs[j];
         let fenced = matches!(job.owner, Owner::Carry(..));
@@ -320,39 +227,6 @@
         self.job_call(now, j, step, Query::Outcome { id }, out);
     }
 
-    pub(crate) fn job_put(&mut self, now: Time, j: usize, out: &mut FrontOut) {
-        let s = self.jobs[j].server;
-        if let Some(c) = self.jobs[j].conn.take() {
-            let old = self.pools[s].put(Conn { idle: now, ..c });
-            if let Some(c) = old {
-                self.send_close(now, s, c.id, out);
-            }
-        }
-        self.pump(now, s, out);
-    }
-
-    pub(crate) fn pump(&mut self, now: Time, s: usize, out: &mut FrontOut) {
-        let rules = self.rules();
-        while self.pools[s].used() < self.pools[s].limit(now, &rules) {
-            let Some(j) = self.pools[s].queue.pop_front() else {
-                return;
-            };
-            let waits = self
-                .jobs
-                .get(j)
-                .is_some_and(|x| x.step == Step::Queue && x.server == s);
-            if waits {
-                let was = self.pools[s].used();
-                self.job_take(now, j, out);
-                if self.pools[s].used() == was
-                    && self.jobs.get(j).is_some_and(|x| x.step == Step::Queue)
-                {
-                    return;
-                }
-            }
-        }
-    }
-
     pub(crate) fn job_end(
         &mut self,
         now: Time,
--- a/tenet/src/serve.rs
+++ b/tenet/src/serve.rs
@@ -5,6 +5,13 @@
 use crate::wire::{Changes, Msg};
 
 impl Chain {
+    /// Numbers this life's asks for the tail's lease from `first` on, so that a grant to an earlier
+    /// life of the process answers none of them.
+    pub fn asking_from(mut self, first: u64) -> Self {
+        self.tail.seq = first;
+        self
+    }
+
     pub fn propose(&mut self, ask: Ask, out: &mut Out) {
         if !self.is_head() {
             let to = self
--- a/tenet/src/state.rs
+++ b/tenet/src/state.rs
@@ -1,6 +1,7 @@
 use crate::base::*;
 use crate::kind::{Kind, Reject};
 use crate::labels::Labels;
+pub use crate::order::*;
 use speedy::{Readable, Writable};
 use std::collections::BTreeMap;
 
@@ -221,23 +222,6 @@
     },
 }
 
-#[derive(Clone, Readable, Writable, PartialEq, Debug)]
-pub struct Ask {
-    /// Names the change: the same change asked again under it gets its first verdict.
-    pub id: u64,
-    /// Names the question: its outcome goes to whoever waits for just this one.
-    pub question: u64,
-    pub from: Addr,
-    pub at: u64,
-    pub op: Op,
-}
-
-#[derive(Clone, Readable, Writable, PartialEq, Debug)]
-pub struct Entry {
-    pub mark: Mark,
-    pub ask: Ask,
-}
-
 #[derive(Clone, Readable, Writable, Default)]
 pub struct State {
     pub cluster: u64,
--- a/tenet/src/waits.rs
+++ b/tenet/src/waits.rs
@@ -4,50 +4,6 @@
 use crate::kind::{Kind, Reject};
 
 impl Front {
-    pub(crate) fn discard(
-        &mut self,
-        now: Time,
-        server: usize,
-        conn: u64,
-        life: u64,
-        out: &mut FrontOut,
-    ) {
-        self.pools[server].lost(life);
-        self.send_close(now, server, conn, out);
-    }
-
-    pub(crate) fn job_discard(&mut self, now: Time, j: usize, out: &mut FrontOut) {
-        let s = self.jobs[j].server;
-        if let Some(c) = self.jobs[j].conn.take() {
-            self.discard(now, s, c.id, c.life, out);
-        }
-        let txn = self.jobs[j].load.txn;
-        if self.jobs[j].load.act.inside() {
-            self.txns.remove(&txn);
-        }
-        self.pump(now, s, out);
-    }
-
-    /// Whether the job holds a connection to an earlier life of its server.
-    pub(crate) fn conn_is_old(&self, j: usize) -> bool {
-        let job = &self.jobs[j];
-        let pool = &self.pools[job.server];
-        job.conn.as_ref().is_some_and(|c| !pool.counts(c.life))
-    }
-
-    /// Nothing is sent on a connection to an earlier life of the server. Outside a transaction the
-    /// job takes another.
-    pub(crate) fn job_on_old_conn(&mut self, now: Time, j: usize, out: &mut FrontOut) {
-        let job = &self.jobs[j];
-        let inside = job.load.act.inside() || job.begun;
-        self.job_discard(now, j, out);
-        let why = "its connection is to an earlier life of the server";
-        match inside {
-            true => self.job_end(now, j, Err(Reject::new(Kind::Aborted, why)), out),
-            false => self.again_or(now, j, Reject::new(Kind::Busy, why), out),
-        }
-    }
-
     pub(crate) fn close_first(&mut self, now: Time, j: usize, out: &mut FrontOut) {
         let conn = self.jobs[j].lost;
         self.job_call(now, j, Step::CloseFirst, Query::Close { conn }, out);
--- a/tenet/tests/config.rs
+++ b/tenet/tests/config.rs
@@ -106,16 +106,11 @@
             let id = *u.choose(&[i + 1, 1, 2])?;
             let (was, was_mark) = (s.cfg.clone(), s.cfg_mark);
             let mark = s.mark + 1;
-            let ask = Ask {
-                question: 0,
-                id,
-                from: Addr::NONE,
-                at: 0,
-                op: Op::Config {
-                    base,
-                    text: text.clone(),
-                },
+            let op = Op::Config {
+                base,
+                text: text.clone(),
             };
+            let ask = Ask::unanswered(id, op);
             let before = s.verdict(&ask);
             let v = s.apply(&Entry { mark, ask });
             assert!(s.cfg_mark >= was_mark);
@@ -205,13 +200,7 @@
     };
     st.apply(&Entry {
         mark: 1,
-        ask: Ask {
-            question: 0,
-            id: 1,
-            from: Addr::NONE,
-            at: 0,
-            op,
-        },
+        ask: Ask::unanswered(1, op),
     });
     let c = ruled(
         "[]",
--- a/tenet/tests/place.rs
+++ b/tenet/tests/place.rs
@@ -18,13 +18,7 @@
     let mark = s.mark + 1;
     let v = s.apply(&Entry {
         mark,
-        ask: Ask {
-            question: 0,
-            id: mark * 31,
-            from: Addr::NONE,
-            at: 0,
-            op,
-        },
+        ask: Ask::unanswered(mark * 31, op),
     });
     assert_eq!(v.reject, None);
     mark
