Take the platform's answer only for the promotion that is out

An answer to an earlier failover overwrote the state of the present ask, so that the next tick asked again while the ask was out, and an unknown outcome of this failover could be forgotten.

--- a/tenet/src/failover.rs
+++ b/tenet/src/failover.rs
@@ -150,12 +150,12 @@
             .get(n)
             .copied()
             .filter(|e| e.0 == d.epoch)
-            .unwrap_or((d.epoch, Ask3::Idle));
+            .unwrap_or((d.epoch, AskPhase::Idle));
         let go = match e.1 {
-            Ask3::Idle => true,
-            Ask3::Wait(t) => k.now >= t,
-            Ask3::Out => false,
-            Ask3::Accepted(at) => {
+            AskPhase::Idle => true,
+            AskPhase::Wait(t) => k.now >= t,
+            AskPhase::Out => false,
+            AskPhase::Accepted(at) => {
                 let seen =
                     k.st.servers
                         .get(&t)
@@ -172,7 +172,7 @@
             }
         };
         if go {
-            self.asks.insert(n.into(), (d.epoch, Ask3::Out));
+            self.asks.insert(n.into(), (d.epoch, AskPhase::Out));
             calls.push(Promote {
                 db: n.into(),
                 server: t,
--- a/tenet/src/lib.rs
+++ b/tenet/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod polls;
 pub mod pool;
 pub mod probe;
+pub mod promotion;
 pub mod publish;
 pub mod query;
 pub mod reasons;
--- a/tenet/src/pilot.rs
+++ b/tenet/src/pilot.rs
@@ -2,6 +2,7 @@
 use crate::colleagues::Colleagues;
 use crate::config::Config;
 use crate::place::place;
+pub use crate::promotion::*;
 use crate::state::*;
 use crate::table::{db_servers, server_off};
 use crate::wire::Sight;
@@ -13,30 +14,13 @@
     pub s: Sight,
 }
 
-pub struct Promote {
-    pub db: String,
-    pub server: String,
-    pub epoch: Mark,
-    pub not_after: Time,
-    /// Rises whenever another process asks, and with each failover.
-    pub token: Mark,
-}
-
-#[derive(Clone, Copy, PartialEq)]
-pub enum Ask3 {
-    Idle,
-    Out,
-    Accepted(Time),
-    Wait(Time),
-}
-
 #[derive(Default)]
 pub struct Watch {
     pub seen: BTreeMap<(NodeId, String), Seen>,
     pub clean: BTreeMap<(NodeId, String), Mark>,
     pub(crate) learned: BTreeMap<String, (Mark, Time)>,
     pub(crate) placed: BTreeMap<String, (Vec<NodeId>, Time)>,
-    pub(crate) asks: BTreeMap<String, (Mark, Ask3)>,
+    pub(crate) asks: BTreeMap<String, (Mark, AskPhase)>,
     pub(crate) unknown: BTreeMap<String, (Mark, Time)>,
     pub(crate) chosen: BTreeMap<String, Mark>,
     pub(crate) member_at: BTreeMap<NodeId, (Mark, Time)>,
@@ -286,50 +270,4 @@
                 && !x.s.leads
         })
     }
-
-    pub fn promoted(
-        &mut self,
-        now: Time,
-        db: &str,
-        epoch: Mark,
-        server: &str,
-        terms: bool,
-        done: Result<bool, bool>,
-    ) -> Option<Op> {
-        if done == Ok(false) {
-            self.asks.insert(db.into(), (epoch, Ask3::Accepted(now)));
-            return None;
-        }
-        if let Err(unknown) = done {
-            if unknown {
-                self.unknown.insert(db.into(), (epoch, now));
-            }
-            self.asks
-                .insert(db.into(), (epoch, Ask3::Wait(now + PROMOTE_AGAIN)));
-            let mine = self.chosen.get(db) == Some(&epoch);
-            let open = self
-                .unknown
-                .get(db)
-                .filter(|u| u.0 == epoch)
-                .map(|u| u.1)
-                .or(self.began.filter(|_| !mine));
-            let sure = open.is_none_or(|t| terms && now > t + UNKNOWN_OVER);
-            let gone = sure
-                && !unknown
-                && self
-                    .seen
-                    .iter()
-                    .all(|((_, s), x)| s != server || !x.s.reach || now >= x.at + SIGHT_STALE);
-            return gone.then(|| Op::Rejected {
-                db: db.into(),
-                epoch,
-                server: server.into(),
-            });
-        }
-        Some(Op::Promoted {
-            db: db.into(),
-            epoch,
-            server: server.into(),
-        })
-    }
 }
--- /dev/null
+++ b/tenet/tests/promote.rs
@@ -0,0 +1,136 @@
+#![cfg(not(loom))]
+//! The platform's answer to a promotion counts for the ask that it answers.
+use std::sync::Arc;
+use tenet::base::*;
+use tenet::colleagues::Colleagues;
+use tenet::config::Config;
+use tenet::pilot::{Promote, Sky, Watch};
+use tenet::state::*;
+use tenet::wire::{Summary, WIRE};
+
+const ALUMNI: &str = include_str!("../../examples/alumni.json");
+const DATABASE: &str = "members";
+const ME: NodeId = 1;
+
+struct Fleet {
+    config: Arc<Config>,
+    state: State,
+    peers: Colleagues,
+    watch: Watch,
+}
+
+impl Fleet {
+    fn new() -> Fleet {
+        let me = Summary {
+            id: ME,
+            addr: Addr::NONE,
+            http: Addr::NONE,
+            domain: "geneva-1".into(),
+            disk: true,
+            life: 1,
+            status: 0,
+            view: 1,
+            mark: 1,
+            allows: true,
+            stopping: false,
+        };
+        let mut fleet = Fleet {
+            config: Arc::new(Config::parse(ALUMNI).unwrap_or_else(|e| panic!("{e:?}"))),
+            state: State::default(),
+            peers: Colleagues::new(me, vec![], WIRE),
+            watch: Watch::default(),
+        };
+        fleet.put(Op::Config {
+            base: 0,
+            text: ALUMNI.into(),
+        });
+        for (i, server) in ["a", "b", "c"].iter().enumerate() {
+            fleet.put(Op::Announce {
+                server: server.to_string(),
+                addr: Addr::NONE,
+                domain: "geneva-1".into(),
+                labels: [("db".to_string(), DATABASE.to_string())].into(),
+                life: 10 + i as u64,
+                leads: false,
+                leaving: false,
+                terms: true,
+                seq: 0,
+            });
+        }
+        fleet.put(Op::Place {
+            db: DATABASE.into(),
+            fencers: vec![],
+            gateways: vec![],
+        });
+        fleet.put(Op::Adopt {
+            db: DATABASE.into(),
+            server: "a".into(),
+        });
+        fleet
+    }
+
+    fn put(&mut self, op: Op) {
+        let mark = self.state.mark + 1;
+        let ask = Ask::unanswered(mark * 31, op);
+        let verdict = self.state.apply(&Entry { mark, ask });
+        assert_eq!(verdict.reject, None);
+    }
+
+    fn epoch(&self) -> Mark {
+        self.state.dbs[DATABASE].epoch
+    }
+
+    /// The primary is lost and `server` is to take over.
+    fn fail_over(&mut self, server: &str) {
+        self.put(Op::Offline {
+            db: DATABASE.into(),
+            epoch: self.epoch(),
+            why: "lost".into(),
+        });
+        self.put(Op::Target {
+            db: DATABASE.into(),
+            epoch: self.epoch(),
+            server: server.into(),
+            asker: ME,
+            any: true,
+        });
+    }
+
+    fn asks(&mut self, now: Time) -> Vec<Promote> {
+        let sky = Sky {
+            now,
+            me: ME,
+            st: &self.state,
+            cfg: &self.config,
+            c: &self.peers,
+        };
+        self.watch.tick(&sky).1
+    }
+
+    fn answered(&mut self, now: Time, ask: &Promote, done: Result<bool, bool>) -> Option<Op> {
+        self.watch
+            .promoted(now, DATABASE, ask.epoch, &ask.server, true, done)
+    }
+}
+
+#[test]
+fn a_late_answer_to_an_earlier_failover_is_no_answer_to_this_one() {
+    for late in [Ok(false), Ok(true), Err(true), Err(false)] {
+        let mut fleet = Fleet::new();
+        fleet.fail_over("b");
+        let first = fleet.asks(1000).pop().expect("an ask");
+        fleet.put(Op::Promoted {
+            db: DATABASE.into(),
+            epoch: fleet.epoch(),
+            server: "b".into(),
+        });
+        fleet.fail_over("c");
+        let second = fleet.asks(1100).pop().expect("an ask");
+        assert!(first.epoch != second.epoch && second.server == "c");
+        assert!(fleet.answered(1200, &first, late).is_none(), "{late:?}");
+        let again = fleet.asks(1300);
+        assert!(again.is_empty(), "{late:?}: asked while an ask is out");
+        assert!(fleet.answered(1400, &second, Ok(true)).is_some());
+        assert!(fleet.answered(1500, &second, Err(false)).is_none());
+    }
+}
