--- a/tenet/src/serve.rs
+++ b/tenet/src/serve.rs
@@ -5,6 +5,13 @@
 use crate::wire::{Changes, Msg};
 
 impl Chain {
+    /// Numbers this life's asks for the tail's lease from `first` on, so that a grant to an earlier
+    /// life of the process answers none of them.
+    pub fn asking_from(mut self, first: u64) -> Self {
+        self.tail.seq = first;
+        self
+    }
+
     pub fn propose(&mut self, ask: Ask, out: &mut Out) {
         if !self.is_head() {
             let to = self
@@ -28,7 +35,7 @@
             out.send.push((
                 ask.from,
                 Msg::Outcome {
-                    id: ask.id,
+                    question: ask.question,
                     verdict,
                 },
             ));
@@ -52,7 +59,7 @@
             out.send.push((
                 ask.from,
                 Msg::Outcome {
-                    id: ask.id,
+                    question: ask.question,
                     verdict,
                 },
             ));
@@ -71,9 +78,10 @@
                 .map(|e| e.ask.clone())
                 .collect();
             for a in &v {
+                let question = a.question;
                 let got = self.d.state.verdict(a);
                 out.send
-                    .extend(got.map(|verdict| (a.from, Msg::Outcome { id: a.id, verdict })));
+                    .extend(got.map(|verdict| (a.from, Msg::Outcome { question, verdict })));
             }
             if !v.is_empty() {
                 self.subs.retain(|_, t| now < *t + 5000);
--- a/tenet/src/state.rs
+++ b/tenet/src/state.rs
@@ -1,6 +1,7 @@
 use crate::base::*;
 use crate::kind::{Kind, Reject};
 use crate::labels::Labels;
+pub use crate::order::*;
 use speedy::{Readable, Writable};
 use std::collections::BTreeMap;
 
@@ -221,20 +222,6 @@
     },
 }
 
-#[derive(Clone, Readable, Writable, PartialEq, Debug)]
-pub struct Ask {
-    pub id: u64,
-    pub from: Addr,
-    pub at: u64,
-    pub op: Op,
-}
-
-#[derive(Clone, Readable, Writable, PartialEq, Debug)]
-pub struct Entry {
-    pub mark: Mark,
-    pub ask: Ask,
-}
-
 #[derive(Clone, Readable, Writable, Default)]
 pub struct State {
     pub cluster: u64,
