Confirm one document under one version, and count repeats on an agreed clock

Cause: `publish` acknowledged whatever was not above the version held; `check` validated before versions were compared; `Hold` read the time of day of whoever took the order. Ruled out: refusing at the head by its own state. A deposed head would refuse what its successors had confirmed.

Before the first configuration an evacuation is answered starting (503, Retry-After). A document that only this node's zones speak against is confirmed if it was confirmed before.

--- a/chance/src/step.rs
+++ b/chance/src/step.rs
@@ -45,14 +45,8 @@
             } => self.back(node, life, token, server, path, body),
             Ev::Lost(i, life, token) => {
                 self.given_up(i, token);
-                self.front(
-                    i,
-                    life,
-                    FrontIn::Back {
-                        token,
-                        res: BackRes::Lost,
-                    },
-                );
+                let res = BackRes::Lost;
+                self.front(i, life, FrontIn::Back { token, res });
             }
             Ev::Drain(i, life) => self.draining(i, life),
             Ev::Client(c, turn) if self.termed.is_some() => self.patron(c, turn),
--- a/chance/src/told.rs
+++ b/chance/src/told.rs
@@ -17,7 +17,12 @@
         };
         t.versions += 3;
         let (version, text) = (t.versions, crate::days::text(600 + t.versions));
-        let k = self.operator(Op::Publish { version, text });
+        let document = tenet::base::digest(text.as_bytes());
+        let k = self.operator(Op::Publish {
+            version,
+            document,
+            text,
+        });
         self.watch.config_calls.push(k);
     }
 
--- a/chance/tests/platter.rs
+++ b/chance/tests/platter.rs
@@ -9,6 +9,7 @@
         text: "x".repeat(big),
     };
     Rec::Entry(Entry {
+        clock: 0,
         mark,
         ask: Ask {
             id: mark,
--- a/medium/tests/line.rs
+++ b/medium/tests/line.rs
@@ -18,7 +18,11 @@
         id: n as u64,
         from: Addr::NONE,
         at: 0,
-        op: Op::Publish { version: 1, text },
+        op: Op::Publish {
+            version: 1,
+            document: 1,
+            text,
+        },
     };
     Packet {
         from: 1,
--- a/tenet/src/apply.rs
+++ b/tenet/src/apply.rs
@@ -1,8 +1,6 @@
 use crate::base::*;
 use crate::chart;
-use crate::config::Config;
 use crate::kind::{Kind, Reject};
-use crate::plant::{planted, Bug};
 use crate::state::*;
 
 pub(crate) type Res = Result<Mark, Reject>;
@@ -16,7 +14,16 @@
         let m = self.mark;
         match &a.op {
             Op::Config { base, text } => self.config(a.at, *base, text),
-            Op::Publish { version, text } => self.publish(a.at, *version, text),
+            Op::Publish {
+                version,
+                document,
+                text,
+            } => self.publish(a.at, *version, *document, text),
+            Op::Confirm {
+                version,
+                document,
+                otherwise,
+            } => self.confirm(a.at, *version, *document, otherwise),
             Op::Evacuate { domain, on } => {
                 let was = self.evacuated.contains_key(domain);
                 if *on && !was {
@@ -37,7 +44,11 @@
                 }
                 Ok(m)
             }
-            Op::Hold { domain, on } => Ok(self.hold(a.at, domain, *on)),
+            Op::Hold {
+                domain,
+                on,
+                repeat_window,
+            } => Ok(self.hold(a.at, domain, *on, *repeat_window)),
             Op::Drain { server, on } => {
                 self.servers
                     .get(server)
@@ -307,21 +318,4 @@
         }
         Ok(m)
     }
-
-    pub fn check(&self, op: &Op) -> Result<(), Reject> {
-        match op {
-            Op::Config { .. } if planted(Bug::BadTaken) => Ok(()),
-            Op::Config { text, .. } | Op::Publish { text, .. } => Config::parse(text)
-                .and_then(|c| {
-                    let v = c.claimed_twice(self);
-                    v.is_empty().then_some(()).ok_or(v)
-                })
-                .map_err(|e| Reject::new(Kind::BadConfig, e.join("; "))),
-            Op::Evacuate { domain, .. } | Op::Hold { domain, .. } => Config::parse(&self.cfg)
-                .ok()
-                .and_then(|c| c.domains.get(domain).map(|_| ()))
-                .ok_or_else(|| Reject::new(Kind::UnknownName, format!("no domain '{domain}'"))),
-            _ => Ok(()),
-        }
-    }
 }
--- a/tenet/src/asks.rs
+++ b/tenet/src/asks.rs
@@ -6,7 +6,37 @@
 use crate::state::*;
 use crate::wire::Msg;
 
+impl Pending {
+    /// How long after its birth the order is proposed.
+    fn give_up(&self) -> Time {
+        match self.ask.op {
+            Op::Hold { .. } => UNNUMBERED_GIVE_UP,
+            _ => ASK_GIVE_UP,
+        }
+    }
+}
+
 impl Control {
+    /// Takes an order from a door. An evacuation is answered at once while this node knows of no
+    /// chain, for there is no configuration then that could name its domain.
+    pub(crate) fn take_order(
+        &mut self,
+        now: Time,
+        order: (u64, Option<u64>, Op),
+        out: &mut Out,
+        e: &mut Effect,
+    ) {
+        let (call, id, op) = order;
+        let evacuation = matches!(op, Op::Hold { .. } | Op::Evacuate { .. });
+        if evacuation && self.head().is_none() {
+            let why = "the control chain is not known yet; come back when it is";
+            let reject = Reject::new(Kind::Starting, why);
+            e.response.push((call, Reply::Reject(reject)));
+            return;
+        }
+        self.ask(now, call, id, op, out);
+    }
+
     pub(crate) fn ask(&mut self, now: Time, call: u64, id: Option<u64>, op: Op, out: &mut Out) {
         let id = id.unwrap_or_else(|| self.ids.take());
         let ask = Ask {
@@ -53,7 +83,7 @@
         let head = self.head();
         let mut late = Vec::new();
         for (id, p) in self.pending.iter_mut() {
-            if now > p.born + ASK_GIVE_UP {
+            if now > p.born + p.give_up() {
                 late.push(*id);
             } else if now > p.sent + 300 {
                 p.sent = now;
--- a/tenet/src/bounds.rs
+++ b/tenet/src/bounds.rs
@@ -12,8 +12,11 @@
 pub const BYTES_LIFE: Time = 500;
 pub const LINE_ACK: Time = 600;
 pub const LINE_OLD: Time = 600;
-/// How long an order without an id may come again, as the platform's operators send it.
-pub const REPEATS: Time = 5200;
+/// How long a node goes on proposing an order that carries no id. Whoever gave it waits no longer
+/// for the answer, and gives it anew elsewhere; a late proposal would be a repeat past its time.
+pub const UNNUMBERED_GIVE_UP: Time = 1000;
+/// What an order may take on its way to the head, beyond the time in which it is given again.
+pub const REPEAT_TRANSIT: Time = 200;
 pub const LEAVING_SERVES: Time = 3000;
 pub const TAIL_PERMIT: Time = 600;
 pub const TAIL_DRIFT: Time = 60;
@@ -86,3 +89,9 @@
 pub fn by_slow_clock(t: Time) -> Time {
     t - t / 20
 }
+
+/// For how long an order that comes again counts as a repeat, when operators repeat it for at most
+/// `repeated_for`: that time as the fastest clock in use counts it, and the way to the head.
+pub const fn repeat_window(repeated_for: Time) -> Time {
+    repeated_for + repeated_for / 20 + REPEAT_TRANSIT
+}
--- a/tenet/src/chain.rs
+++ b/tenet/src/chain.rs
@@ -1,7 +1,9 @@
 use crate::base::*;
+use crate::clock::AgreedClock;
 use crate::colleagues::Colleagues;
 use crate::disk::*;
 use crate::found::TailPermit;
+pub use crate::out::Out;
 use crate::state::*;
 use crate::view::Agreement;
 use crate::wire::Msg;
@@ -9,14 +11,6 @@
 
 pub const KEPT: usize = 4096;
 
-#[derive(Default)]
-pub struct Out {
-    pub send: Vec<(Addr, Msg)>,
-    pub late: Vec<(Addr, Msg)>,
-    pub write: Vec<Rec>,
-    pub stories: Vec<(String, String)>,
-}
-
 pub struct Chain {
     pub me: Seat,
     pub d: Durable,
@@ -40,6 +34,7 @@
     pub(crate) found: bool,
     pub(crate) founders: Vec<Addr>,
     pub(crate) copies: usize,
+    pub(crate) clock: AgreedClock,
 }
 
 impl Chain {
@@ -67,6 +62,7 @@
             found: true,
             founders: Vec::new(),
             copies: 2,
+            clock: AgreedClock::default(),
         }
     }
 
@@ -196,7 +192,7 @@
     ) {
         let n = self.d.view.n;
         match m {
-            Msg::Propose { ask } => self.propose(ask, out),
+            Msg::Propose { ask } => self.propose(now, ask, out),
             Msg::Append {
                 view,
                 prev,
@@ -237,6 +233,7 @@
                 let newer = !self.whole() || state.mark > self.d.state.mark;
                 if newer {
                     self.log.clear();
+                    let state = *state;
                     self.keep(Rec::Frame { state, whole: n }, out);
                 } else {
                     out.send.push((
@@ -264,6 +261,7 @@
     }
 
     pub fn tick(&mut self, now: Time, c: &Colleagues, out: &mut Out) -> Time {
+        self.clock.observe(now, self.d.state.clock);
         if self.d.view.n == 0 {
             self.found_tick(now, c, out);
         } else {
--- a/tenet/src/control.rs
+++ b/tenet/src/control.rs
@@ -109,7 +109,7 @@
                     .into_iter()
                     .for_each(|c| c.synced(now, s, &mut out));
             }
-            In::Ask { call, id, op } => self.ask(now, call, id, op, &mut out),
+            In::Ask { call, id, op } => self.take_order(now, (call, id, op), &mut out, &mut e),
             In::Announce { call, op } => self.announce(now, call, op, &mut out, &mut e),
             In::Show { call, what, arg } => {
                 let r = self.show(now, &what, &arg);
--- a/tenet/src/plant.rs
+++ b/tenet/src/plant.rs
@@ -18,6 +18,8 @@
     RuleIgnored,
     BoundIgnored,
     LostSentAgain,
+    VersionReused,
+    RepeatCounted,
 }
 
 #[cfg(plant)]
--- a/tenet/src/publish.rs
+++ b/tenet/src/publish.rs
@@ -1,10 +1,13 @@
 use crate::apply::{stale, Res};
 use crate::base::*;
+use crate::kind::{Kind, Reject};
+use crate::plant::{planted, Bug};
 use crate::state::*;
+use crate::versions::Standing;
 
 impl State {
     pub(crate) fn config(&mut self, at: u64, base: Mark, text: &str) -> Res {
-        if base == self.cfg_base && text == self.cfg && self.cfg_mark > 0 {
+        if self.is_repeat(base, text) {
             return Ok(self.cfg_mark);
         }
         if base != self.cfg_mark {
@@ -21,8 +24,17 @@
         Ok(self.mark)
     }
 
-    pub(crate) fn publish(&mut self, at: u64, version: u64, text: &str) -> Res {
-        if version <= self.cfg_version {
+    /// Puts a numbered configuration in force if its number is the highest yet. Any document is
+    /// confirmed again under its number; another one under that number changes nothing.
+    pub(crate) fn publish(&mut self, at: u64, version: u64, document: u64, text: &str) -> Res {
+        match self.versions.standing(version, document) {
+            Standing::Repeat => return Ok(self.cfg_mark),
+            Standing::Conflict if !planted(Bug::VersionReused) => {
+                return self.conflict(at, version)
+            }
+            _ => self.versions.record(version, document),
+        }
+        if self.cfg_mark > 0 && version <= self.cfg_version {
             return Ok(self.cfg_mark);
         }
         (self.cfg_version, self.cfg_mark, self.cfg) = (version, self.mark, text.into());
@@ -34,26 +46,47 @@
         Ok(self.mark)
     }
 
-    pub(crate) fn hold(&mut self, at: u64, domain: &str, on: bool) -> Mark {
-        let m = self.mark;
-        let h = self.holds.entry(domain.into()).or_default();
-        let again = at < if on { h.on } else { h.off } + REPEATS;
+    /// Confirms a document that was confirmed before, and refuses any other with `otherwise`.
+    pub(crate) fn confirm(&mut self, at: u64, version: u64, document: u64, otherwise: &str) -> Res {
+        match self.versions.standing(version, document) {
+            Standing::Repeat => Ok(self.cfg_mark),
+            Standing::Conflict => self.conflict(at, version),
+            Standing::New => Err(Reject::new(Kind::BadConfig, otherwise)),
+        }
+    }
+
+    fn conflict(&mut self, at: u64, version: u64) -> Res {
+        let why = format!(
+            "version {version} was confirmed with another document; the newest is {}",
+            self.cfg_version
+        );
+        self.tell(at, "configuration", format!("configuration refused: {why}"));
+        Err(Reject::new(Kind::OtherBody, why))
+    }
+
+    /// Counts an order that evacuates a domain, or one that ends it. Its age is read from the
+    /// agreed clock: `at` is the time of day of whoever took the order, and is only told.
+    pub(crate) fn hold(&mut self, at: u64, domain: &str, on: bool, repeat_window: Time) -> Mark {
+        let clock = self.clock;
+        let holds = self.holds.entry(domain.into()).or_default();
+        let last = if on { holds.on } else { holds.off };
+        let again = last.is_some_and(|t| clock < t + repeat_window) && !planted(Bug::RepeatCounted);
         match on {
-            true if h.n > 0 && again => (),
-            true => (h.n, h.on) = (h.n + 1, at),
-            false if h.n == 0 || again => (),
-            false => (h.n, h.off) = (h.n - 1, at),
+            true if holds.n > 0 && again => (),
+            true => (holds.n, holds.on) = (holds.n + 1, Some(clock)),
+            false if holds.n == 0 || again => (),
+            false => (holds.n, holds.off) = (holds.n - 1, Some(clock)),
         }
-        let held = h.n > 0;
+        let held = holds.n > 0;
         if held != self.evacuated.contains_key(domain) {
             match held {
-                true => self.evacuated.insert(domain.into(), m),
+                true => self.evacuated.insert(domain.into(), self.mark),
                 false => self.evacuated.remove(domain),
             };
             let what = if held { "evacuated" } else { "taken back" };
             self.tell(at, domain, format!("domain {domain} {what} by an operator"));
         }
-        m
+        self.mark
     }
 
     pub(crate) fn late(&self, s: &Server) -> bool {
--- a/tenet/src/serve.rs
+++ b/tenet/src/serve.rs
@@ -5,7 +5,7 @@
 use crate::wire::{Changes, Msg};
 
 impl Chain {
-    pub fn propose(&mut self, ask: Ask, out: &mut Out) {
+    pub fn propose(&mut self, now: Time, ask: Ask, out: &mut Out) {
         if !self.is_head() {
             let to = self
                 .d
@@ -43,23 +43,25 @@
         if waiting {
             return;
         }
-        let known = self.d.state.verdict(&ask).is_some();
-        if let (false, Err(r)) = (known, self.d.state.check(&ask.op)) {
-            let verdict = Verdict {
-                mark: 0,
-                reject: Some(r),
-            };
-            out.send.push((
-                ask.from,
-                Msg::Outcome {
-                    id: ask.id,
-                    verdict,
-                },
-            ));
-            return;
+        let (id, from) = (ask.id, ask.from);
+        match self.d.state.admit(ask) {
+            Ok(ask) => {
+                let entry = Entry {
+                    mark: self.d.state.mark + 1,
+                    clock: self.clock.read(now),
+                    ask,
+                };
+                self.append(entry, out);
+                self.clock.observe(now, self.d.state.clock);
+            }
+            Err(reject) => {
+                let verdict = Verdict {
+                    mark: 0,
+                    reject: Some(reject),
+                };
+                out.send.push((from, Msg::Outcome { id, verdict }));
+            }
         }
-        let mark = self.d.state.mark + 1;
-        self.append(Entry { mark, ask }, out);
     }
 
     pub(crate) fn advance(&mut self, now: Time, from: Mark, out: &mut Out) {
@@ -116,7 +118,7 @@
                 to,
                 Msg::Frame {
                     view: self.d.view.n,
-                    state: self.d.state.clone(),
+                    state: Box::new(self.d.state.clone()),
                 },
             ));
         }
--- /dev/null
+++ b/tenet/src/server.rs
@@ -0,0 +1,60 @@
+//! Servers as they announce themselves.
+use crate::base::Addr;
+use crate::labels::Labels;
+use crate::state::Op;
+use speedy::{Readable, Writable};
+
+/// A server as it announced itself.
+#[derive(Clone, PartialEq, Readable, Writable)]
+pub struct Server {
+    pub name: String,
+    pub addr: Addr,
+    pub domain: String,
+    pub labels: Labels,
+    pub life: u64,
+    pub leads: bool,
+    pub leaving: bool,
+    /// It numbers its leads, cuts its own log back to the leader's, and is told apart at connect.
+    pub terms: bool,
+    /// Rises with each announcement of one life; 0 when not told.
+    pub seq: u64,
+}
+
+impl Server {
+    /// Whether `o` says the same, but for its number.
+    pub fn says(&self, o: &Server) -> bool {
+        Server {
+            seq: o.seq,
+            ..self.clone()
+        } == *o
+    }
+
+    /// The server that an announcement tells of.
+    pub fn told(op: &Op) -> Option<Server> {
+        let Op::Announce {
+            server,
+            addr,
+            domain,
+            labels,
+            life,
+            leads,
+            leaving,
+            terms,
+            seq,
+        } = op
+        else {
+            return None;
+        };
+        Some(Server {
+            name: server.clone(),
+            addr: *addr,
+            domain: domain.clone(),
+            labels: labels.clone(),
+            life: *life,
+            leads: *leads,
+            leaving: *leaving,
+            terms: *terms,
+            seq: *seq,
+        })
+    }
+}
--- a/tenet/src/state.rs
+++ b/tenet/src/state.rs
@@ -1,6 +1,8 @@
 use crate::base::*;
 use crate::kind::{Kind, Reject};
 use crate::labels::Labels;
+pub use crate::server::Server;
+use crate::versions::ConfirmedVersions;
 use speedy::{Readable, Writable};
 use std::collections::BTreeMap;
 
@@ -15,58 +17,6 @@
     pub at: Mark,
 }
 
-#[derive(Clone, PartialEq, Readable, Writable)]
-pub struct Server {
-    pub name: String,
-    pub addr: Addr,
-    pub domain: String,
-    pub labels: Labels,
-    pub life: u64,
-    pub leads: bool,
-    pub leaving: bool,
-    /// It numbers its leads, cuts its own log back to the leader's, and is told apart at connect.
-    pub terms: bool,
-    /// Rises with each announcement of one life; 0 when not told.
-    pub seq: u64,
-}
-
-impl Server {
-    pub fn says(&self, o: &Server) -> bool {
-        Server {
-            seq: o.seq,
-            ..self.clone()
-        } == *o
-    }
-
-    pub fn told(op: &Op) -> Option<Server> {
-        let Op::Announce {
-            server,
-            addr,
-            domain,
-            labels,
-            life,
-            leads,
-            leaving,
-            terms,
-            seq,
-        } = op
-        else {
-            return None;
-        };
-        Some(Server {
-            name: server.clone(),
-            addr: *addr,
-            domain: domain.clone(),
-            labels: labels.clone(),
-            life: *life,
-            leads: *leads,
-            leaving: *leaving,
-            terms: *terms,
-            seq: *seq,
-        })
-    }
-}
-
 #[derive(Clone, Readable, Writable, Default)]
 pub struct Db {
     pub epoch: Mark,
@@ -84,12 +34,12 @@
     pub gateways: Vec<NodeId>,
 }
 
-/// Orders in force for a domain, and when (wall, ms) one was last given and ended.
+/// Orders in force for a domain, and when (agreed clock, ms) one was last given and ended.
 #[derive(Clone, Copy, Readable, Writable, Default)]
 pub struct Holds {
     pub n: u32,
-    pub on: u64,
-    pub off: u64,
+    pub on: Option<u64>,
+    pub off: Option<u64>,
 }
 
 #[derive(Clone, Readable, Writable, PartialEq, Debug)]
@@ -112,9 +62,11 @@
         base: Mark,
         text: String,
     },
-    /// Holds when its version is above the one held; else it changes nothing.
+    /// Holds when its version is above the one held; else it changes nothing. `document` is the
+    /// digest of what the operator sent, by which a repeat is told from another configuration.
     Publish {
         version: u64,
+        document: u64,
         text: String,
     },
     Evacuate {
@@ -213,11 +165,19 @@
         epoch: Mark,
         server: String,
     },
-    /// Evacuations that may overlap: each order is ended by one of its own. Orders without an id that
-    /// come again within `REPEATS` ms are taken as the same one.
+    /// Evacuations that may overlap: each order is ended by one of its own. An order without an id
+    /// that comes again within `repeat_window` ms of the agreed clock is taken as the same one.
     Hold {
         domain: String,
         on: bool,
+        repeat_window: u64,
+    },
+    /// A published configuration without its text: confirmed if it was confirmed before, refused
+    /// with `otherwise` if not.
+    Confirm {
+        version: u64,
+        document: u64,
+        otherwise: String,
     },
 }
 
@@ -232,9 +192,22 @@
 #[derive(Clone, Readable, Writable, PartialEq, Debug)]
 pub struct Entry {
     pub mark: Mark,
+    /// The agreed clock (ms) when the head appended it; see `clock`.
+    pub clock: u64,
     pub ask: Ask,
 }
 
+impl Entry {
+    /// An entry that leaves the agreed clock where it is.
+    pub fn unstamped(mark: Mark, ask: Ask) -> Self {
+        Entry {
+            mark,
+            clock: 0,
+            ask,
+        }
+    }
+}
+
 #[derive(Clone, Readable, Writable, Default)]
 pub struct State {
     pub cluster: u64,
@@ -243,6 +216,9 @@
     pub cfg_base: Mark,
     pub cfg_version: u64,
     pub cfg: String,
+    pub versions: ConfirmedVersions,
+    /// The newest stamp of the agreed clock, in ms.
+    pub clock: u64,
     pub evacuated: BTreeMap<String, Mark>,
     pub drained: BTreeMap<String, Mark>,
     pub members: BTreeMap<NodeId, Member>,
@@ -254,7 +230,18 @@
     pub stories: Vec<Story>,
 }
 
+/// A digest by which the change under an id is known again. A published configuration has the same
+/// with and without its text.
 fn print(op: &Op) -> u64 {
+    if let Op::Publish {
+        version, document, ..
+    }
+    | Op::Confirm {
+        version, document, ..
+    } = op
+    {
+        return mix(mix(*version) ^ document);
+    }
     digest(&op.write_to_vec().unwrap_or_default())
 }
 
@@ -264,6 +251,7 @@
 impl State {
     pub fn apply(&mut self, e: &Entry) -> Verdict {
         self.mark = e.mark;
+        self.clock = self.clock.max(e.clock);
         if let Some(v) = self.verdict(&e.ask) {
             return v;
         }
--- a/tenet/src/wire.rs
+++ b/tenet/src/wire.rs
@@ -183,7 +183,7 @@
     },
     Frame {
         view: Mark,
-        state: State,
+        state: Box<State>,
     },
     Propose {
         ask: Ask,
--- a/tenet/tests/chain.rs
+++ b/tenet/tests/chain.rs
@@ -48,10 +48,10 @@
 fn a_newcomer_at_the_lost_head_s_address_does_not_pass_asks_to_itself() {
     let mut c = chain(seat(9, 1), vec![seat(1, 1), seat(2, 2), seat(3, 3)], 0);
     let mut out = Out::default();
-    c.propose(ask(), &mut out);
+    c.propose(1, ask(), &mut out);
     assert!(out.send.is_empty(), "it would ask itself for ever");
     let mut c = chain(seat(2, 2), vec![seat(1, 1), seat(2, 2), seat(3, 3)], 3);
-    c.propose(ask(), &mut out);
+    c.propose(1, ask(), &mut out);
     assert_eq!(out.send.len(), 1);
 }
 
@@ -59,7 +59,7 @@
 fn a_quiet_hour_does_not_make_the_next_entry_look_stuck() {
     let mut c = chain(seat(1, 1), vec![seat(1, 1), seat(2, 2), seat(3, 3)], 3);
     let mut out = Out::default();
-    c.propose(ask(), &mut out);
+    c.propose(1, ask(), &mut out);
     let s = c.seq(&mut out).unwrap_or(0);
     c.synced(3_600_000, s, &mut out);
     assert!(!c.stuck(3_600_500) && c.stuck(3_601_100));
--- a/tenet/tests/codec.rs
+++ b/tenet/tests/codec.rs
@@ -30,11 +30,13 @@
         },
     };
     let entry = Entry {
+        clock: 0,
         mark: 4,
         ask: ask.clone(),
     };
     let mut state = State::default();
     state.apply(&Entry {
+        clock: 0,
         mark: 1,
         ask: ask.clone(),
     });
@@ -77,7 +79,7 @@
         },
         Msg::Frame {
             view: 3,
-            state: state.clone(),
+            state: Box::new(state.clone()),
         },
         Msg::Fresh {
             seq: 1,
--- a/tenet/tests/config.rs
+++ b/tenet/tests/config.rs
@@ -116,7 +116,7 @@
                 },
             };
             let before = s.verdict(&ask);
-            let v = s.apply(&Entry { mark, ask });
+            let v = s.apply(&Entry::unstamped(mark, ask));
             assert!(s.cfg_mark >= was_mark);
             match (&before, &v.reject) {
                 (Some(b), Some(r)) if r.kind == Kind::OtherBody => {
@@ -202,15 +202,15 @@
         seq: 0,
         leaving: false,
     };
-    st.apply(&Entry {
-        mark: 1,
-        ask: Ask {
+    st.apply(&Entry::unstamped(
+        1,
+        Ask {
             id: 1,
             from: Addr::NONE,
             at: 0,
             op,
         },
-    });
+    ));
     let c = ruled(
         "[]",
         r#"{"s": {"labels": {"db": "events"}}, "ghost": {"labels": {}}}"#,
--- a/tenet/tests/disk.rs
+++ b/tenet/tests/disk.rs
@@ -10,6 +10,7 @@
         on: true,
     };
     Rec::Entry(Entry {
+        clock: 0,
         mark,
         ask: Ask {
             id: mark * 7,
--- a/tenet/tests/place.rs
+++ b/tenet/tests/place.rs
@@ -16,15 +16,15 @@
 
 fn put(s: &mut State, op: Op) -> Mark {
     let mark = s.mark + 1;
-    let v = s.apply(&Entry {
+    let v = s.apply(&Entry::unstamped(
         mark,
-        ask: Ask {
+        Ask {
             id: mark * 31,
             from: Addr::NONE,
             at: 0,
             op,
         },
-    });
+    ));
     assert_eq!(v.reject, None);
     mark
 }
--- a/tenet/tests/state.rs
+++ b/tenet/tests/state.rs
@@ -7,6 +7,7 @@
     let mark = s.mark + 1;
     s.apply(&Entry {
         mark,
+        clock: 0,
         ask: Ask {
             id,
             from: Addr::NONE,
@@ -98,18 +99,20 @@
 #[test]
 fn overlapping_evacuations_end_with_the_last_and_repeats_count_once() {
     let mut s = State::default();
-    let order = |s: &mut State, at, on| {
+    let order = |s: &mut State, clock, on| {
         let mark = s.mark + 1;
         let op = Op::Hold {
             domain: "d".into(),
             on,
+            repeat_window: 5200,
         };
         s.apply(&Entry {
             mark,
+            clock,
             ask: Ask {
                 id: mark * 31,
                 from: Addr::NONE,
-                at,
+                at: 0,
                 op,
             },
         });
