--- a/chance/src/cause.rs
+++ b/chance/src/cause.rs
@@ -46,6 +46,7 @@
             | Fault::Evacuate(..)
             | Fault::Drain(..)
             | Fault::Relabel(_)
+            | Fault::Race(_)
             | Fault::Wire(..) => (),
             f => {
                 self.watch.unplanned = true;
@@ -148,9 +149,8 @@
                 .for_each(|s| self.world.servers[s].stalled = on),
             Fault::LoseAnswers(p) => self.lose = p,
             Fault::Platform(m) => self.mood = m,
-            Fault::Evacuate(d, on) => {
-                self.evacuate(d, on);
-            }
+            Fault::Evacuate(d, on) => self.evacuate(d, on),
+            Fault::Race(step) => self.race(step),
             Fault::Drain(s, on) => {
                 self.operator(Op::Drain { server: s, on });
             }
--- a/chance/src/days.rs
+++ b/chance/src/days.rs
@@ -261,11 +261,8 @@
     let n = TERMED.len() as u64 - 1;
     let (a, b, late) = (s.roll(n) as usize, s.roll(n) as usize, s.roll(8000));
     let mut v = (TERMED[a].faults)(s);
-    v.extend(
-        (TERMED[b].faults)(s)
-            .into_iter()
-            .map(|(t, f)| (t + late, f)),
-    );
+    let second = (TERMED[b].faults)(s);
+    v.extend(second.into_iter().map(|(t, f)| (t + late, f)));
     v.extend([
         (44_000, Heal),
         (44_000, ThawAll),
@@ -275,7 +272,8 @@
 }
 
 pub fn day(n: &str) -> Option<&'static Script> {
-    TERMED.iter().find(|s| s.name == n)
+    let mut days = TERMED.iter().chain(crate::races::DAYS);
+    days.find(|s| s.name == n)
 }
 
 pub fn run_day(sc: &Script, seed: u64, flaw: Flaw) -> Sim {
--- a/chance/src/fault.rs
+++ b/chance/src/fault.rs
@@ -40,6 +40,7 @@
     Wire(usize, u8),
     Relabel(String),
     CallersStop,
+    Race(crate::races::RaceStep),
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/chance/src/lib.rs
+++ b/chance/src/lib.rs
@@ -8,6 +8,8 @@
 pub mod patron;
 pub mod planned;
 pub mod platter;
+pub mod race_check;
+pub mod races;
 pub mod record;
 pub mod runs;
 pub mod scripts;
--- a/chance/src/main.rs
+++ b/chance/src/main.rs
@@ -1,6 +1,7 @@
 use bpaf::{construct, long, Parser};
 use chance::days::{day, run_day, TERMED};
 use chance::fault::Plant;
+use chance::races::DAYS;
 use chance::runs::run_with;
 use chance::scripts::{find, ALL};
 use guise::termed::Flaw;
@@ -64,6 +65,7 @@
             "no script '{n}'; there are {}",
             ALL.iter()
                 .chain(TERMED)
+                .chain(DAYS)
                 .map(|s| s.name)
                 .collect::<Vec<_>>()
                 .join(", ")
@@ -82,6 +84,7 @@
         .flat_map(|s| places.iter().map(move |p| (s, *p)));
     let days = TERMED
         .iter()
+        .chain(DAYS)
         .filter(wanted)
         .filter(|_| termed)
         .map(|s| (s, "termed"));
--- a/chance/src/node.rs
+++ b/chance/src/node.rs
@@ -35,6 +35,8 @@
     pub wire: u8,
     pub drain: Option<Drain>,
     pub logs: Vec<(Time, String)>,
+    /// How far its time of day is ahead, as a process sees it that starts.
+    pub wall_ahead: u64,
 }
 
 impl Node {
@@ -83,7 +85,7 @@
             copies: 2,
             durable,
             seed: mix(seed ^ mix(self.i as u64 * 1000 + self.life as u64)),
-            wall: 1_000_000 + t,
+            wall: 1_000_000 + t + self.wall_ahead,
             wire: self.wire,
         };
         let (c, e) = Control::new(start, 1);
--- a/chance/src/sim.rs
+++ b/chance/src/sim.rs
@@ -135,10 +135,7 @@
 
 impl Sim {
     pub fn new(s: &Setup) -> Sim {
-        let cfg = match Config::parse(&s.text) {
-            Ok(c) => c,
-            Err(e) => panic!("{}", e.join("; ")),
-        };
+        let cfg = Config::parse(&s.text).unwrap_or_else(|e| panic!("{}", e.join("; ")));
         let domains: Vec<&String> = cfg.domains.keys().collect();
         let node = |i: usize| Node {
             i,
@@ -166,6 +163,7 @@
             wire: tenet::wire::WIRE,
             drain: None,
             logs: Vec::new(),
+            wall_ahead: 0,
         };
         let nodes: Vec<Node> = (0..s.nodes).map(node).collect();
         let mut world = World::new(&Shape::of(&cfg, 60));
--- a/chance/src/watch.rs
+++ b/chance/src/watch.rs
@@ -29,6 +29,7 @@
     pub rough: bool,
     pub heal_at: Time,
     pub healed: BTreeMap<usize, Time>,
+    pub races: crate::races::Races,
 }
 
 const BAD: &str = r#"{"name":"x","domains":{},"databases":{},"kinds":{}}"#;
@@ -87,6 +88,9 @@
         if call == 0 {
             return;
         }
+        if self.race_told(call, &r) {
+            return;
+        }
         let ok = matches!(&r, Reply::Verdict(v) if v.reject.is_none());
         self.evacuation_told(call, ok);
         let (bad, stale) = (
--- a/chance/tests/plants.rs
+++ b/chance/tests/plants.rs
@@ -73,6 +73,13 @@
     found_on_terms(&mut lost, Bug::OwnIgnored, &["calm"], "stale");
     found_on_terms(&mut lost, Bug::LostSentAgain, &["answers-vanish"], "twice");
     found_on_terms(&mut lost, Bug::NothingTold, &["answers-vanish"], "refused");
+    found_on_terms(
+        &mut lost,
+        Bug::VersionReused,
+        &["race"],
+        "race: two documents",
+    );
+    found_on_terms(&mut lost, Bug::RepeatByTimeOfDay, &["race"], "race: at");
     assert_eq!(lost, Vec::<String>::new());
 }
 
--- a/tenet/src/plant.rs
+++ b/tenet/src/plant.rs
@@ -19,7 +19,7 @@
     BoundIgnored,
     LostSentAgain,
     VersionReused,
-    RepeatCounted,
+    RepeatByTimeOfDay,
 }
 
 #[cfg(plant)]
--- a/tenet/src/publish.rs
+++ b/tenet/src/publish.rs
@@ -24,8 +24,8 @@
         Ok(self.mark)
     }
 
-    /// Puts a numbered configuration in force if its number is the highest yet. Any document is
-    /// confirmed again under its number; another one under that number changes nothing.
+    /// Puts a numbered configuration in force if its number is the highest yet. What was
+    /// confirmed once is confirmed again; another document under its number is refused.
     pub(crate) fn publish(&mut self, at: u64, version: u64, document: u64, text: &str) -> Res {
         match self.versions.standing(version, document) {
             Standing::Repeat => return Ok(self.cfg_mark),
@@ -67,10 +67,13 @@
     /// Counts an order that evacuates a domain, or one that ends it. Its age is read from the
     /// agreed clock: `at` is the time of day of whoever took the order, and is only told.
     pub(crate) fn hold(&mut self, at: u64, domain: &str, on: bool, repeat_window: Time) -> Mark {
-        let clock = self.clock;
+        let clock = match planted(Bug::RepeatByTimeOfDay) {
+            true => at,
+            false => self.clock,
+        };
         let holds = self.holds.entry(domain.into()).or_default();
         let last = if on { holds.on } else { holds.off };
-        let again = last.is_some_and(|t| clock < t + repeat_window) && !planted(Bug::RepeatCounted);
+        let again = last.is_some_and(|t| clock < t + repeat_window);
         match on {
             true if holds.n > 0 && again => (),
             true => (holds.n, holds.on) = (holds.n + 1, Some(clock)),
