Decide evacuations of unknown domains in the log, and answer at once where no chain is known

Failing tests, run without the change (tenet/tests): a deposed head answered an evacuation of a zone that only a newer configuration has ("order 2"); one that was confirmed was refused once its domain was gone ("no domain 'geneva-1'"); a node that knows no chain gave no answer ("0 answers").

Cause: the head judged evacuations by its own configuration, and an order waited for a head to be known. Now the log judges them, and one that was counted before stays known; without a chain the answer is starting, at once.

--- a/tenet/src/admission.rs
+++ b/tenet/src/admission.rs
@@ -61,8 +61,7 @@
                 }
             }
             Op::Evacuate { domain, .. } => self.check_domain(domain),
-            Op::Hold { domain, .. } if self.holds.contains_key(domain) => Ok(()),
-            Op::Hold { domain, .. } => self.check_domain(domain),
+            Op::Hold { .. } if self.cfg_mark == 0 => Err(no_configuration()),
             _ => Ok(()),
         }
     }
@@ -72,12 +71,18 @@
         base == self.cfg_base && text == self.cfg && self.cfg_mark > 0
     }
 
+    /// Whether an order about the evacuation of a domain can be counted. Decided in the log, for a
+    /// deposed head may not know the domain yet. One that was counted before stays known.
+    pub(crate) fn check_hold(&self, domain: &str) -> Result<(), Reject> {
+        match self.cfg_mark == 0 || self.holds.contains_key(domain) {
+            true => Ok(()),
+            false => self.check_domain(domain),
+        }
+    }
+
     fn check_domain(&self, domain: &str) -> Result<(), Reject> {
         if self.cfg_mark == 0 {
-            return Err(Reject::new(
-                Kind::Starting,
-                "there is no configuration yet; come back when there is one",
-            ));
+            return Err(no_configuration());
         }
         let known = Config::parse(&self.cfg).is_ok_and(|c| c.domains.contains_key(domain));
         match known {
@@ -90,6 +95,11 @@
     }
 }
 
+fn no_configuration() -> Reject {
+    let why = "there is no configuration yet; come back when there is one";
+    Reject::new(Kind::Starting, why)
+}
+
 /// The configuration that `text` holds; an error names all that is invalid in it.
 pub fn parsed(text: &str) -> Result<Config, Reject> {
     Config::parse(text).map_err(|e| Reject::new(Kind::BadConfig, e.join("; ")))
--- a/tenet/src/apply.rs
+++ b/tenet/src/apply.rs
@@ -48,7 +48,10 @@
                 domain,
                 on,
                 repeat_window,
-            } => Ok(self.hold(a.at, domain, *on, *repeat_window)),
+            } => {
+                self.check_hold(domain)?;
+                Ok(self.hold(a.at, domain, *on, *repeat_window))
+            }
             Op::Drain { server, on } => {
                 self.servers
                     .get(server)
--- a/tenet/tests/evacuations.rs
+++ b/tenet/tests/evacuations.rs
@@ -3,10 +3,13 @@
 mod alone;
 
 use alone::{alumni, apply, kind_of, publish, Alone};
+use tenet::base::Addr;
 use tenet::bounds::repeat_window;
 use tenet::clock::AgreedClock;
+use tenet::control::{Control, In, Reply, Start};
 use tenet::kind::Kind;
 use tenet::state::*;
+use tenet::wire::WIRE;
 
 const WINDOW: u64 = repeat_window(6000);
 
@@ -116,3 +119,61 @@
     assert!(!next.evacuated(), "the next head took the repeat for one");
     assert_eq!(next.chain.d.state.clock, stamps[1] + 2990);
 }
+
+#[test]
+fn an_evacuation_of_an_unknown_domain_is_refused_and_counts_for_nothing() {
+    let mut head = Alone::new(State::default());
+    head.order(10, publish(7, &alumni()));
+    let unknown = head.order(
+        20,
+        Op::Hold {
+            domain: "nowhere".into(),
+            on: true,
+            repeat_window: WINDOW,
+        },
+    );
+    assert_eq!(kind_of(&unknown), Some(Kind::UnknownName));
+    assert!(head.chain.d.state.holds.is_empty());
+}
+
+fn lone_node() -> Control {
+    let addr = Addr {
+        ip: [7; 16],
+        port: 1,
+    };
+    let start = Start {
+        addr,
+        http: addr,
+        domain: "geneva-1".into(),
+        disk: true,
+        seeds: vec![],
+        found: false,
+        founders: vec![],
+        copies: 2,
+        durable: None,
+        seed: 1,
+        wall: 1_000_000,
+        wire: WIRE,
+    };
+    Control::new(start, 1).0
+}
+
+#[test]
+fn a_node_that_knows_no_chain_answers_an_evacuation_at_once() {
+    let mut node = lone_node();
+    for on in [true, false] {
+        let op = hold(on);
+        let effect = node.poll(
+            10,
+            In::Ask {
+                call: 5,
+                id: None,
+                op,
+            },
+        );
+        match &effect.response[..] {
+            [(5, Reply::Reject(r))] => assert_eq!(r.kind, Kind::Starting),
+            other => panic!("{} answers", other.len()),
+        }
+    }
+}
--- a/tenet/tests/races.rs
+++ b/tenet/tests/races.rs
@@ -127,7 +127,7 @@
 }
 
 #[test]
-fn a_head_that_was_deposed_refuses_no_configuration_by_its_own_state() {
+fn a_head_that_was_deposed_refuses_no_order_of_the_platform_by_its_own_state() {
     let mut head = Alone::new(State::default());
     head.order(10, publish(7, &alumni()));
     head.order(20, member_server());
@@ -138,10 +138,13 @@
             port: 2,
         },
     });
-    for (id, op) in [publish(7, "{}"), publish(8, &wide())]
-        .into_iter()
-        .enumerate()
-    {
+    let hold = Op::Hold {
+        domain: "nowhere".into(),
+        on: true,
+        repeat_window: 5450,
+    };
+    let orders = [publish(7, "{}"), publish(8, &wide()), hold];
+    for (id, op) in orders.into_iter().enumerate() {
         let mut out = Out::default();
         let ask = Ask {
             id: id as u64,
