--- a/tenet/src/chain.rs
+++ b/tenet/src/chain.rs
@@ -1,24 +1,18 @@
 use crate::agreement::Agreement;
 use crate::base::*;
+use crate::clock::AgreedClock;
 use crate::colleagues::Colleagues;
 use crate::contact::Contacts;
 use crate::disk::*;
 use crate::disk_health::DiskHealth;
 use crate::lease::TailLease;
+pub use crate::out::Out;
 use crate::state::*;
 use crate::wire::Msg;
 use std::collections::{BTreeMap, VecDeque};
 
 pub const KEPT: usize = 4096;
 
-#[derive(Default)]
-pub struct Out {
-    pub send: Vec<(Addr, Msg)>,
-    pub late: Vec<(Addr, Msg)>,
-    pub write: Vec<Rec>,
-    pub stories: Vec<(String, String)>,
-}
-
 pub struct Chain {
     pub me: Seat,
     pub d: Durable,
@@ -46,6 +40,7 @@
     pub(crate) found: bool,
     pub(crate) founders: Vec<Addr>,
     pub(crate) copies: usize,
+    pub(crate) clock: AgreedClock,
 }
 
 impl Chain {
@@ -77,6 +72,7 @@
             found: true,
             founders: Vec::new(),
             copies: 2,
+            clock: AgreedClock::default(),
         }
     }
 
@@ -208,7 +204,7 @@
     ) {
         let n = self.d.view.n;
         match m {
-            Msg::Propose { ask } => self.propose(ask, out),
+            Msg::Propose { ask } => self.propose(now, ask, out),
             Msg::Append {
                 view,
                 prev,
@@ -249,6 +245,7 @@
                 let newer = !self.whole() || state.mark > self.d.state.mark;
                 if newer {
                     self.log.clear();
+                    let state = *state;
                     self.keep(Rec::Frame { state, whole: n }, out);
                 } else {
                     out.send.push((
@@ -277,6 +274,7 @@
 
     pub fn tick(&mut self, now: Time, c: &Colleagues, out: &mut Out) -> Time {
         self.now = now;
+        self.clock.observe(now, self.d.state.clock);
         if self.d.view.n == 0 {
             self.found_tick(now, c, out);
         } else {
--- a/tenet/src/order.rs
+++ b/tenet/src/order.rs
@@ -17,6 +17,8 @@
 #[derive(Clone, Readable, Writable, PartialEq, Debug)]
 pub struct Entry {
     pub mark: Mark,
+    /// The agreed clock (ms) when the head appended it; see `clock`.
+    pub clock: u64,
     pub ask: Ask,
 }
 
@@ -32,3 +34,14 @@
         }
     }
 }
+
+impl Entry {
+    /// An entry that leaves the agreed clock where it is.
+    pub fn unstamped(mark: Mark, ask: Ask) -> Self {
+        Entry {
+            mark,
+            clock: 0,
+            ask,
+        }
+    }
+}
--- a/tenet/src/plant.rs
+++ b/tenet/src/plant.rs
@@ -21,6 +21,8 @@
     IncarnationIgnored,
     ResetSentAgain,
     StepSentAgain,
+    VersionReused,
+    RepeatByTimeOfDay,
 }
 
 #[cfg(plant)]
--- a/tenet/src/serve.rs
+++ b/tenet/src/serve.rs
@@ -12,7 +12,7 @@
         self
     }
 
-    pub fn propose(&mut self, ask: Ask, out: &mut Out) {
+    pub fn propose(&mut self, now: Time, ask: Ask, out: &mut Out) {
         if !self.is_head() {
             let to = self
                 .d
@@ -50,23 +50,25 @@
         if waiting {
             return;
         }
-        let known = self.d.state.verdict(&ask).is_some();
-        if let (false, Err(r)) = (known, self.d.state.check(&ask.op)) {
-            let verdict = Verdict {
-                mark: 0,
-                reject: Some(r),
-            };
-            out.send.push((
-                ask.from,
-                Msg::Outcome {
-                    question: ask.question,
-                    verdict,
-                },
-            ));
-            return;
+        let (question, from) = (ask.question, ask.from);
+        match self.d.state.admit(ask) {
+            Ok(ask) => {
+                let entry = Entry {
+                    mark: self.d.state.mark + 1,
+                    clock: self.clock.read(now),
+                    ask,
+                };
+                self.append(entry, out);
+                self.clock.observe(now, self.d.state.clock);
+            }
+            Err(reject) => {
+                let verdict = Verdict {
+                    mark: 0,
+                    reject: Some(reject),
+                };
+                out.send.push((from, Msg::Outcome { question, verdict }));
+            }
         }
-        let mark = self.d.state.mark + 1;
-        self.append(Entry { mark, ask }, out);
     }
 
     pub(crate) fn advance(&mut self, now: Time, from: Mark, out: &mut Out) {
@@ -124,7 +126,7 @@
                 to,
                 Msg::Frame {
                     view: self.d.view.n,
-                    state: self.d.state.clone(),
+                    state: Box::new(self.d.state.clone()),
                 },
             ));
         }
--- a/tenet/tests/codec.rs
+++ b/tenet/tests/codec.rs
@@ -31,11 +31,13 @@
         },
     };
     let entry = Entry {
+        clock: 0,
         mark: 4,
         ask: ask.clone(),
     };
     let mut state = State::default();
     state.apply(&Entry {
+        clock: 0,
         mark: 1,
         ask: ask.clone(),
     });
@@ -78,7 +80,7 @@
         },
         Msg::Frame {
             view: 3,
-            state: state.clone(),
+            state: Box::new(state.clone()),
         },
         Msg::Fresh {
             seq: 1,
--- a/tenet/tests/place.rs
+++ b/tenet/tests/place.rs
@@ -16,10 +16,7 @@
 
 fn put(s: &mut State, op: Op) -> Mark {
     let mark = s.mark + 1;
-    let v = s.apply(&Entry {
-        mark,
-        ask: Ask::unanswered(mark * 31, op),
-    });
+    let v = s.apply(&Entry::unstamped(mark, Ask::unanswered(mark * 31, op)));
     assert_eq!(v.reject, None);
     mark
 }
