--- a/chance/src/bin/slopes.rs
+++ b/chance/src/bin/slopes.rs
@@ -115,8 +115,8 @@
                 put(&mut all, "table over the old".into(), "ms", x, ms(t));
             }
             "join" => {
-                let j = joined(&sc, &sc.state());
-                put(&mut all, "frame".into(), "bytes", x, j.frame as f64);
+                let j = joined(&sc.state());
+                put(&mut all, "snapshot".into(), "bytes", x, j.snapshot as f64);
                 put(
                     &mut all,
                     "configuration text".into(),
@@ -124,8 +124,8 @@
                     x,
                     j.text as f64,
                 );
-                put(&mut all, "frame encoded".into(), "ms", x, ms(j.write));
-                put(&mut all, "frame decoded".into(), "ms", x, ms(j.read));
+                put(&mut all, "snapshot encoded".into(), "ms", x, ms(j.write));
+                put(&mut all, "snapshot decoded".into(), "ms", x, ms(j.read));
                 put(&mut all, "configuration read".into(), "ms", x, ms(j.parse));
             }
             "pilot" => {
--- a/chance/src/slopes/change.rs
+++ b/chance/src/slopes/change.rs
@@ -5,8 +5,8 @@
 use tenet::base::*;
 use tenet::config::Config;
 use tenet::control::In;
+use tenet::snapshot::*;
 use tenet::state::{Op, State};
-use tenet::wire::{decode, encode, Changes, Msg, Packet};
 
 /// One configuration change through a running fleet. Times in ms of virtual time, from the ask.
 pub struct Change {
@@ -58,32 +58,20 @@
 
 /// A snapshot of the state to a joining node: bytes, then encoding, decoding and reading the configuration.
 pub struct Joined {
-    pub frame: usize,
+    pub snapshot: usize,
     pub text: usize,
     pub write: Duration,
     pub read: Duration,
     pub parse: Duration,
 }
 
-pub fn joined(sc: &Scene, st: &State) -> Joined {
-    let s = seat(2);
-    let msg = Msg::Fresh {
-        seq: 1,
-        have: st.mark,
-        part: Changes::Frame(Box::new(st.clone())),
-        view: sc.view(),
-    };
-    let p = Packet {
-        from: s.id,
-        addr: s.addr,
-        cluster: 7,
-        msg,
-    };
-    let (b, write) = timed(|| encode(&p));
-    let (_, read) = timed(|| decode(&b).is_ok());
+pub fn joined(st: &State) -> Joined {
+    let mut sender = SnapshotSender::default();
+    let (id, write) = timed(|| sender.offer(1, st, 0));
+    let (_, read) = timed(|| read_all(&mut sender, id));
     let (_, parse) = timed(|| Config::parse(&st.cfg).is_ok());
     Joined {
-        frame: b.len(),
+        snapshot: id.length as usize,
         text: st.cfg.len(),
         write,
         read,
@@ -91,6 +79,19 @@
     }
 }
 
+fn read_all(sender: &mut SnapshotSender, id: SnapshotId) -> bool {
+    let mut receiver = SnapshotReceiver::default();
+    let mut next = receiver.offered(1, id).map(|offset| (id, offset));
+    while let Some(part) = next.and_then(|(id, offset)| sender.part(1, id, offset)) {
+        next = match receiver.take(1, &part) {
+            Received::More { id, offset } => Some((id, offset)),
+            Received::Whole(_) => return true,
+            _ => None,
+        };
+    }
+    false
+}
+
 /// Ten followers die at once: ms until the head's table has each as not alive, and how many it never had.
 pub fn loss(f: &mut Fleet, wait: Time) -> (Vec<f64>, usize) {
     let at = f.now;
--- a/chance/src/slopes/hollow.rs
+++ b/chance/src/slopes/hollow.rs
@@ -82,7 +82,7 @@
             }
             Msg::Fresh { have, part, .. } => {
                 self.have = match part {
-                    Changes::Frame(s) => s.mark,
+                    Changes::Snapshot(id) => id.index,
                     _ => self.have.max(*have),
                 };
                 None
--- a/chance/src/slopes/scene.rs
+++ b/chance/src/slopes/scene.rs
@@ -88,7 +88,7 @@
             cluster: 7,
             mark,
             cfg_mark: 5,
-            cfg: text,
+            cfg: text.as_str().into(),
             ..State::default()
         };
         for i in 0..self.all() {
--- a/chance/src/slopes/tally.rs
+++ b/chance/src/slopes/tally.rs
@@ -23,7 +23,9 @@
         Msg::Nudge { .. } => "nudge",
         Msg::Sights { .. } => "sights",
         Msg::Append { .. } | Msg::Have { .. } => "chain",
-        Msg::Frame { .. } | Msg::FrameAsk { .. } => "frame",
+        Msg::SnapshotAsk { .. } | Msg::SnapshotOffer { .. } | Msg::SnapshotPart { .. } => {
+            "snapshot"
+        }
         Msg::Propose { .. } | Msg::Outcome { .. } => "propose",
         Msg::TailAsk { .. } | Msg::TailGrant { .. } | Msg::TailGive { .. } => "tail-permit",
         Msg::Carry { .. } | Msg::Carried { .. } | Msg::Clean { .. } => "traffic",
--- a/tenet/src/apply.rs
+++ b/tenet/src/apply.rs
@@ -15,8 +15,7 @@
     pub fn step(&mut self, a: &Ask) -> Res {
         let m = self.mark;
         match &a.op {
-            Op::Config { base, text } => self.config(a.at, *base, text),
-            Op::Publish { version, text } => self.publish(a.at, *version, text),
+            Op::Config { .. } | Op::Publish { .. } | Op::Amend { .. } => self.configure(a),
             Op::Evacuate { domain, on } => {
                 let was = self.evacuated.contains_key(domain);
                 if *on && !was {
--- a/tenet/src/bounds.rs
+++ b/tenet/src/bounds.rs
@@ -5,6 +5,28 @@
 pub const REFRESH: Time = 250;
 pub const REFRESH_LATE: Time = 400;
 pub const REFRESH_DOUBT: Time = 600;
+/// Most entries of the replicated log that are kept in memory for those that are behind.
+pub const LOG_KEPT_ENTRIES: usize = 4096;
+/// Most bytes of them. Changes of ten seconds in a storm of 100 changes a second of 1 KB each; who is
+/// further behind takes a snapshot, which then costs less than the entries.
+pub const LOG_KEPT_BYTES: usize = 1 << 20;
+/// Bytes in the log on disk after which the state is written anew, to the other slot. With the state
+/// this bounds the disk: two slots, and two logs of this length and one record.
+pub const DISK_LOG_BYTES: usize = 1 << 20;
+/// Most entries in one message, and most bytes unless a single one is larger: what a link of 1 MB/s
+/// carries well within `LINE_ACK`.
+pub const APPEND_ENTRIES: usize = 256;
+pub const APPEND_BYTES: usize = 64 << 10;
+/// Bytes in one part of a snapshot, for the same reason.
+pub const SNAPSHOT_PART: usize = 48 << 10;
+/// The largest snapshot that a reader begins to collect.
+pub const SNAPSHOT_MOST: usize = 64 << 20;
+/// How long a part of a snapshot may be on its way before it is asked for again.
+pub const SNAPSHOT_AGAIN: Time = 600;
+/// How long a sender keeps a snapshot that nobody asks for: a reader cut off for a while resumes.
+pub const SNAPSHOT_KEPT: Time = 5000;
+/// An answer to a follower of this many bytes is not sent twice while it is on its way.
+pub const LARGE_BYTES: usize = 4 << 10;
 /// How long a large answer to a follower may be on its way before it is sent again.
 pub const LARGE_AGAIN: Time = 600;
 pub const REFRESH_AGAIN: Time = 80;
--- a/tenet/src/chain.rs
+++ b/tenet/src/chain.rs
@@ -1,14 +1,16 @@
+//! One replica of the chain: what it holds, and its place among the others.
+
 use crate::base::*;
 use crate::colleagues::Colleagues;
 use crate::disk::*;
 use crate::found::TailPermit;
+use crate::replicated_log::ReplicatedLog;
+use crate::snapshot::{SnapshotReader, SnapshotReceiver, SnapshotSender};
 use crate::state::*;
 use crate::view::Agreement;
 use crate::wire::Msg;
 use std::collections::{BTreeMap, VecDeque};
 
-pub const KEPT: usize = 4096;
-
 #[derive(Default)]
 pub struct Out {
     pub send: Vec<(Addr, Msg)>,
@@ -20,7 +22,7 @@
 pub struct Chain {
     pub me: Seat,
     pub d: Durable,
-    pub log: VecDeque<Entry>,
+    pub log: ReplicatedLog,
     pub synced: Mark,
     pub(crate) next_seq: u64,
     sync_q: VecDeque<(u64, Mark)>,
@@ -28,7 +30,8 @@
     pub(crate) succ_have: Mark,
     pub(crate) succ_at: Time,
     pub(crate) resend_at: Time,
-    frame_at: Time,
+    pub(crate) snapshots: SnapshotSender,
+    pub(crate) incoming: SnapshotReceiver,
     pub(crate) agree: Agreement,
     pub(crate) tail: TailPermit,
     pub(crate) pledges: BTreeMap<NodeId, Vec<Seat>>,
@@ -48,7 +51,7 @@
         Chain {
             me,
             d,
-            log: VecDeque::new(),
+            log: ReplicatedLog::default(),
             synced,
             next_seq: 0,
             sync_q: VecDeque::new(),
@@ -56,7 +59,8 @@
             succ_have: 0,
             succ_at: now,
             resend_at: 0,
-            frame_at: 0,
+            snapshots: SnapshotSender::default(),
+            incoming: SnapshotReceiver::default(),
             agree: Agreement::default(),
             tail: TailPermit::new(now),
             pledges: BTreeMap::new(),
@@ -158,31 +162,10 @@
             && now > self.succ_at + 1000
     }
 
-    pub(crate) fn append(&mut self, e: Entry, out: &mut Out) {
-        self.keep(Rec::Entry(e.clone()), out);
-        self.log.push_back(e);
-        if self.log.len() > KEPT {
-            self.log.pop_front();
-        }
-    }
-
-    pub(crate) fn after(&self, m: Mark) -> Option<Vec<Entry>> {
-        let first = self.log.front().map_or(self.d.state.mark + 1, |e| e.mark);
-        (m + 1 >= first).then(|| {
-            self.log
-                .iter()
-                .filter(|e| e.mark > m && e.mark <= self.synced)
-                .take(256)
-                .cloned()
-                .collect()
-        })
-    }
-
     pub fn adopted(&mut self, now: Time) {
         self.succ_have = 0;
         self.succ_at = now;
         self.resend_at = 0;
-        self.frame_at = 0;
     }
 
     pub fn take(
@@ -202,61 +185,38 @@
                 prev,
                 entries,
             } if view == n && self.pred().is_some_and(|p| p.id == from) => {
-                if self.whole() && prev <= self.d.state.mark {
-                    for e in entries {
-                        if e.mark == self.d.state.mark + 1 {
-                            self.append(e, out);
-                        }
-                    }
-                }
-                if self.whole() {
-                    let mark = if prev > self.d.state.mark {
-                        self.d.state.mark
-                    } else {
-                        self.synced
-                    };
-                    out.send.push((addr, Msg::Have { view, mark }));
-                }
+                self.take_entries(now, addr, prev, entries, out)
             }
             Msg::Have { view, mark } if view == n && self.succ().is_some_and(|s| s.id == from) => {
-                if mark != self.succ_have {
-                    self.succ_have = mark;
-                    self.succ_at = now;
-                    if mark < self.synced {
-                        self.forward(now, out);
-                    }
-                }
+                self.successor_has(now, mark, out)
             }
-            Msg::FrameAsk { view } if view == n && self.succ().is_some_and(|s| s.id == from) => {
-                self.send_frame(addr, out);
-                self.succ_at = now;
+            Msg::SnapshotAsk {
+                view,
+                reader,
+                id,
+                offset,
+            } if self.may_read(from, view, reader, now) => {
+                self.send_snapshot(now, addr, reader, id, offset, out)
             }
-            Msg::Frame { view, state }
+            Msg::SnapshotOffer { view, id, .. }
                 if view == n && self.pred().is_some_and(|p| p.id == from) =>
             {
-                let newer = !self.whole() || state.mark > self.d.state.mark;
-                if newer {
-                    self.log.clear();
-                    self.keep(Rec::Frame { state, whole: n }, out);
-                } else {
-                    out.send.push((
-                        addr,
-                        Msg::Have {
-                            view,
-                            mark: self.synced,
-                        },
-                    ));
-                }
+                self.snapshot_offered(now, addr, id, out)
             }
-            Msg::Append { view, .. } | Msg::Have { view, .. } | Msg::FrameAsk { view }
-                if view < n =>
+            Msg::SnapshotPart { view, part, .. }
+                if view == n && self.pred().is_some_and(|p| p.id == from) =>
             {
-                out.send.push((
-                    addr,
-                    Msg::ViewIs {
-                        view: self.d.view.clone(),
-                    },
-                ));
+                self.take_snapshot_part(now, addr, &part, out)
+            }
+            Msg::Append { view, .. }
+            | Msg::Have { view, .. }
+            | Msg::SnapshotAsk {
+                view,
+                reader: SnapshotReader::Successor,
+                ..
+            } if view < n => {
+                let view = self.d.view.clone();
+                out.send.push((addr, Msg::ViewIs { view }));
             }
             Msg::Refresh { seq, have, cluster } => self.refresh(now, addr, seq, have, cluster, out),
             m => self.agree_take(now, from, addr, m, c, out),
@@ -271,12 +231,8 @@
             if now >= self.resend_at && self.succ().is_some() {
                 self.forward(now, out);
             }
-            if self.pred().is_some() && !self.whole() && now >= self.frame_at {
-                self.frame_at = now + 2 * CHAIN_AGAIN;
-                let view = self.d.view.n;
-                out.send
-                    .extend(self.pred().map(|p| (p.addr, Msg::FrameAsk { view })));
-            }
+            self.ask_for_snapshot(now, out);
+            self.snapshots.expire(now);
         }
         self.tick_at.min(now + CHAIN_AGAIN)
     }
--- a/tenet/src/control.rs
+++ b/tenet/src/control.rs
@@ -178,14 +178,6 @@
             Msg::Clean { db, epoch } => {
                 self.watch.clean.insert((from, db), epoch);
             }
-            Msg::Fresh {
-                seq,
-                have,
-                part,
-                view,
-            } => {
-                self.stale |= self.f.fresh(now, seq, have, part, view);
-            }
             Msg::Nudge { mark } => self.f.nudge(mark),
             Msg::Relay { to, packet } if to != self.me.addr => {
                 let (from, addr, cluster) = (self.me.id, self.me.addr, self.f.view.cluster);
@@ -210,11 +202,18 @@
                 self.f.learn(&view);
                 self.hand_to_chain(now, from, addr, Msg::ViewIs { view }, out);
             }
-            m => self.hand_to_chain(now, from, addr, m, out),
+            m => self.follower_takes(now, from, addr, m, out),
         }
     }
 
-    fn hand_to_chain(&mut self, now: Time, from: NodeId, addr: Addr, m: Msg, out: &mut Out) {
+    pub(crate) fn hand_to_chain(
+        &mut self,
+        now: Time,
+        from: NodeId,
+        addr: Addr,
+        m: Msg,
+        out: &mut Out,
+    ) {
         if let Some(c) = self.chain.as_mut() {
             c.take(now, from, addr, m, &self.c, out);
         }
--- a/tenet/src/disk.rs
+++ b/tenet/src/disk.rs
@@ -43,8 +43,8 @@
         value: Option<View>,
     },
     Entry(Entry),
-    Frame {
-        state: State,
+    Snapshot {
+        state: Box<State>,
         whole: Mark,
     },
 }
@@ -68,8 +68,8 @@
                 (self.promised, self.accepted, self.value) = (*promised, *accepted, value.clone());
             }
             Rec::Entry(e) => return Some(self.state.apply(e)),
-            Rec::Frame { state, whole } => {
-                self.state = state.clone();
+            Rec::Snapshot { state, whole } => {
+                self.state = (**state).clone();
                 self.whole = *whole;
             }
         }
@@ -131,8 +131,6 @@
     settled: bool,
 }
 
-const LOG_BYTES: usize = 1 << 20;
-
 impl Shelf {
     pub fn recover(
         slots: [&[u8]; 2],
@@ -229,8 +227,8 @@
 
     pub fn keep(&mut self, v: &[Rec], d: &Durable) -> Vec<FileOp> {
         let b = v.write_to_vec().unwrap_or_default();
-        self.in_log += b.len();
-        if self.in_log > LOG_BYTES {
+        self.in_log += HEAD + b.len();
+        if self.in_log > DISK_LOG_BYTES {
             return self.fresh(d);
         }
         vec![FileOp::Append {
--- a/tenet/src/follow.rs
+++ b/tenet/src/follow.rs
@@ -4,6 +4,7 @@
 use crate::config::Config;
 use crate::control::{Control, Effect};
 use crate::disk::View;
+use crate::snapshot::SnapshotReceiver;
 use crate::state::*;
 use crate::table::{Maker, Table};
 use crate::wire::{encode, Changes, Msg, Packet};
@@ -16,9 +17,12 @@
     pub until: Time,
     asks: BTreeMap<u64, Time>,
     seq: u64,
-    next: Time,
+    pub(crate) next: Time,
     wanted: Mark,
     turn: usize,
+    pub(crate) incoming: SnapshotReceiver,
+    /// The state is not the one that the next entry follows on; a snapshot replaces it.
+    pub(crate) diverged: bool,
 }
 
 impl Follow {
@@ -32,6 +36,8 @@
             next: 0,
             wanted: 0,
             turn: 0,
+            incoming: SnapshotReceiver::default(),
+            diverged: false,
         }
     }
 
@@ -62,13 +68,8 @@
         }
         let was = self.state.mark;
         match part {
-            Changes::Frame(s) if s.mark >= was => self.state = *s,
-            Changes::Frame(_) => (),
-            Changes::Entries(v) => v.iter().for_each(|e| {
-                if e.mark == self.state.mark + 1 {
-                    self.state.apply(e);
-                }
-            }),
+            Changes::Snapshot(_) => return false,
+            Changes::Entries(entries) => self.apply_all(&entries),
         }
         if let Some(t) = asked.filter(|_| self.state.mark >= have) {
             self.until = self.until.max(t + PERMIT);
@@ -79,6 +80,19 @@
         self.state.mark != was
     }
 
+    fn apply_all(&mut self, entries: &[Entry]) {
+        for entry in entries {
+            if entry.mark != self.state.mark + 1 {
+                continue;
+            }
+            if !self.state.fits(entry) {
+                self.diverged = true;
+                return;
+            }
+            self.state.apply(entry);
+        }
+    }
+
     pub fn tick(&mut self, now: Time, c: &mut Colleagues, send: &mut Vec<(Addr, Msg)>) {
         if now < self.next {
             return;
@@ -104,7 +118,11 @@
             }
             self.seq += 1;
             self.asks.insert(self.seq, now);
-            let (have, cluster) = (self.state.mark, self.state.cluster);
+            let have = self.state.mark;
+            let cluster = match self.diverged {
+                true => 0,
+                false => self.state.cluster,
+            };
             send.push((
                 t.addr,
                 Msg::Refresh {
--- /dev/null
+++ b/tenet/src/replicated_log.rs
@@ -0,0 +1,97 @@
+//! The newest entries of the replicated log, bounded by number and by bytes.
+
+use crate::bounds::{APPEND_BYTES, APPEND_ENTRIES, LOG_KEPT_BYTES, LOG_KEPT_ENTRIES};
+use crate::state::Entry;
+use speedy::{LittleEndian, Writable};
+use std::collections::VecDeque;
+
+struct Kept {
+    entry: Entry,
+    bytes: usize,
+}
+
+/// Consecutive entries up to the newest one. A reader that is behind the first needs a snapshot.
+#[derive(Default)]
+pub struct ReplicatedLog {
+    kept: VecDeque<Kept>,
+    bytes: usize,
+}
+
+fn encoded_bytes(entry: &Entry) -> usize {
+    Writable::<LittleEndian>::bytes_needed(entry).unwrap_or(0)
+}
+
+impl ReplicatedLog {
+    /// Adds the next entry, and drops the oldest ones beyond the bounds that are synced here.
+    pub fn append(&mut self, entry: Entry, synced: u64) {
+        let bytes = encoded_bytes(&entry);
+        self.bytes += bytes;
+        self.kept.push_back(Kept { entry, bytes });
+        while self.too_large() && self.first_index().is_some_and(|index| index <= synced) {
+            self.drop_first();
+        }
+    }
+
+    fn too_large(&self) -> bool {
+        self.kept.len() > LOG_KEPT_ENTRIES || self.bytes > LOG_KEPT_BYTES
+    }
+
+    fn drop_first(&mut self) {
+        if let Some(kept) = self.kept.pop_front() {
+            self.bytes -= kept.bytes;
+        }
+    }
+
+    /// Forgets everything, as when a snapshot was taken over.
+    pub fn clear(&mut self) {
+        *self = ReplicatedLog::default();
+    }
+
+    /// The log index of the oldest entry kept.
+    pub fn first_index(&self) -> Option<u64> {
+        self.kept.front().map(|kept| kept.entry.mark)
+    }
+
+    /// Encoded size of all entries kept.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Entries after index `after` up to index `last`, oldest first.
+    pub fn range(&self, after: u64, last: u64) -> impl Iterator<Item = &Entry> {
+        let first = self.first_index().unwrap_or(0);
+        let skipped = (after + 1).saturating_sub(first) as usize;
+        self.kept
+            .iter()
+            .skip(skipped)
+            .map(|kept| &kept.entry)
+            .take_while(move |entry| entry.mark <= last)
+    }
+
+    /// True when the log reaches back to the entry that follows index `after`.
+    pub fn reaches(&self, after: u64, newest: u64) -> bool {
+        after + 1 >= self.first_index().unwrap_or(newest + 1)
+    }
+
+    /// A batch for one message: at least one entry where there is one, else within the batch bounds.
+    pub fn batch(&self, after: u64, last: u64) -> Vec<Entry> {
+        let mut bytes = 0;
+        let within = |entry: &&Entry| {
+            let first = bytes == 0;
+            bytes += encoded_bytes(entry);
+            first || bytes <= APPEND_BYTES
+        };
+        self.range(after, last)
+            .take(APPEND_ENTRIES)
+            .take_while(within)
+            .cloned()
+            .collect()
+    }
+
+    /// True when one of the newest `count` entries beyond `synced` carries the change `id`.
+    pub fn awaits(&self, id: u64, synced: u64, count: usize) -> bool {
+        let newest = self.kept.iter().rev().take(count);
+        let mut unsynced = newest.take_while(|kept| kept.entry.mark > synced);
+        unsynced.any(|kept| kept.entry.ask.id == id)
+    }
+}
--- a/tenet/src/serve.rs
+++ b/tenet/src/serve.rs
@@ -1,3 +1,5 @@
+//! The head taking changes, and the tail answering: outcomes to callers, entries to followers.
+
 use crate::base::*;
 use crate::chain::{Chain, Out};
 use crate::kind::{Kind, Reject};
@@ -34,13 +36,7 @@
             ));
             return;
         }
-        let waiting = self
-            .log
-            .iter()
-            .rev()
-            .take(64)
-            .any(|e| e.ask.id == ask.id && e.mark > self.synced);
-        if waiting {
+        if self.log.awaits(ask.id, self.synced, NEWEST_ENTRIES) {
             return;
         }
         let known = self.d.state.verdict(&ask).is_some();
@@ -59,6 +55,8 @@
             return;
         }
         let mark = self.d.state.mark + 1;
+        let op = ask.op.amending(&self.d.state.cfg);
+        let ask = Ask { op, ..ask };
         self.append(Entry { mark, ask }, out);
     }
 
@@ -66,8 +64,7 @@
         if self.is_tail() && self.d.view.chain.len() >= self.copies {
             let v: Vec<Ask> = self
                 .log
-                .iter()
-                .filter(|e| e.mark > from && e.mark <= self.synced)
+                .range(from, self.synced)
                 .map(|e| e.ask.clone())
                 .collect();
             for a in &v {
@@ -89,39 +86,6 @@
         self.forward(now, out);
     }
 
-    pub(crate) fn forward(&mut self, now: Time, out: &mut Out) {
-        if let Some(s) = self.succ().filter(|_| self.whole()) {
-            let view = self.d.view.n;
-            match self.after(self.succ_have) {
-                Some(entries) => {
-                    let prev = self.succ_have;
-                    out.send.push((
-                        s.addr,
-                        Msg::Append {
-                            view,
-                            prev,
-                            entries,
-                        },
-                    ));
-                }
-                None => self.send_frame(s.addr, out),
-            }
-            self.resend_at = now + CHAIN_AGAIN;
-        }
-    }
-
-    pub(crate) fn send_frame(&mut self, to: Addr, out: &mut Out) {
-        if self.whole() {
-            out.late.push((
-                to,
-                Msg::Frame {
-                    view: self.d.view.n,
-                    state: self.d.state.clone(),
-                },
-            ));
-        }
-    }
-
     pub(crate) fn refresh(
         &mut self,
         now: Time,
@@ -139,18 +103,15 @@
             return;
         }
         self.subs.insert(addr, now);
-        let quiet = self.synced == self.d.state.mark;
-        let part = match self
-            .after(have)
-            .filter(|_| cluster == view.cluster && have <= self.synced)
-        {
-            Some(v) => Changes::Entries(v),
-            None if quiet => Changes::Frame(Box::new(self.d.state.clone())),
-            None => return,
+        let known = cluster == view.cluster && have <= self.synced;
+        let part = match self.after(have).filter(|_| known) {
+            Some(entries) => Changes::Entries(entries),
+            None => Changes::Snapshot(self.offered_snapshot(now, have)),
         };
         let have = match &part {
-            Changes::Entries(v) => v.last().map_or(have, |e| e.mark),
-            Changes::Frame(s) => s.mark,
+            Changes::Entries(entries) => entries.last().map_or(have, |e| e.mark),
+            Changes::Snapshot(id) if id.index > self.synced => return,
+            Changes::Snapshot(id) => id.index,
         };
         let large = part.large();
         let busy = self
@@ -164,7 +125,8 @@
             self.under_way.retain(|_, (_, t)| now < *t);
             self.under_way.insert(addr, (have, now + LARGE_AGAIN));
         }
-        let seq = if have == self.synced { seq } else { 0 };
+        let newest = matches!(part, Changes::Entries(_)) && have == self.synced;
+        let seq = if newest { seq } else { 0 };
         out.send.push((
             addr,
             Msg::Fresh {
@@ -176,3 +138,6 @@
         ));
     }
 }
+
+/// How many of the newest entries are looked through for a change that is asked for again.
+const NEWEST_ENTRIES: usize = 64;
--- a/tenet/src/state.rs
+++ b/tenet/src/state.rs
@@ -1,4 +1,7 @@
+use crate::amend::{fingerprint, DocumentOrder};
 use crate::base::*;
+use crate::document::Document;
+use crate::document_delta::DocumentDelta;
 use crate::kind::{Kind, Reject};
 use crate::labels::Labels;
 use speedy::{Readable, Writable};
@@ -30,43 +33,6 @@
     pub seq: u64,
 }
 
-impl Server {
-    pub fn says(&self, o: &Server) -> bool {
-        Server {
-            seq: o.seq,
-            ..self.clone()
-        } == *o
-    }
-
-    pub fn told(op: &Op) -> Option<Server> {
-        let Op::Announce {
-            server,
-            addr,
-            domain,
-            labels,
-            life,
-            leads,
-            leaving,
-            terms,
-            seq,
-        } = op
-        else {
-            return None;
-        };
-        Some(Server {
-            name: server.clone(),
-            addr: *addr,
-            domain: domain.clone(),
-            labels: labels.clone(),
-            life: *life,
-            leads: *leads,
-            leaving: *leaving,
-            terms: *terms,
-            seq: *seq,
-        })
-    }
-}
-
 #[derive(Clone, Readable, Writable, Default)]
 pub struct Db {
     pub epoch: Mark,
@@ -117,6 +83,11 @@
         version: u64,
         text: String,
     },
+    /// A configuration as the log records it: a difference to the document held before.
+    Amend {
+        order: DocumentOrder,
+        delta: DocumentDelta,
+    },
     Evacuate {
         domain: String,
         on: bool,
@@ -242,7 +213,7 @@
     pub cfg_mark: Mark,
     pub cfg_base: Mark,
     pub cfg_version: u64,
-    pub cfg: String,
+    pub cfg: Document,
     pub evacuated: BTreeMap<String, Mark>,
     pub drained: BTreeMap<String, Mark>,
     pub members: BTreeMap<NodeId, Member>,
@@ -254,10 +225,6 @@
     pub stories: Vec<Story>,
 }
 
-fn print(op: &Op) -> u64 {
-    digest(&op.write_to_vec().unwrap_or_default())
-}
-
 const RECENT: usize = 2048;
 const STORIES: usize = 600;
 
@@ -274,7 +241,8 @@
                 reject: Some(r),
             },
         };
-        self.recent.push((e.ask.id, print(&e.ask.op), v.clone()));
+        self.recent
+            .push((e.ask.id, fingerprint(&e.ask.op), v.clone()));
         if self.recent.len() > RECENT {
             self.recent.drain(..RECENT / 4);
         }
@@ -289,7 +257,7 @@
                 format!("id {} was used for another change", a.id),
             )
         };
-        Some(match *p == print(&a.op) {
+        Some(match *p == fingerprint(&a.op) {
             true => v.clone(),
             false => Verdict {
                 mark: self.mark,
--- a/tenet/src/wire.rs
+++ b/tenet/src/wire.rs
@@ -1,6 +1,8 @@
 use crate::base::*;
+pub use crate::changes::Changes;
 use crate::disk::{Seat, View};
 use crate::kind::Reject;
+use crate::snapshot::{SnapshotId, SnapshotPart, SnapshotReader};
 use crate::state::*;
 use speedy::{Readable, Writable};
 
@@ -34,24 +36,6 @@
     pub link: bool,
 }
 
-#[derive(Clone, Readable, Writable)]
-pub enum Changes {
-    Entries(Vec<Entry>),
-    Frame(Box<State>),
-}
-
-impl Changes {
-    /// Too much to send twice while it is on its way.
-    pub fn large(&self) -> bool {
-        match self {
-            Changes::Frame(_) => true,
-            Changes::Entries(v) => v
-                .iter()
-                .any(|e| matches!(&e.ask.op, Op::Config { .. } | Op::Publish { .. })),
-        }
-    }
-}
-
 #[derive(Clone, PartialEq, Debug, Default, Readable, Writable)]
 pub struct SetUp {
     pub user: String,
@@ -178,12 +162,22 @@
         view: Mark,
         mark: Mark,
     },
-    FrameAsk {
+    /// Asks for the part of a snapshot from an offset on; for an unknown snapshot one is offered.
+    SnapshotAsk {
+        view: Mark,
+        reader: SnapshotReader,
+        id: SnapshotId,
+        offset: u32,
+    },
+    SnapshotOffer {
         view: Mark,
+        reader: SnapshotReader,
+        id: SnapshotId,
     },
-    Frame {
+    SnapshotPart {
         view: Mark,
-        state: State,
+        reader: SnapshotReader,
+        part: SnapshotPart,
     },
     Propose {
         ask: Ask,
--- a/tenet/tests/codec.rs
+++ b/tenet/tests/codec.rs
@@ -1,8 +1,13 @@
 #![cfg(not(loom))]
 use arbtest::arbtest;
+use speedy::Writable;
+use tenet::amend::DocumentOrder;
 use tenet::base::Addr;
 use tenet::disk::{Seat, View};
+use tenet::document::Document;
+use tenet::document_delta::DocumentDelta;
 use tenet::kind::{Kind, Reject};
+use tenet::snapshot::*;
 use tenet::state::*;
 use tenet::wire::*;
 
@@ -38,6 +43,21 @@
         mark: 1,
         ask: ask.clone(),
     });
+    let snapshot = SnapshotId {
+        index: 1,
+        digest: 2,
+        length: 3,
+    };
+    let amending = Entry {
+        mark: 5,
+        ask: Ask {
+            op: Op::Amend {
+                order: DocumentOrder::Version(4),
+                delta: DocumentDelta::between(&Document::new("{}"), "{ }"),
+            },
+            ..ask.clone()
+        },
+    };
     let setup = SetUp {
         user: "u".into(),
         settings: vec![("a".into(), "b".into())],
@@ -75,14 +95,41 @@
             prev: 3,
             entries: vec![entry.clone()],
         },
-        Msg::Frame {
+        Msg::Append {
+            view: 3,
+            prev: 4,
+            entries: vec![amending],
+        },
+        Msg::SnapshotPart {
+            view: 3,
+            reader: SnapshotReader::Successor,
+            part: SnapshotPart {
+                id: snapshot,
+                offset: 0,
+                bytes: state.write_to_vec().unwrap(),
+            },
+        },
+        Msg::SnapshotOffer {
+            view: 3,
+            reader: SnapshotReader::Follower,
+            id: snapshot,
+        },
+        Msg::SnapshotAsk {
             view: 3,
-            state: state.clone(),
+            reader: SnapshotReader::Follower,
+            id: snapshot,
+            offset: 9,
+        },
+        Msg::Fresh {
+            seq: 1,
+            have: 4,
+            part: Changes::Snapshot(snapshot),
+            view: view.clone(),
         },
         Msg::Fresh {
             seq: 1,
             have: 4,
-            part: Changes::Frame(Box::new(state)),
+            part: Changes::Entries(vec![entry]),
             view,
         },
         Msg::Outcome {
