--- a/tenet/src/apply.rs
+++ b/tenet/src/apply.rs
@@ -13,12 +13,7 @@
     pub fn step(&mut self, a: &Ask) -> Res {
         let m = self.mark;
         match &a.op {
-            Op::Config { base, text } => self.config(a.at, *base, text),
-            Op::Publish {
-                version,
-                document,
-                text,
-            } => self.publish(a.at, *version, *document, text),
+            Op::Config { .. } | Op::Publish { .. } | Op::Amend { .. } => self.configure(a),
             Op::Confirm {
                 version,
                 document,
--- a/tenet/src/chain.rs
+++ b/tenet/src/chain.rs
@@ -1,3 +1,5 @@
+//! One replica of the chain: what it holds, and its place among the others.
+
 use crate::agreement::Agreement;
 use crate::base::*;
 use crate::clock::AgreedClock;
@@ -7,16 +9,16 @@
 use crate::disk_health::DiskHealth;
 use crate::lease::TailLease;
 pub use crate::out::Out;
+use crate::replicated_log::ReplicatedLog;
+use crate::snapshot::{SnapshotReader, SnapshotReceiver, SnapshotSender};
 use crate::state::*;
 use crate::wire::Msg;
 use std::collections::{BTreeMap, VecDeque};
 
-pub const KEPT: usize = 4096;
-
 pub struct Chain {
     pub me: Seat,
     pub d: Durable,
-    pub log: VecDeque<Entry>,
+    pub log: ReplicatedLog,
     pub synced: Mark,
     pub(crate) next_seq: u64,
     sync_q: VecDeque<(u64, Mark)>,
@@ -24,7 +26,8 @@
     pub(crate) succ_have: Mark,
     pub(crate) succ_at: Time,
     pub(crate) resend_at: Time,
-    frame_at: Time,
+    pub(crate) snapshots: SnapshotSender,
+    pub(crate) incoming: SnapshotReceiver,
     pub(crate) agree: Agreement,
     pub(crate) tail: TailLease,
     pub(crate) contacts: Contacts,
@@ -49,7 +52,7 @@
         Chain {
             me,
             d,
-            log: VecDeque::new(),
+            log: ReplicatedLog::default(),
             synced,
             next_seq: 0,
             sync_q: VecDeque::new(),
@@ -57,7 +60,8 @@
             succ_have: 0,
             succ_at: now,
             resend_at: 0,
-            frame_at: 0,
+            snapshots: SnapshotSender::default(),
+            incoming: SnapshotReceiver::default(),
             agree: Agreement::default(),
             tail: TailLease::new(now),
             contacts: Contacts::new(me.id, now),
@@ -128,6 +132,12 @@
         }
     }
 
+    /// Forgets what is synced, and what writes under way would make synced.
+    pub(crate) fn nothing_synced(&mut self) {
+        self.synced = 0;
+        self.sync_q.iter_mut().for_each(|(_, mark)| *mark = 0);
+    }
+
     pub fn place(&self) -> Option<usize> {
         self.d.view.chain.iter().position(|s| s.id == self.me.id)
     }
@@ -166,31 +176,10 @@
             && now > self.succ_at + 1000
     }
 
-    pub(crate) fn append(&mut self, e: Entry, out: &mut Out) {
-        self.keep(Rec::Entry(e.clone()), out);
-        self.log.push_back(e);
-        if self.log.len() > KEPT {
-            self.log.pop_front();
-        }
-    }
-
-    pub(crate) fn after(&self, m: Mark) -> Option<Vec<Entry>> {
-        let first = self.log.front().map_or(self.d.state.mark + 1, |e| e.mark);
-        (m + 1 >= first).then(|| {
-            self.log
-                .iter()
-                .filter(|e| e.mark > m && e.mark <= self.synced)
-                .take(256)
-                .cloned()
-                .collect()
-        })
-    }
-
     pub fn adopted(&mut self, now: Time) {
         self.succ_have = 0;
         self.succ_at = now;
         self.resend_at = 0;
-        self.frame_at = 0;
     }
 
     pub fn take(
@@ -210,62 +199,38 @@
                 prev,
                 entries,
             } if view == n && self.pred().is_some_and(|p| p.id == from) => {
-                if self.whole() && prev <= self.d.state.mark {
-                    for e in entries {
-                        if e.mark == self.d.state.mark + 1 {
-                            self.append(e, out);
-                        }
-                    }
-                }
-                if self.whole() {
-                    let mark = if prev > self.d.state.mark {
-                        self.d.state.mark
-                    } else {
-                        self.synced
-                    };
-                    out.send.push((addr, Msg::Have { view, mark }));
-                }
+                self.take_entries(now, addr, prev, entries, out)
             }
             Msg::Have { view, mark } if view == n && self.succ().is_some_and(|s| s.id == from) => {
-                if mark != self.succ_have {
-                    self.succ_have = mark;
-                    self.succ_at = now;
-                    if mark < self.synced {
-                        self.forward(now, out);
-                    }
-                }
+                self.successor_has(now, mark, out)
             }
-            Msg::FrameAsk { view } if view == n && self.succ().is_some_and(|s| s.id == from) => {
-                self.send_frame(addr, out);
-                self.succ_at = now;
+            Msg::SnapshotAsk {
+                view,
+                reader,
+                id,
+                offset,
+            } if self.may_read(from, view, reader, now) => {
+                self.send_snapshot(now, addr, reader, id, offset, out)
             }
-            Msg::Frame { view, state }
+            Msg::SnapshotOffer { view, id, .. }
                 if view == n && self.pred().is_some_and(|p| p.id == from) =>
             {
-                let newer = !self.whole() || state.mark > self.d.state.mark;
-                if newer {
-                    self.log.clear();
-                    let state = *state;
-                    self.keep(Rec::Frame { state, whole: n }, out);
-                } else {
-                    out.send.push((
-                        addr,
-                        Msg::Have {
-                            view,
-                            mark: self.synced,
-                        },
-                    ));
-                }
+                self.snapshot_offered(now, addr, id, out)
             }
-            Msg::Append { view, .. } | Msg::Have { view, .. } | Msg::FrameAsk { view }
-                if view < n =>
+            Msg::SnapshotPart { view, part, .. }
+                if view == n && self.pred().is_some_and(|p| p.id == from) =>
             {
-                out.send.push((
-                    addr,
-                    Msg::ViewIs {
-                        view: self.d.view.clone(),
-                    },
-                ));
+                self.take_snapshot_part(now, addr, &part, out)
+            }
+            Msg::Append { view, .. }
+            | Msg::Have { view, .. }
+            | Msg::SnapshotAsk {
+                view,
+                reader: SnapshotReader::Successor,
+                ..
+            } if view < n => {
+                let view = self.d.view.clone();
+                out.send.push((addr, Msg::ViewIs { view }));
             }
             Msg::Refresh { seq, have, cluster } => self.refresh(now, addr, seq, have, cluster, out),
             m => self.agree_take(now, from, addr, m, c, out),
@@ -282,12 +247,8 @@
             if now >= self.resend_at && self.succ().is_some() {
                 self.forward(now, out);
             }
-            if self.pred().is_some() && !self.whole() && now >= self.frame_at {
-                self.frame_at = now + 2 * CHAIN_AGAIN;
-                let view = self.d.view.n;
-                out.send
-                    .extend(self.pred().map(|p| (p.addr, Msg::FrameAsk { view })));
-            }
+            self.ask_for_snapshot(now, out);
+            self.snapshots.expire(now);
         }
         self.tick_at.min(now + CHAIN_AGAIN)
     }
--- a/tenet/src/control.rs
+++ b/tenet/src/control.rs
@@ -180,14 +180,6 @@
             Msg::Clean { db, epoch } => {
                 self.watch.clean.insert((from, db), epoch);
             }
-            Msg::Fresh {
-                seq,
-                have,
-                part,
-                view,
-            } => {
-                self.stale |= self.f.fresh(now, seq, have, part, view);
-            }
             Msg::Nudge { mark } => self.f.nudge(mark),
             Msg::Relay { to, packet } if to != self.me.addr => {
                 let (from, addr, cluster) = (self.me.id, self.me.addr, self.f.view.cluster);
@@ -212,7 +204,7 @@
                 self.f.learn(&view);
                 self.hand_to_chain(now, from, addr, Msg::ViewIs { view }, out);
             }
-            m => self.hand_to_chain(now, from, addr, m, out),
+            m => self.follower_takes(now, from, addr, m, out),
         }
     }
 
--- a/tenet/src/state.rs
+++ b/tenet/src/state.rs
@@ -1,4 +1,7 @@
+use crate::amend::{fingerprint, DocumentOrder};
 use crate::base::*;
+use crate::document::Document;
+use crate::document_delta::DocumentDelta;
 use crate::kind::{Kind, Reject};
 use crate::labels::Labels;
 pub use crate::order::*;
@@ -70,6 +73,11 @@
         document: u64,
         text: String,
     },
+    /// A configuration as the log records it: a difference to the document held before.
+    Amend {
+        order: DocumentOrder,
+        delta: DocumentDelta,
+    },
     Evacuate {
         domain: String,
         on: bool,
@@ -189,7 +197,7 @@
     pub cfg_mark: Mark,
     pub cfg_base: Mark,
     pub cfg_version: u64,
-    pub cfg: String,
+    pub cfg: Document,
     pub versions: ConfirmedVersions,
     /// The newest stamp of the agreed clock, in ms.
     pub clock: u64,
@@ -204,21 +212,6 @@
     pub stories: Vec<Story>,
 }
 
-/// A digest by which the change under an id is known again. A published configuration has the same
-/// with and without its text.
-fn print(op: &Op) -> u64 {
-    if let Op::Publish {
-        version, document, ..
-    }
-    | Op::Confirm {
-        version, document, ..
-    } = op
-    {
-        return mix(mix(*version) ^ document);
-    }
-    digest(&op.write_to_vec().unwrap_or_default())
-}
-
 const RECENT: usize = 2048;
 const STORIES: usize = 600;
 
@@ -236,7 +229,8 @@
                 reject: Some(r),
             },
         };
-        self.recent.push((e.ask.id, print(&e.ask.op), v.clone()));
+        self.recent
+            .push((e.ask.id, fingerprint(&e.ask.op), v.clone()));
         if self.recent.len() > RECENT {
             self.recent.drain(..RECENT / 4);
         }
@@ -251,7 +245,7 @@
                 format!("id {} was used for another change", a.id),
             )
         };
-        Some(match *p == print(&a.op) {
+        Some(match *p == fingerprint(&a.op) {
             true => v.clone(),
             false => Verdict {
                 mark: self.mark,
--- a/tenet/tests/evacuations.rs
+++ b/tenet/tests/evacuations.rs
@@ -41,7 +41,7 @@
     head.order(20, hold(true));
     let mut v: serde_json::Value = serde_json::from_str(&alumni()).unwrap();
     v["domains"] = serde_json::json!({"elsewhere": {"region": "elsewhere"}});
-    head.chain.d.state.cfg = v.to_string();
+    head.chain.d.state.cfg = v.to_string().as_str().into();
     assert_eq!(head.order(30, hold(true)).reject, None);
     assert_eq!(head.order(WINDOW + 40, hold(false)).reject, None);
     assert!(!head.evacuated());
@@ -111,7 +111,7 @@
     let mut head = Alone::new(State::default());
     head.order(1000, publish(7, &alumni()));
     head.order(2500, hold(true));
-    let stamps: Vec<u64> = head.chain.log.iter().map(|e| e.clock).collect();
+    let stamps: Vec<u64> = head.chain.log.range(0, u64::MAX).map(|e| e.clock).collect();
     assert_eq!(stamps[1] - stamps[0], 1500);
     let mut next = Alone::new(head.chain.d.state.clone());
     next.order(10, hold(true));
--- a/tenet/tests/races.rs
+++ b/tenet/tests/races.rs
@@ -53,7 +53,7 @@
         Some(Kind::OtherBody)
     );
     assert_eq!(apply(&mut s, 0, 0, publish(7, "a")).reject, None);
-    assert_eq!((s.cfg.as_str(), s.cfg_version), ("c", 9));
+    assert_eq!((&*s.cfg, s.cfg_version), ("c", 9));
 }
 
 #[test]
@@ -61,7 +61,7 @@
     let mut s = State::default();
     apply(&mut s, 0, 0, publish(9, "c"));
     assert_eq!(apply(&mut s, 0, 0, publish(8, "b")).reject, None);
-    assert_eq!((s.cfg.as_str(), s.cfg_version), ("c", 9));
+    assert_eq!((&*s.cfg, s.cfg_version), ("c", 9));
     assert_eq!(apply(&mut s, 0, 0, publish(8, "b")).reject, None);
     assert_eq!(
         kind_of(&apply(&mut s, 0, 0, publish(8, "other"))),
@@ -74,7 +74,7 @@
 fn the_first_configuration_holds_whatever_its_number() {
     let mut s = State::default();
     assert_eq!(apply(&mut s, 0, 0, publish(0, "a")).reject, None);
-    assert_eq!(s.cfg, "a");
+    assert_eq!(&*s.cfg, "a");
     assert!(s.cfg_mark > 0);
 }
 
@@ -108,7 +108,7 @@
                     held = held.filter(|h| h.0 >= version).or(Some((version, text)));
                 }
             }
-            assert_eq!(held, Some((s.cfg_version, s.cfg.as_str())));
+            assert_eq!(held, Some((s.cfg_version, &*s.cfg)));
         }
         Ok(())
     });
@@ -148,6 +148,7 @@
         let mut out = Out::default();
         let ask = Ask {
             id: id as u64,
+            question: id as u64,
             from: Addr::NONE,
             at: 0,
             op,
@@ -167,7 +168,12 @@
     let mut head = Alone::new(State::default());
     head.order(10, publish(7, &alumni()));
     head.order(20, publish(7, &alumni()));
-    let last = head.chain.log.back().map(|e| e.ask.op.clone());
+    let last = head
+        .chain
+        .log
+        .range(0, u64::MAX)
+        .last()
+        .map(|e| e.ask.op.clone());
     assert!(
         matches!(last, Some(Op::Confirm { version: 7, .. })),
         "{last:?}"
