Hand a stopping voter's vote over, drop two voters that left, begin tokens at the founding

Cause: a planned replacement left the old machine's vote behind for about 3 s of silence after its end, so that the next lost disk left one of three votes; two that overlapped grew the voters to five, of which two were gone for good. Ruled out: a vote without the state.

- a voter that stops and is out of the chain passes its vote to a new disk in that view; its process waits for that, as long as it may
- it leaves the chain only while as many in sync remain as an acknowledgement needs
- two of five voters that left, or were silent for 10 s, are dropped together
- fencing tokens begin at the time of day of the first entry: founded anew they rise on.
- a process whose clock fell between its lives refutes what the earlier one said; it was taken for stopping for ever.

--- a/chance/src/cause.rs
+++ b/chance/src/cause.rs
@@ -34,6 +34,7 @@
         *to.entry(name).or_default() += 1;
         match &f {
             Fault::Stop(_)
+            | Fault::Leave(_)
             | Fault::Retire(_)
             | Fault::Depart(_)
             | Fault::Follow(_)
@@ -183,6 +184,10 @@
                 v.into_iter().for_each(|s| self.restart(s));
             }
             Fault::CallersStop => self.stop_clients = true,
+            Fault::Remove(i) => self.remove(i),
+            Fault::Leave(i) => self.leave(i),
+            Fault::Return(i) => self.come_back(i),
+            Fault::AfterAck(f) => self.watch.after_ack = Some(*f),
         }
     }
 
@@ -239,40 +244,4 @@
             .map(|n| n.i)
             .collect()
     }
-
-    pub(crate) fn kill(&mut self, i: usize) {
-        let power = self.roll(2) == 0;
-        self.kill_with(i, power);
-    }
-
-    pub(crate) fn kill_with(&mut self, i: usize, power: bool) {
-        if self.nodes[i].up {
-            let r = self.roll(1 << 20);
-            self.node_gone(i);
-            self.nodes[i].crash(power, r);
-            self.node_died(i);
-        }
-    }
-
-    fn boot(&mut self, i: usize) {
-        if self.nodes[i].up {
-            return;
-        }
-        let k = self.roll(self.nodes.len() as u64) as usize;
-        let most = self.nodes.iter().filter(|n| n.up).count() * 2 > self.nodes.len();
-        let seeds = match most {
-            true => (0..3)
-                .map(|j| self.nodes[(k + j) % self.nodes.len()].addr)
-                .collect(),
-            false => (0..3).map(node_addr).collect(),
-        };
-        let (now, seed) = (self.now, self.seed);
-        match self.nodes[i].boot(now, seeds, seed) {
-            Ok(e) => e.into_iter().for_each(|e| self.effect(i, e)),
-            Err(e) => self
-                .watch
-                .faults
-                .push(format!("disk: node {i} cannot read its own disk: {e}")),
-        }
-    }
 }
--- a/chance/src/fault.rs
+++ b/chance/src/fault.rs
@@ -40,6 +40,14 @@
     Wire(usize, u8),
     Relabel(String),
     CallersStop,
+    /// The machine is killed and never starts again; its disk is kept aside.
+    Remove(usize),
+    /// The machine is stopped as planned and never starts again; its disk is kept aside.
+    Leave(usize),
+    /// A machine that was removed or left starts again with its old disk.
+    Return(usize),
+    /// Strikes within 4 ms of the next acknowledged configuration.
+    AfterAck(Box<Fault>),
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/chance/src/lib.rs
+++ b/chance/src/lib.rs
@@ -2,6 +2,8 @@
 pub mod client;
 pub mod days;
 pub mod fault;
+pub mod lives;
+pub mod losses;
 pub mod node;
 pub mod outside;
 pub mod pairs;
--- a/chance/src/main.rs
+++ b/chance/src/main.rs
@@ -1,6 +1,7 @@
 use bpaf::{construct, long, Parser};
 use chance::days::{day, run_day, TERMED};
 use chance::fault::Plant;
+use chance::losses::LOSSES;
 use chance::runs::run_with;
 use chance::scripts::{find, ALL};
 use guise::termed::Flaw;
@@ -63,6 +64,7 @@
         eprintln!(
             "no script '{n}'; there are {}",
             ALL.iter()
+                .chain(LOSSES)
                 .chain(TERMED)
                 .map(|s| s.name)
                 .collect::<Vec<_>>()
@@ -78,6 +80,7 @@
     let termed = a.place.as_ref().is_none_or(|p| p == "termed");
     let own = ALL
         .iter()
+        .chain(LOSSES)
         .filter(wanted)
         .flat_map(|s| places.iter().map(move |p| (s, *p)));
     let days = TERMED
--- a/chance/src/node.rs
+++ b/chance/src/node.rs
@@ -35,9 +35,46 @@
     pub wire: u8,
     pub drain: Option<Drain>,
     pub logs: Vec<(Time, String)>,
+    /// Gone for good: it does not start again.
+    pub removed: bool,
+    /// Synced copies that an acknowledged change needs.
+    pub copies: usize,
 }
 
 impl Node {
+    /// A machine that is not yet started.
+    pub fn new(i: usize, addr: Addr, domain: String, disk: bool, sync_ms: Time) -> Node {
+        Node {
+            i,
+            addr,
+            domain,
+            disk,
+            up: false,
+            frozen: false,
+            life: 0,
+            control: None,
+            front: None,
+            platter: Default::default(),
+            shelf: None,
+            durable: Default::default(),
+            writing: Vec::new(),
+            disk_free: 0,
+            sync_ms,
+            drift: 0,
+            start: 0,
+            wake_c: 0,
+            wake_f: 0,
+            mark: 0,
+            syncs: 0,
+            thawed: 0,
+            wire: tenet::wire::WIRE,
+            drain: None,
+            logs: Vec::new(),
+            removed: false,
+            copies: 2,
+        }
+    }
+
     pub fn local(&self, t: Time) -> Time {
         let d = t.saturating_sub(self.start) as i64;
         (d + d * self.drift / 1000) as Time + 1
@@ -80,7 +117,7 @@
             seeds,
             found: true,
             founders: vec![],
-            copies: 2,
+            copies: self.copies,
             durable,
             seed: mix(seed ^ mix(self.i as u64 * 1000 + self.life as u64)),
             wall: 1_000_000 + t,
--- a/chance/src/runs.rs
+++ b/chance/src/runs.rs
@@ -110,6 +110,7 @@
                 "forgotten: configuration {newest} was accepted, a node has {least}"
             ));
         }
+        self.accepts_again();
         self.stop_clients = true;
         self.run(end + 12_000);
     }
--- a/chance/src/sim.rs
+++ b/chance/src/sim.rs
@@ -140,32 +140,13 @@
             Err(e) => panic!("{}", e.join("; ")),
         };
         let domains: Vec<&String> = cfg.domains.keys().collect();
-        let node = |i: usize| Node {
-            i,
-            addr: node_addr(i),
-            domain: domains[i % domains.len()].clone(),
-            disk: i < 3,
-            up: false,
-            frozen: false,
-            life: 0,
-            control: None,
-            front: None,
-            platter: Default::default(),
-            shelf: None,
-            durable: Default::default(),
-            writing: Vec::new(),
-            disk_free: 0,
-            sync_ms: s.sync_ms,
-            drift: drift(s.seed, i as u64),
-            start: 0,
-            wake_c: 0,
-            wake_f: 0,
-            mark: 0,
-            syncs: 0,
-            thawed: 0,
-            wire: tenet::wire::WIRE,
-            drain: None,
-            logs: Vec::new(),
+        let node = |i: usize| {
+            let domain = domains[i % domains.len()].clone();
+            let drift = drift(s.seed, i as u64);
+            Node {
+                drift,
+                ..Node::new(i, node_addr(i), domain, i < 3, s.sync_ms)
+            }
         };
         let nodes: Vec<Node> = (0..s.nodes).map(node).collect();
         let mut world = World::new(&Shape::of(&cfg, 60));
--- a/chance/src/watch.rs
+++ b/chance/src/watch.rs
@@ -1,3 +1,4 @@
+use crate::fault::Fault;
 use crate::sim::*;
 use std::collections::BTreeMap;
 use tenet::base::*;
@@ -29,6 +30,10 @@
     pub rough: bool,
     pub heal_at: Time,
     pub healed: BTreeMap<usize, Time>,
+    /// Strikes right after the next acknowledged configuration.
+    pub after_ack: Option<Fault>,
+    /// A configuration must be acknowledged after it; 0: none need be.
+    pub accepts_after: Time,
 }
 
 const BAD: &str = r#"{"name":"x","domains":{},"databases":{},"kinds":{}}"#;
@@ -111,6 +116,7 @@
                 if self.watch.config_calls.contains(&call) {
                     self.watch.config_base = self.watch.config_base.max(mark);
                     self.watch.config_marks.push(mark);
+                    self.strike_after_ack();
                 }
             }
             Reply::Verdict(Verdict {
@@ -124,6 +130,13 @@
         }
     }
 
+    fn strike_after_ack(&mut self) {
+        if let Some(f) = self.watch.after_ack.take() {
+            let at = self.now + self.roll(4);
+            self.at(at, Ev::Fault(f));
+        }
+    }
+
     pub fn look(&mut self) {
         let now = self.now;
         for n in self.nodes.iter_mut().filter(|n| n.up && !n.frozen) {
--- a/tenet/src/bounds.rs
+++ b/tenet/src/bounds.rs
@@ -28,6 +28,10 @@
 /// Most voters; their number grows by two, so that it stays odd.
 pub const VOTERS_MOST: usize = 5;
 pub const VOTER_REPLACE: Time = 2500;
+/// Fewest voters that a change of their number leaves.
+pub const VOTERS_LEAST: usize = 3;
+/// How long two voters that nobody replaces must be silent to be dropped together.
+pub const VOTER_DROP: Time = 10_000;
 pub const ANSWER_WAIT: Time = 1000;
 pub const ASK_GIVE_UP: Time = 5000;
 pub const PROOF_MARGIN: Time = 60;
--- a/tenet/src/build.rs
+++ b/tenet/src/build.rs
@@ -2,23 +2,12 @@
 use crate::chain::Chain;
 use crate::colleagues::Colleagues;
 use crate::disk::*;
-use crate::wire::Summary;
+use crate::plant::{planted, Bug};
 
 impl Chain {
-    /// Disks of this cluster that do not vote.
-    pub fn joiners(&self, c: &Colleagues) -> Vec<Seat> {
-        let votes = |id: NodeId| self.d.view.voters.iter().any(|v| v.id == id);
-        let fit = |s: &&Summary| s.disk && s.view > 0 && !s.stopping && !votes(s.id);
-        let mut v: Vec<Seat> = c
-            .live()
-            .filter(fit)
-            .map(|s| Seat {
-                id: s.id,
-                addr: s.addr,
-            })
-            .collect();
-        v.sort();
-        v
+    /// Members that the chain keeps when one of them stops as planned.
+    pub(crate) fn chain_least(&self) -> usize {
+        self.copies.max(2)
     }
 
     pub(crate) fn build(&self, now: Time, c: &Colleagues) -> Option<View> {
@@ -51,15 +40,16 @@
             .map(|s| s.id)
             .filter(|id| c.stops(*id))
             .collect();
-        if chain.len() >= go.len() + 2 {
+        if chain.len() >= go.len() + self.chain_least() {
             chain.retain(|s| !go.contains(&s.id));
         }
         let mut voters = v.voters.clone();
         let mut new = self.joiners(c);
+        let in_chain = |id: NodeId| chain.iter().any(|s| s.id == id);
+        let leaves = |s: &Seat| c.stops(s.id) && !in_chain(s.id) && !planted(Bug::VoteKept);
         let lost = |s: &Seat| {
-            s.id != self.me.id
-                && !self.agree.promises.contains_key(&s.id)
-                && self.missing(s.id, now, c)
+            let silent = !self.agree.promises.contains_key(&s.id) && self.missing(s.id, now, c);
+            leaves(s) || s.id != self.me.id && silent
         };
         for s in &new {
             if let Some(i) = voters.iter().position(lost) {
@@ -70,6 +60,15 @@
         if voters.len() + 2 <= VOTERS_MOST && new.len() >= 2 {
             voters.extend(&new[..2]);
         }
+        let idle: Vec<NodeId> = voters
+            .iter()
+            .filter(|s| leaves(s) || !in_chain(s.id) && self.gone_for_good(s.id, now, c))
+            .map(|s| s.id)
+            .take(2)
+            .collect();
+        if voters.len() >= VOTERS_LEAST + 2 && idle.len() == 2 {
+            voters.retain(|s| !idle.contains(&s.id));
+        }
         let add: Vec<Seat> = voters
             .iter()
             .filter(|s| c.alive(s.id) && !c.stops(s.id) && !chain.iter().any(|t| t.id == s.id))
--- a/tenet/src/chain.rs
+++ b/tenet/src/chain.rs
@@ -2,6 +2,7 @@
 use crate::colleagues::Colleagues;
 use crate::disk::*;
 use crate::found::TailPermit;
+use crate::plant::{planted, Bug};
 use crate::state::*;
 use crate::view::Agreement;
 use crate::wire::Msg;
@@ -125,7 +126,8 @@
     }
 
     pub fn whole(&self) -> bool {
-        self.d.view.n > 0 && self.d.whole == self.d.view.n && self.place().is_some()
+        let in_sync = self.d.whole == self.d.view.n || planted(Bug::SnapshotSkipped);
+        self.d.view.n > 0 && in_sync && self.place().is_some()
     }
 
     pub fn is_head(&self) -> bool {
@@ -151,13 +153,6 @@
             .copied()
     }
 
-    pub fn stuck(&self, now: Time) -> bool {
-        self.succ().is_some()
-            && self.whole()
-            && self.succ_have < self.synced
-            && now > self.succ_at + 1000
-    }
-
     pub(crate) fn append(&mut self, e: Entry, out: &mut Out) {
         self.keep(Rec::Entry(e.clone()), out);
         self.log.push_back(e);
--- a/tenet/src/colleagues.rs
+++ b/tenet/src/colleagues.rs
@@ -155,7 +155,7 @@
 
     fn learn(&mut self, s: Summary, direct: bool, now: Time) {
         if s.id == self.me.id {
-            if s.status != ALIVE && s.life >= self.me.life {
+            if s.life > self.me.life || s.status != ALIVE && s.life == self.me.life {
                 self.me.life = s.life + 1;
             }
             return;
--- a/tenet/src/failover.rs
+++ b/tenet/src/failover.rs
@@ -178,7 +178,7 @@
                 server: t,
                 epoch: d.epoch,
                 not_after: k.now + PERMIT,
-                token: d.since,
+                token: k.st.fencing_token(d),
             });
         }
     }
--- a/tenet/src/follow.rs
+++ b/tenet/src/follow.rs
@@ -145,8 +145,10 @@
         &self.f.state
     }
 
+    /// The chain does without this process, and no vote of it is left that another could take.
     pub fn left(&self) -> bool {
-        self.chain.as_ref().is_none_or(|c| c.place().is_none())
+        let gone = |c: &crate::chain::Chain| c.place().is_none() && !c.hands_over(&self.c);
+        self.chain.as_ref().is_none_or(gone)
     }
 
     pub fn view(&self) -> &View {
--- a/tenet/src/lib.rs
+++ b/tenet/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod trip;
 pub mod verdict;
 pub mod view;
+pub mod voters;
 pub mod waits;
 pub mod watch;
 pub mod wire;
--- a/tenet/src/plant.rs
+++ b/tenet/src/plant.rs
@@ -18,6 +18,10 @@
     RuleIgnored,
     BoundIgnored,
     LostSentAgain,
+    /// A voter that stops keeps its vote.
+    VoteKept,
+    /// A newcomer of the chain counts as in sync before it holds the snapshot.
+    SnapshotSkipped,
 }
 
 #[cfg(plant)]
--- a/tenet/src/reasons.rs
+++ b/tenet/src/reasons.rs
@@ -2,7 +2,7 @@
 use crate::config::Config;
 use crate::control::{Control, Reply};
 use crate::kind::{Kind, Reject};
-use crate::state::Story;
+use crate::state::{State, Story};
 use crate::table::{db_servers, labels_of, server_off};
 use serde_json::{json, Value};
 use std::collections::VecDeque;
@@ -14,6 +14,23 @@
 
 const KEPT: usize = 2000;
 
+/// Stories that the replicated state keeps.
+const STORIES: usize = 600;
+
+impl State {
+    pub fn tell(&mut self, at: u64, topic: &str, text: String) {
+        self.stories.push(Story {
+            mark: self.mark,
+            at,
+            topic: topic.into(),
+            text,
+        });
+        if self.stories.len() > STORIES {
+            self.stories.drain(..STORIES / 4);
+        }
+    }
+}
+
 impl Reasons {
     pub fn tell(&mut self, now: Time, topic: &str, text: String) {
         self.v.push_back(Story {
--- a/tenet/src/serve.rs
+++ b/tenet/src/serve.rs
@@ -5,6 +5,14 @@
 use crate::wire::{Changes, Msg};
 
 impl Chain {
+    /// The next in the chain has made no progress for a second.
+    pub fn stuck(&self, now: Time) -> bool {
+        self.succ().is_some()
+            && self.whole()
+            && self.succ_have < self.synced
+            && now > self.succ_at + 1000
+    }
+
     pub fn propose(&mut self, ask: Ask, out: &mut Out) {
         if !self.is_head() {
             let to = self
--- a/tenet/src/state.rs
+++ b/tenet/src/state.rs
@@ -238,6 +238,8 @@
 #[derive(Clone, Readable, Writable, Default)]
 pub struct State {
     pub cluster: u64,
+    /// Wall time (ms) of the first entry: fencing tokens begin there, above those of earlier foundings.
+    pub token_origin: u64,
     pub mark: Mark,
     pub cfg_mark: Mark,
     pub cfg_base: Mark,
@@ -259,11 +261,13 @@
 }
 
 const RECENT: usize = 2048;
-const STORIES: usize = 600;
 
 impl State {
     pub fn apply(&mut self, e: &Entry) -> Verdict {
         self.mark = e.mark;
+        if self.token_origin == 0 {
+            self.token_origin = e.ask.at;
+        }
         if let Some(v) = self.verdict(&e.ask) {
             return v;
         }
@@ -298,24 +302,17 @@
         })
     }
 
-    pub fn tell(&mut self, at: u64, topic: &str, text: String) {
-        self.stories.push(Story {
-            mark: self.mark,
-            at,
-            topic: topic.into(),
-            text,
-        });
-        if self.stories.len() > STORIES {
-            self.stories.drain(..STORIES / 4);
-        }
-    }
-
     pub fn db(&mut self, n: &str) -> Result<&mut Db, Reject> {
         self.dbs
             .get_mut(n)
             .ok_or_else(|| Reject::new(Kind::UnknownDatabase, n))
     }
 
+    /// Rises with each change of a failover or of who runs it, and with each founding of the fleet.
+    pub fn fencing_token(&self, db: &Db) -> Mark {
+        self.token_origin + db.since
+    }
+
     pub fn eligible(&self, db: &Db, server: &str) -> bool {
         self.servers
             .get(server)
--- a/tenet/src/view.rs
+++ b/tenet/src/view.rs
@@ -79,7 +79,7 @@
         if let Some(s) = v
             .chain
             .iter()
-            .filter(|_| v.chain.len() > 2)
+            .filter(|_| v.chain.len() > self.chain_least())
             .find(|s| c.stops(s.id))
         {
             return Some(format!("{:x} in the chain is stopping", s.id));
@@ -101,8 +101,8 @@
         let seat = |id: NodeId| v.chain.iter().any(|s| s.id == id);
         let votes = |id: NodeId| v.voters.iter().any(|s| s.id == id);
         let room = v.voters.iter().any(|s| self.missing(s.id, now, c));
-        if v.voters.len() + 2 <= VOTERS_MOST && self.joiners(c).len() >= 2 {
-            return Some("two more disks can vote".into());
+        if let Some(why) = self.resizes(now, c) {
+            return Some(why.into());
         }
         let join = c
             .live()
@@ -115,7 +115,7 @@
 
     /// Its disk is gone for all that is known, so that another may take its vote.
     pub fn missing(&self, id: NodeId, now: Time, c: &Colleagues) -> bool {
-        let unseen = now > self.born + VOTER_REPLACE && !c.all.contains_key(&id);
+        let unseen = self.has_left(id, c) || self.never_seen(id, now, c);
         let at = self
             .d
             .view
--- /dev/null
+++ b/tenet/tests/voters.rs
@@ -0,0 +1,206 @@
+#![cfg(not(loom))]
+//! Which machines vote after a repair, a planned replacement or a loss without successor.
+use tenet::base::*;
+use tenet::chain::{Chain, Out};
+use tenet::colleagues::Colleagues;
+use tenet::disk::*;
+use tenet::wire::{Msg, Summary, WIRE};
+
+const VIEW: Mark = 3;
+
+fn seat(id: NodeId) -> Seat {
+    let port = id as u16;
+    let addr = Addr { ip: [7; 16], port };
+    Seat { id, addr }
+}
+
+fn seats(ids: &[NodeId]) -> Vec<Seat> {
+    ids.iter().map(|i| seat(*i)).collect()
+}
+
+fn told(id: NodeId, stopping: bool) -> Summary {
+    Summary {
+        id,
+        addr: seat(id).addr,
+        http: Addr::NONE,
+        domain: "a".into(),
+        disk: true,
+        life: 1,
+        status: 0,
+        view: VIEW,
+        mark: 0,
+        allows: true,
+        stopping,
+    }
+}
+
+/// Machine 1, which has heard of the others.
+struct Proposer {
+    chain: Chain,
+    colleagues: Colleagues,
+}
+
+impl Proposer {
+    fn new(voters: &[NodeId], copies: usize) -> Proposer {
+        let view = View {
+            n: VIEW,
+            cluster: 1,
+            voters: seats(voters),
+            chain: seats(voters),
+        };
+        let durable = Durable {
+            id: 1,
+            view,
+            whole: VIEW,
+            ..Durable::default()
+        };
+        Proposer {
+            chain: Chain::new(seat(1), durable, 1).with(false, vec![], copies),
+            colleagues: Colleagues::new(told(1, false), vec![], WIRE),
+        }
+    }
+
+    fn hears(mut self, news: &[Summary]) -> Proposer {
+        for s in news {
+            let probe = Msg::Probe {
+                seq: 1,
+                news: vec![s.clone()],
+            };
+            self.colleagues
+                .take(10, s.id, s.addr, &probe, &mut Vec::new());
+        }
+        self
+    }
+
+    /// Time passes without a proposal, or with one that all of `promise` answer; those of them in
+    /// `whole` hold the state. What is then proposed.
+    fn proposes(&mut self, promise: &[NodeId], whole: &[NodeId]) -> Option<View> {
+        let mut out = Out::default();
+        self.chain.agree_tick(5000, &self.colleagues, &mut out);
+        let ballot = out.late.iter().find_map(|(_, m)| match m {
+            Msg::Prepare { ballot, .. } => Some(*ballot),
+            _ => None,
+        })?;
+        for id in promise {
+            let answer = Msg::Promise {
+                inst: VIEW + 1,
+                ballot,
+                whole: if whole.contains(id) { VIEW } else { 0 },
+                accepted: 0,
+                value: None,
+            };
+            let addr = seat(*id).addr;
+            self.chain
+                .agree_take(5010, *id, addr, answer, &self.colleagues, &mut out);
+        }
+        self.chain.agree_tick(5200, &self.colleagues, &mut out);
+        out.late.into_iter().find_map(|(_, m)| match m {
+            Msg::Accept { value, .. } => Some(value),
+            _ => None,
+        })
+    }
+}
+
+fn ids(v: &[Seat]) -> Vec<NodeId> {
+    v.iter().map(|s| s.id).collect()
+}
+
+#[test]
+fn a_voter_that_stops_passes_its_vote_to_a_new_disk_in_the_view_that_lets_it_go() {
+    let mut p =
+        Proposer::new(&[1, 2, 3], 2).hears(&[told(2, false), told(3, true), told(9, false)]);
+    let v = p.proposes(&[1, 2, 3], &[1, 2, 3]).unwrap();
+    assert_eq!(ids(&v.voters), [1, 2, 9]);
+    assert_eq!(ids(&v.chain), [1, 2, 9]);
+}
+
+#[test]
+fn a_stopping_voter_passes_its_own_vote_on_when_it_proposes() {
+    let mut p =
+        Proposer::new(&[1, 2, 3], 2).hears(&[told(2, false), told(3, false), told(9, false)]);
+    p.colleagues.me.stopping = true;
+    let v = p.proposes(&[1, 2, 3], &[1, 2, 3]).unwrap();
+    assert_eq!(ids(&v.voters), [9, 2, 3]);
+    assert_eq!(ids(&v.chain), [2, 3, 9]);
+}
+
+#[test]
+fn a_stopping_machine_that_holds_one_of_too_few_copies_keeps_its_vote_and_its_place() {
+    let mut p =
+        Proposer::new(&[1, 2, 3], 2).hears(&[told(2, false), told(3, true), told(9, false)]);
+    let v = p.proposes(&[1, 2, 3], &[1, 3]).unwrap();
+    assert_eq!(ids(&v.voters), [1, 2, 3]);
+    assert!(ids(&v.chain).contains(&3), "it holds one of two copies");
+}
+
+#[test]
+fn of_five_that_need_three_copies_a_stopping_one_stays_until_three_others_hold_the_state() {
+    let all = [1, 2, 3, 4, 5];
+    let news = |p: Proposer| {
+        p.hears(&[
+            told(2, true),
+            told(3, false),
+            told(4, false),
+            told(5, false),
+        ])
+    };
+    let early = news(Proposer::new(&all, 3)).proposes(&all, &[1, 2, 3]);
+    assert!(ids(&early.unwrap().chain).contains(&2));
+    let later = news(Proposer::new(&all, 3)).proposes(&all, &[1, 2, 3, 4]);
+    assert_eq!(ids(&later.unwrap().chain), [1, 3, 4, 5]);
+}
+
+#[test]
+fn two_of_five_voters_that_stop_without_successors_are_dropped_together() {
+    let all = [1, 2, 3, 4, 5];
+    let news = [told(2, true), told(3, true), told(4, false), told(5, false)];
+    let mut p = Proposer::new(&all, 2).hears(&news);
+    let v = p.proposes(&all, &all).unwrap();
+    assert_eq!(ids(&v.voters), [1, 4, 5]);
+    assert_eq!(ids(&v.chain), [1, 4, 5]);
+}
+
+#[test]
+fn one_of_five_voters_that_stops_without_successor_keeps_its_vote() {
+    let all = [1, 2, 3, 4, 5];
+    let news = [
+        told(2, true),
+        told(3, false),
+        told(4, false),
+        told(5, false),
+    ];
+    let mut p = Proposer::new(&all, 2).hears(&news);
+    assert_eq!(ids(&p.proposes(&all, &all).unwrap().voters), all);
+}
+
+#[test]
+fn a_machine_that_leaves_waits_until_its_vote_is_taken_while_a_new_disk_is_there() {
+    let alone = Proposer::new(&[1, 2, 3], 2).hears(&[told(2, false), told(3, false)]);
+    assert!(!alone.chain.hands_over(&alone.colleagues));
+    let relieved = alone.hears(&[told(9, false)]);
+    assert!(relieved.chain.hands_over(&relieved.colleagues));
+    let voteless = Proposer::new(&[2, 3, 4], 2).hears(&[told(9, false)]);
+    assert!(!voteless.chain.hands_over(&voteless.colleagues));
+}
+
+#[test]
+fn no_view_is_built_on_votes_of_which_none_holds_the_state() {
+    let mut p = Proposer::new(&[1, 2, 9], 2).hears(&[told(9, false)]);
+    p.chain.d.whole = 0;
+    assert_eq!(p.proposes(&[1, 9], &[]), None);
+}
+
+#[test]
+fn a_machine_that_started_again_is_not_taken_for_stopping_by_what_its_earlier_life_said() {
+    let mut me = Colleagues::new(told(1, false), vec![], WIRE);
+    let earlier = Summary {
+        life: 7,
+        ..told(1, true)
+    };
+    let probe = Msg::Probe {
+        seq: 1,
+        news: vec![told(2, false), earlier],
+    };
+    me.take(10, 2, seat(2).addr, &probe, &mut Vec::new());
+    assert!(me.me.life > 7, "its clock fell, its life must not");
+}
