--- a/chance/src/losses.rs
+++ b/chance/src/losses.rs
@@ -154,6 +154,18 @@
     closed(s, v, at + AWAY)
 }
 
+/// The next disk is lost before the successor had its time: two losses at once where one is to be
+/// borne. Whether the fleet serves again is open; what it serves must still be right.
+fn second_disk_early(s: &mut Sim) -> Vec<(Time, Fault)> {
+    let first = repair(s, &[0, 1, 2], FIRST_LOSS);
+    let at = first.started + gap(s, 40);
+    let stays: Vec<usize> = (0..3).filter(|i| *i != first.lost).collect();
+    let victim = draw(s, &stays);
+    let mut v = first.faults;
+    v.extend(wipe(victim, at));
+    closed(s, v, at + AWAY)
+}
+
 /// A disk is lost while the other voters lose power.
 fn second_disk_and_power(s: &mut Sim) -> Vec<(Time, Fault)> {
     let first = repair(s, &[0, 1, 2], FIRST_LOSS);
@@ -259,6 +271,14 @@
     day("five-two-disks", five_two_disks),
 ];
 
+/// Beyond what three voters are to bear.
+pub const BEYOND: Script = day("repair-disk-early", second_disk_early);
+
+/// All days of this module.
+pub fn all() -> impl Iterator<Item = &'static Script> {
+    LOSSES.iter().chain([&BEYOND])
+}
+
 impl Sim {
     /// After the last loss a change must have been acknowledged.
     pub(crate) fn accepts_again(&mut self) {
--- a/chance/src/main.rs
+++ b/chance/src/main.rs
@@ -1,7 +1,7 @@
 use bpaf::{construct, long, Parser};
 use chance::days::{day, run_day, TERMED};
 use chance::fault::Plant;
-use chance::losses::LOSSES;
+use chance::losses::{BEYOND, LOSSES};
 use chance::runs::run_with;
 use chance::scripts::{find, ALL};
 use guise::termed::Flaw;
@@ -81,6 +81,7 @@
     let own = ALL
         .iter()
         .chain(LOSSES)
+        .chain(a.script.is_some().then_some(&BEYOND))
         .filter(wanted)
         .flat_map(|s| places.iter().map(move |p| (s, *p)));
     let days = TERMED
--- a/chance/src/scripts.rs
+++ b/chance/src/scripts.rs
@@ -1,5 +1,5 @@
 use crate::fault::{Fault, Fault::*, Mood};
-use crate::losses::LOSSES;
+use crate::losses;
 use crate::sim::*;
 use tenet::base::*;
 
@@ -562,5 +562,5 @@
 };
 
 pub fn find(n: &str) -> Option<&'static Script> {
-    ALL.iter().chain(LOSSES).find(|s| s.name == n)
+    ALL.iter().chain(losses::all()).find(|s| s.name == n)
 }
--- a/chance/tests/losses.rs
+++ b/chance/tests/losses.rs
@@ -1,7 +1,7 @@
 //! A second loss after a repair or a replacement: what was acknowledged is kept, and the fleet
 //! serves again, whenever the second loss strikes.
 use chance::fault::Plant;
-use chance::losses::LOSSES;
+use chance::losses::{BEYOND, LOSSES};
 use chance::runs::run;
 use chance::scripts::Script;
 use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
@@ -79,3 +79,18 @@
         Vec::<String>::new()
     );
 }
+
+#[test]
+fn past_the_tolerance_the_fleet_may_refuse_but_serves_nothing_wrong() {
+    let open = ["refused", "away", "forgotten"];
+    for place in ["alumni", "thessaly"] {
+        for seed in [2, 9, 14, 22, 31, 38] {
+            let faults = run(&BEYOND, place, seed, Plant::None).faults();
+            let wrong: Vec<_> = faults
+                .iter()
+                .filter(|f| !open.iter().any(|o| f.starts_with(o)))
+                .collect();
+            assert_eq!(wrong, Vec::<&String>::new(), "{place} {seed}");
+        }
+    }
+}
--- a/tenet/src/bounds.rs
+++ b/tenet/src/bounds.rs
@@ -27,7 +27,10 @@
 pub const VIEW_OPEN: Time = 1500;
 /// Most voters; their number grows by two, so that it stays odd.
 pub const VOTERS_MOST: usize = 5;
-pub const VOTER_REPLACE: Time = 2500;
+/// How long a voter that gossip gave up keeps its vote while another disk could take it.
+pub const VOTER_REPLACE: Time = 500;
+/// How long a process runs before it takes a voter that it never heard of for lost.
+pub const VOTER_UNSEEN: Time = 2500;
 /// Fewest voters that a change of their number leaves.
 pub const VOTERS_LEAST: usize = 3;
 /// How long two voters that nobody replaces must be silent to be dropped together.
--- a/tenet/src/view.rs
+++ b/tenet/src/view.rs
@@ -124,8 +124,7 @@
             .find(|s| s.id == id)
             .map(|s| s.addr);
         let reborn = c.live().any(|s| s.disk && s.id != id && Some(s.addr) == at);
-        id != self.me.id
-            && (reborn || unseen || c.quiet(id, now).is_some_and(|q| q > VOTER_REPLACE))
+        id != self.me.id && (reborn || unseen || self.long_gone(id, now, c))
     }
 
     fn drive(&mut self, now: Time, c: &Colleagues, out: &mut Out) {
--- a/tenet/src/voters.rs
+++ b/tenet/src/voters.rs
@@ -1,7 +1,7 @@
 //! Which machines with a disk vote, and when that set changes.
 use crate::base::*;
 use crate::chain::Chain;
-use crate::colleagues::Colleagues;
+use crate::colleagues::{Colleagues, GONE};
 use crate::disk::Seat;
 use crate::wire::Summary;
 
@@ -32,9 +32,15 @@
         self.d.view.voters.iter().any(|s| s.id == self.me.id) && !self.joiners(c).is_empty()
     }
 
+    /// Gossip gave it up some time ago.
+    pub(crate) fn long_gone(&self, id: NodeId, now: Time, c: &Colleagues) -> bool {
+        let given_up = c.all.get(&id).is_some_and(|k| k.s.status == GONE);
+        given_up && c.quiet(id, now).is_some_and(|q| q > VOTER_REPLACE)
+    }
+
     /// This process runs long enough to have heard of every voter, and has not heard of this one.
     pub(crate) fn never_seen(&self, id: NodeId, now: Time, c: &Colleagues) -> bool {
-        now > self.born + VOTER_REPLACE && !c.all.contains_key(&id)
+        now > self.born + VOTER_UNSEEN && !c.all.contains_key(&id)
     }
 
     /// A voter whose vote may be dropped without a replacement, together with another such one.
--- a/tenet/tests/voters.rs
+++ b/tenet/tests/voters.rs
@@ -2,7 +2,7 @@
 //! Which machines vote after a repair, a planned replacement or a loss without successor.
 use tenet::base::*;
 use tenet::chain::{Chain, Out};
-use tenet::colleagues::Colleagues;
+use tenet::colleagues::{Colleagues, GONE, SUSPECT};
 use tenet::disk::*;
 use tenet::wire::{Msg, Summary, WIRE};
 
@@ -204,3 +204,22 @@
     me.take(10, 2, seat(2).addr, &probe, &mut Vec::new());
     assert!(me.me.life > 7, "its clock fell, its life must not");
 }
+
+#[test]
+fn a_lost_voter_is_replaced_soon_after_gossip_gave_it_up_and_not_while_it_is_suspect() {
+    let mut p = Proposer::new(&[1, 2, 3], 2).hears(&[told(2, false), told(3, false)]);
+    let status = |status| Summary {
+        status,
+        ..told(3, false)
+    };
+    p = p.hears(&[status(SUSPECT)]);
+    assert!(!p.chain.missing(3, 10 + VOTER_REPLACE + 1, &p.colleagues));
+    p = p.hears(&[status(GONE)]);
+    assert!(!p.chain.missing(3, 10 + VOTER_REPLACE, &p.colleagues));
+    assert!(p.chain.missing(3, 10 + VOTER_REPLACE + 1, &p.colleagues));
+    let longest = PROBE_DIRECT + PROBE_INDIRECT + SUSPICION + VOTER_REPLACE;
+    assert!(
+        longest + VIEW_HOLD < 3000,
+        "a successor has 4 s, and comes 1 s later"
+    );
+}
