--- a/chance/src/lives.rs
+++ b/chance/src/lives.rs
@@ -1,4 +1,5 @@
 //! Starts and ends of the simulated machines.
+use crate::node::Node;
 use crate::sim::*;
 use tenet::base::*;
 
@@ -35,22 +36,16 @@
         self.boot(i);
     }
 
-    /// While most nodes are down, the seeds name the machines with a disk that are still in use.
+    /// Addresses of nodes that were started and not removed: any of them, or while most are down
+    /// those with a disk.
     fn seeds(&mut self) -> Vec<Addr> {
-        let k = self.roll(self.nodes.len() as u64) as usize;
         let most = self.nodes.iter().filter(|n| n.up).count() * 2 > self.nodes.len();
-        match most {
-            true => (0..SEEDS)
-                .map(|j| self.nodes[(k + j) % self.nodes.len()].addr)
-                .collect(),
-            false => self
-                .nodes
-                .iter()
-                .filter(|n| n.disk && !n.removed)
-                .map(|n| n.addr)
-                .take(SEEDS)
-                .collect(),
-        }
+        let in_use = |n: &&Node| !n.removed && if most { n.life > 0 } else { n.disk };
+        let known: Vec<Addr> = self.nodes.iter().filter(in_use).map(|n| n.addr).collect();
+        let drawn = self.roll(self.nodes.len() as u64) as usize;
+        let first = if most { drawn } else { 0 };
+        let turn = known.iter().cycle().skip(first);
+        turn.take(SEEDS.min(known.len())).copied().collect()
     }
 
     pub(crate) fn boot(&mut self, i: usize) {
