--- a/chance/src/lib.rs
+++ b/chance/src/lib.rs
@@ -3,6 +3,8 @@
 pub mod cuts;
 pub mod days;
 pub mod fault;
+pub mod lives;
+pub mod losses;
 pub mod node;
 pub mod outside;
 pub mod pairs;
--- a/chance/src/main.rs
+++ b/chance/src/main.rs
@@ -2,6 +2,7 @@
 use chance::cuts::CUTS;
 use chance::days::{day, run_day, TERMED};
 use chance::fault::Plant;
+use chance::losses::{BEYOND, LOSSES};
 use chance::races::DAYS;
 use chance::runs::run_with;
 use chance::scripts::{find, ALL};
@@ -66,6 +67,7 @@
             "no script '{n}'; there are {}",
             ALL.iter()
                 .chain(CUTS)
+                .chain(LOSSES)
                 .chain(TERMED)
                 .chain(DAYS)
                 .map(|s| s.name)
@@ -83,6 +85,8 @@
     let own = ALL
         .iter()
         .chain(CUTS)
+        .chain(LOSSES)
+        .chain(a.script.is_some().then_some(&BEYOND))
         .filter(wanted)
         .flat_map(|s| places.iter().map(move |p| (s, *p)));
     let days = TERMED
--- a/chance/src/scripts.rs
+++ b/chance/src/scripts.rs
@@ -1,6 +1,6 @@
 use crate::cuts::CUTS;
-use crate::fault::Fault;
-use crate::fault::{Fault::*, Mood};
+use crate::fault::{Fault, Fault::*, Mood};
+use crate::losses;
 use crate::sim::*;
 use tenet::base::*;
 
@@ -563,5 +563,8 @@
 };
 
 pub fn find(n: &str) -> Option<&'static Script> {
-    ALL.iter().chain(CUTS).find(|s| s.name == n)
+    ALL.iter()
+        .chain(CUTS)
+        .chain(losses::all())
+        .find(|s| s.name == n)
 }
--- a/chance/tests/plants.rs
+++ b/chance/tests/plants.rs
@@ -125,5 +125,11 @@
         &["settings", "caller", "begin"],
     );
     found(&mut lost, Bug::RuleIgnored, &["relabel"], &["labels"]);
+    found(
+        &mut lost,
+        Bug::VoteKept,
+        &["repair-second-disk"],
+        &["refused"],
+    );
     assert_eq!(lost, Vec::<String>::new());
 }
--- a/tenet/src/chain.rs
+++ b/tenet/src/chain.rs
@@ -169,13 +169,6 @@
             .copied()
     }
 
-    pub fn stuck(&self, now: Time) -> bool {
-        self.succ().is_some()
-            && self.whole()
-            && self.succ_have < self.synced
-            && now > self.succ_at + 1000
-    }
-
     pub fn adopted(&mut self, now: Time) {
         self.succ_have = 0;
         self.succ_at = now;
--- a/tenet/src/lib.rs
+++ b/tenet/src/lib.rs
@@ -77,6 +77,7 @@
 pub mod verdict;
 pub mod versions;
 pub mod voter;
+pub mod voters;
 pub mod waits;
 pub mod watch;
 pub mod wire;
--- a/tenet/src/membership.rs
+++ b/tenet/src/membership.rs
@@ -27,6 +27,8 @@
     LeftOpen,
     /// Two more disks can vote.
     MoreVoters,
+    /// Two voters are gone for good.
+    FewerVoters,
     /// A machine can join the chain.
     Join(NodeId),
 }
@@ -41,6 +43,7 @@
             Cause::NotSyncing(id) => write!(f, "{id:x}, next in the chain, does not sync"),
             Cause::LeftOpen => write!(f, "an agreement was left open"),
             Cause::MoreVoters => write!(f, "two more disks can vote"),
+            Cause::FewerVoters => write!(f, "two voters are gone for good"),
             Cause::Join(id) => write!(f, "{id:x} can join the chain"),
         }
     }
@@ -95,7 +98,7 @@
             .or_else(|| self.member_stopping(c))
             .or_else(|| self.member_moved(c))
             .or_else(|| self.member_behind(now))
-            .or_else(|| self.room_for_voters(now, c))
+            .or_else(|| self.resized(now, c))
             .or_else(|| self.can_join(now, c))
     }
 
@@ -126,7 +129,7 @@
     fn member_stopping(&self, c: &Colleagues) -> Option<Cause> {
         let chain = &self.d.view.chain;
         let stopping = chain.iter().find(|s| c.stops(s.id))?;
-        (chain.len() > 2).then_some(Cause::Stopping(stopping.id))
+        (chain.len() > self.chain_least()).then_some(Cause::Stopping(stopping.id))
     }
 
     fn member_moved(&self, c: &Colleagues) -> Option<Cause> {
@@ -141,9 +144,15 @@
         Some(Cause::NotSyncing(next.id))
     }
 
-    fn room_for_voters(&self, now: Time, c: &Colleagues) -> Option<Cause> {
-        let room = self.d.view.voters.len() + 2 <= VOTERS_MOST;
-        (room && self.steady_joiners(now, c).len() >= 2).then_some(Cause::MoreVoters)
+    /// Why the number of voters should change now. It stays odd.
+    fn resized(&self, now: Time, c: &Colleagues) -> Option<Cause> {
+        let voters = &self.d.view.voters;
+        let room = voters.len() + 2 <= VOTERS_MOST;
+        if room && self.steady_joiners(now, c).len() >= 2 {
+            return Some(Cause::MoreVoters);
+        }
+        let gone = voters.iter().filter(|s| self.gone_for_good(s.id, now, c));
+        (voters.len() >= VOTERS_LEAST + 2 && gone.count() >= 2).then_some(Cause::FewerVoters)
     }
 
     fn can_join(&self, now: Time, c: &Colleagues) -> Option<Cause> {
@@ -169,26 +178,11 @@
 
     /// Its disk is gone for all that is known, so that another may take its vote.
     pub fn missing(&self, id: NodeId, now: Time, c: &Colleagues) -> bool {
-        let unseen = now > self.born + VOTER_REPLACE && !c.all.contains_key(&id);
+        let unseen = self.has_left(id, c) || self.never_seen(id, now, c);
         let voters = &self.d.view.voters;
         let at = voters.iter().find(|s| s.id == id).map(|s| s.addr);
         let reborn = c.live().any(|s| s.disk && s.id != id && Some(s.addr) == at);
-        let quiet = c.quiet(id, now).is_some_and(|span| span > VOTER_REPLACE);
-        id != self.me.id && (reborn || unseen || quiet)
-    }
-
-    /// Disks of this cluster that do not vote.
-    pub fn joiners(&self, c: &Colleagues) -> Vec<Seat> {
-        let mut joiners: Vec<Seat> = c
-            .live()
-            .filter(|s| s.disk && s.view > 0 && !s.stopping && !self.votes(s.id))
-            .map(|s| Seat {
-                id: s.id,
-                addr: s.addr,
-            })
-            .collect();
-        joiners.sort();
-        joiners
+        id != self.me.id && (reborn || unseen || self.long_gone(id, now, c))
     }
 
     /// Those of the joiners that have been in contact for long enough.
--- a/tenet/src/next_view.rs
+++ b/tenet/src/next_view.rs
@@ -5,6 +5,7 @@
 use crate::colleagues::Colleagues;
 use crate::disk::{Seat, View};
 use crate::membership::Cause;
+use crate::plant::{planted, Bug};
 
 impl Chain {
     /// The next view, from the promises of this agreement. A value that a voter accepted before goes
@@ -19,7 +20,7 @@
         if chain.is_empty() {
             return None;
         }
-        let mut voters = self.next_voters(now, c);
+        let mut voters = self.next_voters(&chain, now, c);
         chain.extend(self.next_joiners(&voters, &chain, now, c));
         for seat in chain.iter_mut().chain(voters.iter_mut()) {
             seat.addr = self.now_at(seat, c);
@@ -57,19 +58,27 @@
             members.sort_by_key(|s| Some(s.id) == behind);
         }
         let leaving = members.iter().filter(|s| c.stops(s.id)).count();
-        if members.len() >= leaving + 2 {
+        if members.len() >= leaving + self.chain_least() {
             members.retain(|s| !c.stops(s.id));
         }
         members
     }
 
-    /// The voters, those whose disk is gone replaced, and two more where there are disks for them.
-    fn next_voters(&self, now: Time, c: &Colleagues) -> Vec<Seat> {
+    /// Members that the chain keeps when one of them stops as planned.
+    pub(crate) fn chain_least(&self) -> usize {
+        self.copies.max(2)
+    }
+
+    /// The voters: those that leave or whose disk is gone replaced, two more where there are disks for
+    /// them, two fewer where two are gone for good.
+    fn next_voters(&self, chain: &[Seat], now: Time, c: &Colleagues) -> Vec<Seat> {
         let mut voters = self.d.view.voters.clone();
+        let in_chain = |id: NodeId| chain.iter().any(|s| s.id == id);
+        let leaves = |s: &Seat| c.stops(s.id) && !in_chain(s.id) && !planted(Bug::VoteKept);
         let gone = |s: &Seat| {
-            s.id != self.me.id
-                && !self.agree.promises.contains_key(&s.id)
-                && self.missing(s.id, now, c)
+            let promised = self.agree.promises.contains_key(&s.id);
+            let lost = s.id != self.me.id && !promised && self.missing(s.id, now, c);
+            leaves(s) || lost
         };
         let mut candidates = self.steady_joiners(now, c);
         for seat in &candidates {
@@ -81,6 +90,15 @@
         if voters.len() + 2 <= VOTERS_MOST && candidates.len() >= 2 {
             voters.extend(&candidates[..2]);
         }
+        let idle: Vec<NodeId> = voters
+            .iter()
+            .filter(|s| leaves(s) || (!in_chain(s.id) && self.gone_for_good(s.id, now, c)))
+            .map(|s| s.id)
+            .take(2)
+            .collect();
+        if voters.len() >= VOTERS_LEAST + 2 && idle.len() == 2 {
+            voters.retain(|s| !idle.contains(&s.id));
+        }
         voters
     }
 
--- a/tenet/src/plant.rs
+++ b/tenet/src/plant.rs
@@ -23,6 +23,8 @@
     StepSentAgain,
     VersionReused,
     RepeatByTimeOfDay,
+    /// A voter that stops keeps its vote.
+    VoteKept,
 }
 
 #[cfg(plant)]
--- a/tenet/src/serve.rs
+++ b/tenet/src/serve.rs
@@ -14,6 +14,14 @@
         self
     }
 
+    /// The next in the chain has made no progress for a second.
+    pub fn stuck(&self, now: Time) -> bool {
+        self.succ().is_some()
+            && self.whole()
+            && self.succ_have < self.synced
+            && now > self.succ_at + 1000
+    }
+
     pub fn propose(&mut self, now: Time, ask: Ask, out: &mut Out) {
         if !self.is_head() {
             let to = self
