--- a/chance/src/lives.rs
+++ b/chance/src/lives.rs
@@ -36,11 +36,11 @@
         self.boot(i);
     }
 
-    /// Addresses of nodes that were started and not removed: any of them, or while most are down
-    /// those with a disk.
+    /// Addresses of nodes that are in use: any of them, or while most are down those with a disk.
     fn seeds(&mut self) -> Vec<Addr> {
         let most = self.nodes.iter().filter(|n| n.up).count() * 2 > self.nodes.len();
-        let in_use = |n: &&Node| !n.removed && if most { n.life > 0 } else { n.disk };
+        let begun = |n: &Node| n.life > 0 || !n.spare;
+        let in_use = |n: &&Node| !n.removed && if most { begun(n) } else { n.disk };
         let known: Vec<Addr> = self.nodes.iter().filter(in_use).map(|n| n.addr).collect();
         let drawn = self.roll(self.nodes.len() as u64) as usize;
         let first = if most { drawn } else { 0 };
--- a/chance/src/losses.rs
+++ b/chance/src/losses.rs
@@ -36,6 +36,7 @@
     let node = Node {
         drift: old.drift,
         copies: old.copies,
+        spare: true,
         ..Node::new(i, node_addr(i), old.domain.clone(), true, old.sync_ms)
     };
     s.nodes.push(node);
--- a/chance/src/node.rs
+++ b/chance/src/node.rs
@@ -37,6 +37,8 @@
     pub logs: Vec<(Time, String)>,
     /// Gone for good: it does not start again.
     pub removed: bool,
+    /// Started later than the fleet, if at all.
+    pub spare: bool,
     /// Synced copies that an acknowledged change needs.
     pub copies: usize,
 }
@@ -71,6 +73,7 @@
             drain: None,
             logs: Vec::new(),
             removed: false,
+            spare: false,
             copies: 2,
         }
     }
