--- a/chance/src/node.rs
+++ b/chance/src/node.rs
@@ -39,6 +39,8 @@
     pub wall_ahead: u64,
     /// Gone for good: it does not start again.
     pub removed: bool,
+    /// Started later than the fleet, if at all.
+    pub spare: bool,
     /// Synced copies that an acknowledged change needs.
     pub copies: usize,
 }
@@ -74,6 +76,7 @@
             logs: Vec::new(),
             wall_ahead: 0,
             removed: false,
+            spare: false,
             copies: 2,
         }
     }
