--- a/tenet/tests/history.rs
+++ b/tenet/tests/history.rs
@@ -65,14 +65,19 @@
     let (mut shelf, _) = files.recover();
     let mut durable = head.d.clone();
     files.run(shelf.fresh(&durable));
-    let routes = 200;
     let mut most = 0;
+    let mut turns = 0;
     for version in 1..=3000 {
+        let routes = if version % 10 == 0 { 150 } else { 200 };
         let records = publish(&mut head, version, routes);
         records.iter().for_each(|record| {
             durable.play(record);
         });
-        files.run(shelf.keep(&records, &durable));
+        let operations = shelf.keep(&records, &durable);
+        let turned =
+            |o: &FileOp| matches!(o, FileOp::Replace { name, .. } if name.starts_with("slot"));
+        turns += operations.iter().filter(|o| turned(o)).count();
+        files.run(operations);
         most = most.max(files.bytes());
         if [100, 300, 1000, 3000].contains(&version) {
             println!(
@@ -86,6 +91,7 @@
         }
     }
     let state = head.d.write_to_vec().unwrap().len();
+    assert!(turns >= 2, "the slots turned {turns} times only");
     assert!(head.log.bytes() <= LOG_LIMIT, "{}", head.log.bytes());
     assert!(most <= 2 * (state + DISK_LOG_LIMIT), "{most} bytes on disk");
 }
