--- a/tenet/tests/snapshot.rs
+++ b/tenet/tests/snapshot.rs
@@ -12,6 +12,7 @@
 use tenet::wire::{Changes, Msg};
 
 const PART_LIMIT: usize = 64 << 10;
+const TURNS_MOST: usize = 100;
 
 fn state_of(version: u64) -> State {
     let mut head = replica_in(&view_of(&[1, 2, 3]), 1, true);
@@ -28,7 +29,8 @@
     let mut receiver = SnapshotReceiver::default();
     let mut next = receiver.offered(1, id);
     let (mut now, mut sent, mut lost) = (1, 0, 0);
-    for turn in 0.. {
+    let mut whole = false;
+    for turn in 0..TURNS_MOST {
         let offset = next.expect("there is always a next part");
         let sender = if turn < 4 { &mut first } else { &mut second };
         let part = sender.part(now, id, offset).unwrap();
@@ -49,12 +51,14 @@
             Received::More { offset, .. } => next = Some(offset),
             Received::Whole(read) => {
                 assert!(read.cfg == state.cfg && read.mark == state.mark);
+                whole = true;
                 break;
             }
             _ => panic!("part {turn} was not taken"),
         }
         assert!(matches!(receiver.take(now, &part), Received::Ignored));
     }
+    assert!(whole, "not whole after {TURNS_MOST} parts");
     assert_eq!(
         sent,
         id.length as usize + lost,
