Let the next process at an address refuse what the earlier one was asked

Cause: since answers counted only from the node that was asked, the refusal of its successor ("meant for the process that was here before") was dropped, and the asker waited 600 ms for a silent peer and gave the attempt up as unknown. An answer now names the life that was asked, and that is compared.

--- a/chance/tests/lives.rs
+++ b/chance/tests/lives.rs
@@ -85,9 +85,10 @@
     let me = node.fleet.living[node.slot];
     node.carry(1, Act::Single);
     let (go, fencing) = node.passed.pop().expect("passed on to a fencing node");
-    let carried = |from, to| FrontIn::Carried {
-        from,
+    let carried = |asked, to| FrontIn::Carried {
+        from: fencing,
         to,
+        asked,
         go,
         clock: 1,
         done: Err(Reject::new(Kind::Busy, "x")),
@@ -100,3 +101,25 @@
     let told: Vec<u64> = node.answers.iter().map(|(go, _)| *go).collect();
     assert_eq!(told, [1], "once");
 }
+
+#[test]
+fn the_next_process_at_an_address_says_at_once_that_it_was_not_asked() {
+    let mut fencing = Node::start();
+    fencing.carry_to(77, 1, Act::Single);
+    assert!(fencing.calls.is_empty(), "{:?}", fencing.queries());
+    let told = fencing.answers.pop().expect("an answer");
+    assert_eq!(told.1.err().map(|e| e.kind), Some(Kind::NotCurrent));
+    let mut gateway = Node::at(|d| d.gates && !d.fences);
+    let me = gateway.fleet.living[gateway.slot];
+    gateway.carry(1, Act::Single);
+    let (go, asked) = gateway.passed.pop().expect("passed on to a fencing node");
+    gateway.poll(FrontIn::Carried {
+        from: asked + 1000,
+        to: me,
+        asked,
+        go,
+        clock: 1,
+        done: Err(Reject::new(Kind::NotCurrent, "not that process")),
+    });
+    assert_eq!(gateway.answers.len(), 1, "passed back without a wait");
+}
--- a/chance/tests/lives/node.rs
+++ b/chance/tests/lives/node.rs
@@ -100,7 +100,11 @@
     }
 
     pub fn carry(&mut self, go: u64, act: Act) {
-        let me = self.fleet.living[self.slot];
+        self.carry_to(self.front.me, go, act);
+    }
+
+    /// An attempt that is meant for the process `to`.
+    pub fn carry_to(&mut self, to: NodeId, go: u64, act: Act) {
         let load = Load {
             db: DATABASE.into(),
             writes: act == Act::Single,
@@ -119,7 +123,7 @@
             from: ASKER,
             addr: address(77),
             go,
-            to: me,
+            to,
             by,
             load,
         });
--- a/medium/tests/once.rs
+++ b/medium/tests/once.rs
@@ -13,8 +13,8 @@
 
 const PACKETS: u64 = 40;
 /// Bytes of a frame before the number of the attempt: length, generation, sender, its address,
-/// cluster, kind of message, addressee.
-const BEFORE_NUMBER: usize = 4 + 1 + 8 + 18 + 8 + 4 + 8;
+/// cluster, kind of message, who asked, who was asked.
+const BEFORE_NUMBER: usize = 4 + 1 + 8 + 18 + 8 + 4 + 8 + 8;
 const NUMBER: usize = 8;
 
 fn packet(go: u64) -> Packet {
@@ -24,6 +24,7 @@
         cluster: 7,
         msg: Msg::Carried {
             to: 2,
+            asked: 4,
             go,
             clock: 3,
             done: Err(Reject::new(Kind::Busy, "x")),
--- a/tenet/src/front.rs
+++ b/tenet/src/front.rs
@@ -177,8 +177,9 @@
                     node: from,
                     addr,
                     go,
+                    asked: to,
                 };
-                self.carry(now, asker, to, by, load, &mut out)
+                self.carry(now, asker, by, load, &mut out)
             }
             FrontIn::Echo { from, addr, reply } => {
                 self.peers.heard(from);
@@ -188,13 +189,14 @@
             FrontIn::Carried {
                 from,
                 to,
+                asked,
                 go,
                 clock,
                 done,
             } => {
                 self.peers.heard(from);
                 self.clocks.insert(from, (clock, now));
-                self.carried(now, from, to, go, done, &mut out)
+                self.carried(now, to, asked, go, done, &mut out)
             }
             FrontIn::Back { token, res } => match self.uses.remove(&token) {
                 Some(Use::Poll(s, at)) => self.poll_back(now, s, at, res),
--- a/tenet/src/gate.rs
+++ b/tenet/src/gate.rs
@@ -22,14 +22,13 @@
         &mut self,
         now: Time,
         asker: Asker,
-        to: NodeId,
         by: Time,
         mut load: Load,
         out: &mut FrontOut,
     ) {
         load.budget = load.budget.min(by.saturating_sub(now));
         let late = match () {
-            _ if to != self.me => Some((
+            _ if asker.asked != self.me => Some((
                 Kind::NotCurrent,
                 "meant for the process that was here before",
             )),
@@ -142,12 +141,12 @@
     }
 
     /// Takes an answer of another node. It counts when it is for this life of the process, for an
-    /// attempt that is still open, and from the node that the attempt was sent to.
+    /// attempt that is still open, and to the question as it was put to that node.
     pub(crate) fn carried(
         &mut self,
         now: Time,
-        from: NodeId,
         to: NodeId,
+        asked: NodeId,
         go: u64,
         done: Result<Done, Reject>,
         out: &mut FrontOut,
@@ -159,7 +158,7 @@
         if self
             .relays
             .get(&go)
-            .is_some_and(|r| r.to == from || unchecked)
+            .is_some_and(|r| r.to == asked || unchecked)
         {
             let relay = self.relays.remove(&go);
             out.send.extend(relay.map(|r| r.asker.reply(now, done)));
@@ -168,7 +167,7 @@
         if self
             .gos
             .get(&go)
-            .is_none_or(|a| a.gateway != from && !unchecked)
+            .is_none_or(|a| a.gateway != asked && !unchecked)
         {
             return;
         }
--- a/tenet/src/held.rs
+++ b/tenet/src/held.rs
@@ -16,12 +16,15 @@
     pub node: NodeId,
     pub addr: Addr,
     pub go: u64,
+    /// The process that the attempt was meant for: this one, or one that lived here before.
+    pub asked: NodeId,
 }
 
 impl Asker {
     pub fn reply(&self, now: Time, done: Result<Done, Reject>) -> (Addr, Msg) {
         let answer = Msg::Carried {
             to: self.node,
+            asked: self.asked,
             go: self.go,
             clock: now,
             done,
--- a/tenet/src/inbound.rs
+++ b/tenet/src/inbound.rs
@@ -23,10 +23,11 @@
         by: Time,
         load: Load,
     },
-    /// The answer to attempt `go` of the process `to`.
+    /// The answer to attempt `go` that the process `to` sent to the process `asked`.
     Carried {
         from: NodeId,
         to: NodeId,
+        asked: NodeId,
         go: u64,
         clock: Time,
         done: Result<Done, Reject>,
@@ -63,12 +64,14 @@
             },
             Msg::Carried {
                 to,
+                asked,
                 go,
                 clock,
                 done,
             } => FrontIn::Carried {
                 from,
                 to,
+                asked,
                 go,
                 clock,
                 done,
--- a/tenet/src/wire.rs
+++ b/tenet/src/wire.rs
@@ -158,9 +158,11 @@
         by: Time,
         load: Load,
     },
-    /// Answers attempt `go` of the process `to`.
+    /// Answers attempt `go` that the process `to` sent to the process `asked`; the one that lives at
+    /// its address now may say that it was not there.
     Carried {
         to: NodeId,
+        asked: NodeId,
         go: u64,
         clock: Time,
         done: Result<Done, Reject>,
--- a/tenet/tests/codec.rs
+++ b/tenet/tests/codec.rs
@@ -101,6 +101,7 @@
         },
         Msg::Carried {
             to: 4,
+            asked: 5,
             go: 1,
             clock: 2,
             done: Err(Kind::Unknown.into()),
