--- a/chance/tests/lives/node.rs
+++ b/chance/tests/lives/node.rs
@@ -120,10 +120,12 @@
         };
         let by = self.now + 3000;
         self.poll(FrontIn::Carry {
-            from: ASKER,
-            addr: address(77),
-            go,
-            to,
+            asker: Asker {
+                node: ASKER,
+                addr: address(77),
+                go,
+                asked: to,
+            },
             by,
             load,
         });
--- a/tenet/src/front.rs
+++ b/tenet/src/front.rs
@@ -164,21 +164,8 @@
             FrontIn::Wakeup => (),
             FrontIn::Table(t, until) => self.new_table(now, t, until, &mut out),
             FrontIn::Call { call, req } => self.call(now, call, req, &mut out),
-            FrontIn::Carry {
-                from,
-                addr,
-                go,
-                to,
-                by,
-                load,
-            } => {
-                self.peers.heard(from);
-                let asker = Asker {
-                    node: from,
-                    addr,
-                    go,
-                    asked: to,
-                };
+            FrontIn::Carry { asker, by, load } => {
+                self.peers.heard(asker.node);
                 self.carry(now, asker, by, load, &mut out)
             }
             FrontIn::Echo { from, addr, reply } => {
--- a/tenet/src/inbound.rs
+++ b/tenet/src/inbound.rs
@@ -1,5 +1,6 @@
 //! What reaches the traffic side of a node, and how packets of other nodes become such inputs.
 use crate::base::*;
+use crate::held::Asker;
 use crate::kind::Reject;
 use crate::query::BackRes;
 use crate::session::Req;
@@ -14,12 +15,9 @@
         call: u64,
         req: Req,
     },
-    /// Another node's attempt at a request, for the process `to`.
+    /// Another node's attempt at a request.
     Carry {
-        from: NodeId,
-        addr: Addr,
-        go: u64,
-        to: NodeId,
+        asker: Asker,
         by: Time,
         load: Load,
     },
@@ -55,10 +53,12 @@
         } = packet;
         Ok(match msg {
             Msg::Carry { go, to, by, load } => FrontIn::Carry {
-                from,
-                addr,
-                go,
-                to,
+                asker: Asker {
+                    node: from,
+                    addr,
+                    go,
+                    asked: to,
+                },
                 by,
                 load,
             },
