--- a/chance/tests/lives/node.rs
+++ b/chance/tests/lives/node.rs
@@ -100,7 +100,11 @@
     }
 
     pub fn carry(&mut self, go: u64, act: Act) {
-        let me = self.fleet.living[self.slot];
+        self.carry_to(self.front.me, go, act);
+    }
+
+    /// An attempt that is meant for the process `to`.
+    pub fn carry_to(&mut self, to: NodeId, go: u64, act: Act) {
         let load = Load {
             db: DATABASE.into(),
             writes: act == Act::Single,
@@ -116,10 +120,12 @@
         };
         let by = self.now + 3000;
         self.poll(FrontIn::Carry {
-            from: ASKER,
-            addr: address(77),
-            go,
-            to: me,
+            asker: Asker {
+                node: ASKER,
+                addr: address(77),
+                go,
+                asked: to,
+            },
             by,
             load,
         });
--- a/tenet/src/front.rs
+++ b/tenet/src/front.rs
@@ -164,21 +164,9 @@
             FrontIn::Wakeup => (),
             FrontIn::Table(t, until) => self.new_table(now, t, until, &mut out),
             FrontIn::Call { call, req } => self.call(now, call, req, &mut out),
-            FrontIn::Carry {
-                from,
-                addr,
-                go,
-                to,
-                by,
-                load,
-            } => {
-                self.peers.heard(from);
-                let asker = Asker {
-                    node: from,
-                    addr,
-                    go,
-                };
-                self.carry(now, asker, to, by, load, &mut out)
+            FrontIn::Carry { asker, by, load } => {
+                self.peers.heard(asker.node);
+                self.carry(now, asker, by, load, &mut out)
             }
             FrontIn::Echo { from, addr, reply } => {
                 self.peers.heard(from);
@@ -188,13 +176,14 @@
             FrontIn::Carried {
                 from,
                 to,
+                asked,
                 go,
                 clock,
                 done,
             } => {
                 self.peers.heard(from);
                 self.clocks.insert(from, (clock, now));
-                self.carried(now, from, to, go, done, &mut out)
+                self.carried(now, to, asked, go, done, &mut out)
             }
             FrontIn::Back { token, res } => match self.uses.remove(&token) {
                 Some(Use::Poll(s, at)) => self.poll_back(now, s, at, res),
--- a/tenet/src/inbound.rs
+++ b/tenet/src/inbound.rs
@@ -1,5 +1,6 @@
 //! What reaches the traffic side of a node, and how packets of other nodes become such inputs.
 use crate::base::*;
+use crate::held::Asker;
 use crate::kind::Reject;
 use crate::query::BackRes;
 use crate::session::Req;
@@ -14,19 +15,17 @@
         call: u64,
         req: Req,
     },
-    /// Another node's attempt at a request, for the process `to`.
+    /// Another node's attempt at a request.
     Carry {
-        from: NodeId,
-        addr: Addr,
-        go: u64,
-        to: NodeId,
+        asker: Asker,
         by: Time,
         load: Load,
     },
-    /// The answer to attempt `go` of the process `to`.
+    /// The answer to attempt `go` that the process `to` sent to the process `asked`.
     Carried {
         from: NodeId,
         to: NodeId,
+        asked: NodeId,
         go: u64,
         clock: Time,
         done: Result<Done, Reject>,
@@ -54,21 +53,25 @@
         } = packet;
         Ok(match msg {
             Msg::Carry { go, to, by, load } => FrontIn::Carry {
-                from,
-                addr,
-                go,
-                to,
+                asker: Asker {
+                    node: from,
+                    addr,
+                    go,
+                    asked: to,
+                },
                 by,
                 load,
             },
             Msg::Carried {
                 to,
+                asked,
                 go,
                 clock,
                 done,
             } => FrontIn::Carried {
                 from,
                 to,
+                asked,
                 go,
                 clock,
                 done,
