--- a/chance/src/lib.rs
+++ b/chance/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod planned;
 pub mod platter;
 pub mod record;
+pub mod repairs;
 pub mod runs;
 pub mod scripts;
 pub mod sim;
--- a/chance/src/losses.rs
+++ b/chance/src/losses.rs
@@ -1,15 +1,13 @@
 //! Days on which a second loss follows a repair or a replacement of a voting machine, at each
 //! moment of it.
 use crate::fault::Fault::{self, *};
-use crate::node::Node;
+use crate::repairs::*;
 use crate::scripts::Script;
 use crate::sim::*;
 use tenet::base::*;
 
 /// When the first machine is lost, or its successor is started.
 const FIRST_LOSS: Time = 12_000;
-/// From the loss of a machine to the start of its successor.
-const SUCCESSOR_AFTER: Time = 1000;
 /// How long after its start a successor still counts as lost.
 const CATCH_UP: Time = 4000;
 /// How long a machine that was lost stays away.
@@ -19,30 +17,6 @@
 const STEP: Time = 100;
 const END: Time = 50_000;
 
-/// What the first loss and its repair leave behind.
-struct Repair {
-    faults: Vec<(Time, Fault)>,
-    /// When the successor was started.
-    started: Time,
-    /// The machine that was lost, and the one that stands in for it.
-    lost: usize,
-    successor: usize,
-}
-
-/// A machine with a disk beside those that found the fleet, not started yet.
-fn spare(s: &mut Sim, like: usize) -> usize {
-    let i = s.nodes.len();
-    let old = &s.nodes[like];
-    let node = Node {
-        drift: old.drift,
-        copies: old.copies,
-        spare: true,
-        ..Node::new(i, node_addr(i), old.domain.clone(), true, old.sync_ms)
-    };
-    s.nodes.push(node);
-    i
-}
-
 /// Two more machines with a disk join before the day begins; two losses are then to be borne.
 fn five(s: &mut Sim, faults: &mut Vec<(Time, Fault)>) -> Vec<usize> {
     s.nodes.iter_mut().for_each(|n| n.copies = 3);
@@ -51,54 +25,6 @@
     vec![0, 1, 2, more[0], more[1]]
 }
 
-fn replaced(s: &mut Sim, lost: usize, at: Time) -> Repair {
-    let successor = spare(s, lost);
-    let started = at + SUCCESSOR_AFTER;
-    Repair {
-        faults: vec![(at, Remove(lost)), (started, Start(successor))],
-        started,
-        lost,
-        successor,
-    }
-}
-
-fn replaced_as_planned(s: &mut Sim, lost: usize, at: Time) -> Repair {
-    let successor = spare(s, lost);
-    Repair {
-        faults: vec![(at, Start(successor)), (at + SUCCESSOR_AFTER, Leave(lost))],
-        started: at,
-        lost,
-        successor,
-    }
-}
-
-fn wiped(lost: usize, at: Time) -> Repair {
-    let started = at + SUCCESSOR_AFTER;
-    Repair {
-        faults: vec![(at, Wipe(lost)), (started, Start(lost))],
-        started,
-        lost,
-        successor: lost,
-    }
-}
-
-fn repair(s: &mut Sim, voters: &[usize], at: Time) -> Repair {
-    let lost = voters[s.roll(voters.len() as u64) as usize];
-    match s.roll(3) {
-        0 => replaced(s, lost, at),
-        1 => replaced_as_planned(s, lost, at),
-        _ => wiped(lost, at),
-    }
-}
-
-impl Repair {
-    /// The voters after it.
-    fn voters(&self, before: &[usize]) -> Vec<usize> {
-        let stays = before.iter().copied().filter(|i| *i != self.lost);
-        stays.chain([self.successor]).collect()
-    }
-}
-
 fn draw(s: &mut Sim, v: &[usize]) -> usize {
     v[s.roll(v.len() as u64) as usize]
 }
