--- a/chance/src/lib.rs
+++ b/chance/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod race_check;
 pub mod races;
 pub mod record;
+pub mod repairs;
 pub mod runs;
 pub mod scripts;
 pub mod sim;
