--- a/chance/src/lib.rs
+++ b/chance/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod outside;
 pub mod pairs;
 pub mod patron;
+mod picks;
 pub mod planned;
 pub mod platter;
 pub mod race_check;
--- a/tenet/src/agreement.rs
+++ b/tenet/src/agreement.rs
@@ -241,11 +241,3 @@
         at.unwrap_or(0)
     }
 }
-
-/// The addresses of seats in their order.
-pub fn seats(v: &[Seat]) -> String {
-    v.iter()
-        .map(|s| s.addr.to_string())
-        .collect::<Vec<_>>()
-        .join(" > ")
-}
--- a/tenet/src/colleagues.rs
+++ b/tenet/src/colleagues.rs
@@ -207,27 +207,6 @@
         }
     }
 
-    fn probe_for(
-        &mut self,
-        now: Time,
-        to: Addr,
-        seq: u32,
-        target: Addr,
-        id: NodeId,
-        send: &mut Vec<(Addr, Msg)>,
-    ) {
-        self.seq += 1;
-        self.relay.push((self.seq, to, seq, id, now));
-        let news = self.news();
-        send.push((
-            target,
-            Msg::Probe {
-                seq: self.seq,
-                news,
-            },
-        ));
-    }
-
     pub fn heard(&mut self, id: NodeId, now: Time) {
         if let Some(c) = self.all.get_mut(&id) {
             c.heard = now;
--- a/tenet/src/found.rs
+++ b/tenet/src/found.rs
@@ -1,9 +1,10 @@
-use crate::agreement::{seats, Agreement};
+use crate::agreement::Agreement;
 use crate::base::*;
 use crate::chain::{Chain, Out};
 use crate::colleagues::Colleagues;
 use crate::disk::*;
 use crate::lease::TailLease;
+use crate::membership::seats;
 use crate::wire::Msg;
 
 impl Chain {
--- a/tenet/src/membership.rs
+++ b/tenet/src/membership.rs
@@ -192,3 +192,11 @@
         joiners
     }
 }
+
+/// The addresses of seats in their order.
+pub fn seats(v: &[Seat]) -> String {
+    v.iter()
+        .map(|s| s.addr.to_string())
+        .collect::<Vec<_>>()
+        .join(" > ")
+}
--- a/tenet/src/probe.rs
+++ b/tenet/src/probe.rs
@@ -3,6 +3,27 @@
 use crate::wire::{Msg, Summary};
 
 impl Colleagues {
+    pub(crate) fn probe_for(
+        &mut self,
+        now: Time,
+        to: Addr,
+        seq: u32,
+        target: Addr,
+        id: NodeId,
+        send: &mut Vec<(Addr, Msg)>,
+    ) {
+        self.seq += 1;
+        self.relay.push((self.seq, to, seq, id, now));
+        let news = self.news();
+        send.push((
+            target,
+            Msg::Probe {
+                seq: self.seq,
+                news,
+            },
+        ));
+    }
+
     fn probe(&mut self, now: Time, id: NodeId, addr: Addr, send: &mut Vec<(Addr, Msg)>) {
         self.seq += 1;
         let news = self.news();
