--- a/chance/src/lib.rs
+++ b/chance/src/lib.rs
@@ -2,6 +2,7 @@
 pub mod client;
 pub mod days;
 pub mod fault;
+pub mod model;
 pub mod node;
 pub mod outside;
 pub mod pairs;
--- /dev/null
+++ b/chance/src/model/mod.rs
@@ -0,0 +1,16 @@
+//! A bounded, exhaustive model of the agreement on views and of the tail's lease.
+//!
+//! Three real [`tenet::chain::Chain`] machines, each with a disk that keeps only what was synced, run
+//! on one clock that advances in coarse steps. One schedule is the default: messages arrive in the order
+//! in which they were sent, writes sync at once, nothing fails. [`explore`] tries every way to deviate
+//! from it up to a number of deviations: a message lost, late, overtaken or repeated, a sync that is
+//! late, a crash with unsynced writes kept or lost, a cut, a wrong suspicion. [`safety`] checks each
+//! state that is reached, and [`recovery`] that a connected majority serves again after faults end.
+
+pub mod actions;
+pub mod cluster;
+pub mod event;
+pub mod explore;
+pub mod recovery;
+pub mod safety;
+pub mod setup;
--- a/tenet/src/chain.rs
+++ b/tenet/src/chain.rs
@@ -17,18 +17,19 @@
     pub stories: Vec<(String, String)>,
 }
 
+#[derive(Clone)]
 pub struct Chain {
     pub me: Seat,
     pub d: Durable,
     pub log: VecDeque<Entry>,
     pub synced: Mark,
     pub(crate) next_seq: u64,
-    sync_q: VecDeque<(u64, Mark)>,
-    late_q: VecDeque<(u64, Vec<(Addr, Msg)>)>,
+    pub(crate) sync_q: VecDeque<(u64, Mark)>,
+    pub(crate) late_q: VecDeque<(u64, Vec<(Addr, Msg)>)>,
     pub(crate) succ_have: Mark,
     pub(crate) succ_at: Time,
     pub(crate) resend_at: Time,
-    frame_at: Time,
+    pub(crate) frame_at: Time,
     pub(crate) agree: Agreement,
     pub(crate) tail: TailPermit,
     pub(crate) pledges: BTreeMap<NodeId, Vec<Seat>>,
@@ -234,8 +235,7 @@
             Msg::Frame { view, state }
                 if view == n && self.pred().is_some_and(|p| p.id == from) =>
             {
-                let newer = !self.whole() || state.mark > self.d.state.mark;
-                if newer {
+                if !self.whole() || state.mark > self.d.state.mark {
                     self.log.clear();
                     self.keep(Rec::Frame { state, whole: n }, out);
                 } else {
--- /dev/null
+++ b/tenet/src/fingerprint.rs
@@ -0,0 +1,80 @@
+//! A digest of everything that decides what a chain member does next, for state-space searches.
+use crate::base::{digest, mix, Addr, Time};
+use crate::chain::Chain;
+use crate::wire::Msg;
+use speedy::Writable;
+
+/// Accumulates encoded parts into one digest that depends on their order.
+#[derive(Default)]
+pub struct Fingerprint(u64);
+
+impl Fingerprint {
+    /// Adds a value by its encoding.
+    pub fn add(&mut self, part: &impl Writable<speedy::LittleEndian>) {
+        let bytes = part.write_to_vec().unwrap_or_default();
+        self.0 = mix(self.0 ^ digest(&bytes));
+    }
+
+    /// The digest of what was added.
+    pub fn value(&self) -> u64 {
+        self.0
+    }
+}
+
+impl Chain {
+    /// Two members with the same fingerprint behave alike from then on.
+    ///
+    /// The struct is taken apart field by field, so that a new field cannot be forgotten here.
+    pub fn fingerprint(&self) -> u64 {
+        let Chain {
+            me,
+            d,
+            log,
+            synced,
+            next_seq,
+            sync_q,
+            late_q,
+            succ_have,
+            succ_at,
+            resend_at,
+            frame_at,
+            agree,
+            tail,
+            pledges,
+            tick_at,
+            born,
+            subs,
+            under_way,
+            found,
+            founders,
+            copies,
+        } = self;
+        let mut print = Fingerprint::default();
+        print.add(me);
+        print.add(d);
+        print.add(&log.iter().cloned().collect::<Vec<_>>());
+        print.add(&(*synced, *next_seq, *succ_have));
+        print.add(&sync_q.iter().copied().collect::<Vec<(u64, u64)>>());
+        for (seq, messages) in late_q {
+            print.add(seq);
+            add_messages(&mut print, messages);
+        }
+        print.add(&[*succ_at, *resend_at, *frame_at, *tick_at, *born]);
+        print.add(agree);
+        print.add(tail);
+        print.add(pledges);
+        print.add(subs);
+        print.add(&under_way.iter().map(large_answer).collect::<Vec<_>>());
+        print.add(&(*found, *copies as u64));
+        print.add(founders);
+        print.value()
+    }
+}
+
+fn large_answer((to, (mark, until)): (&Addr, &(u64, Time))) -> (Addr, u64, Time) {
+    (*to, *mark, *until)
+}
+
+fn add_messages(print: &mut Fingerprint, messages: &Vec<(Addr, Msg)>) {
+    print.add(messages);
+}
--- a/tenet/src/found.rs
+++ b/tenet/src/found.rs
@@ -6,6 +6,7 @@
 use crate::wire::Msg;
 use std::collections::BTreeMap;
 
+#[derive(Clone, speedy::Writable)]
 pub struct TailPermit {
     pub seq: u64,
     pub asks: BTreeMap<u64, Time>,
--- a/tenet/src/lib.rs
+++ b/tenet/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod entry;
 pub mod failover;
 pub mod fence;
+pub mod fingerprint;
 pub mod follow;
 pub mod found;
 pub mod fresh;
--- a/tenet/src/serve.rs
+++ b/tenet/src/serve.rs
@@ -62,6 +62,11 @@
         self.append(Entry { mark, ask }, out);
     }
 
+    /// Whether this process is the tail and holds the lease under which readers are answered.
+    pub fn serves_readers(&self, now: Time) -> bool {
+        self.is_tail() && self.tail.holds(now)
+    }
+
     pub(crate) fn advance(&mut self, now: Time, from: Mark, out: &mut Out) {
         if self.is_tail() && self.d.view.chain.len() >= self.copies {
             let v: Vec<Ask> = self
@@ -132,7 +137,7 @@
         out: &mut Out,
     ) {
         let view = self.d.view.clone();
-        if !self.is_tail() || !self.tail.holds(now) {
+        if !self.serves_readers(now) {
             if view.n > 0 {
                 out.send.push((addr, Msg::ViewIs { view }));
             }
--- a/tenet/src/view.rs
+++ b/tenet/src/view.rs
@@ -5,7 +5,7 @@
 use crate::wire::Msg;
 use std::collections::{BTreeMap, BTreeSet};
 
-#[derive(Default)]
+#[derive(Clone, Default, speedy::Writable)]
 pub struct Agreement {
     pub ballot: u64,
     pub promises: BTreeMap<NodeId, (Mark, u64, Option<View>)>,
