--- a/chance/src/model/event.rs
+++ b/chance/src/model/event.rs
@@ -84,6 +84,9 @@
         Msg::Have { view, mark } => format!("Have view {view} mark {mark}"),
         Msg::FrameAsk { view } => format!("FrameAsk view {view}"),
         Msg::Frame { view, state } => format!("Frame view {view} mark {}", state.mark),
+        Msg::Contact { hears, disk_ready } => {
+            format!("Contact hears {hears:?} disk ready {disk_ready}")
+        }
         Msg::Propose { ask } => format!("Propose {}", ask.id),
         _ => "other".into(),
     }
--- a/chance/tests/agreement.rs
+++ b/chance/tests/agreement.rs
@@ -6,8 +6,8 @@
 use chance::model::explore::{Recovery, Report, Search};
 use std::time::Instant;
 
-const PROPOSALS: &[u32] = &[5, 9];
-const WARM_UP: u32 = 4;
+const PROPOSALS: &[u32] = &[9, 14];
+const WARM_UP: u32 = 8;
 const THREADS: usize = 3;
 
 /// No faults; each test allows its own.
@@ -19,8 +19,8 @@
     suspicions: 0,
     late: &[1, 3],
     down: &[1, 4],
-    cut: &[4, 9],
-    last_step: 16,
+    cut: &[5, 11],
+    last_step: 22,
     last_view: 3,
 };
 
--- a/tenet/src/fingerprint.rs
+++ b/tenet/src/fingerprint.rs
@@ -40,6 +40,10 @@
             frame_at,
             agree,
             tail,
+            contacts,
+            disk_health,
+            disk_probe_at,
+            now,
             pledges,
             tick_at,
             born,
@@ -62,6 +66,9 @@
         print.add(&[*succ_at, *resend_at, *frame_at, *tick_at, *born]);
         print.add(agree);
         print.add(tail);
+        print.add(contacts);
+        print.add(&disk_health.waiting());
+        print.add(&[*disk_probe_at, *now]);
         print.add(pledges);
         print.add(subs);
         print.add(&under_way.iter().map(large_answer).collect::<Vec<_>>());
