--- a/chance/src/model/event.rs
+++ b/chance/src/model/event.rs
@@ -22,6 +22,20 @@
     pub print: u64,
 }
 
+impl Event {
+    /// A message that makes its receiver write nothing, and that is sent again within a step or two.
+    pub fn heartbeat(&self) -> bool {
+        match self {
+            Event::Deliver { message, .. } => match message {
+                Msg::Append { entries, .. } => entries.is_empty(),
+                Msg::Contact { .. } | Msg::Have { .. } | Msg::ViewAsk => true,
+                _ => false,
+            },
+            Event::Sync { .. } => false,
+        }
+    }
+}
+
 impl Queued {
     /// Computes the digest once, since events are shared by many states.
     pub fn new(event: Event) -> Self {
--- a/chance/src/model/mod.rs
+++ b/chance/src/model/mod.rs
@@ -11,6 +11,23 @@
 pub mod cluster;
 pub mod event;
 pub mod explore;
+pub mod limits;
+pub mod machine;
 pub mod recovery;
+pub mod report;
 pub mod safety;
 pub mod setup;
+
+use cluster::Cluster;
+
+const WARM_UP_STEPS: u32 = 8;
+const PROPOSALS: &[u32] = &[9, 14];
+
+/// A cluster whose tail holds the lease, and whose client will propose two changes.
+pub fn serving() -> Cluster {
+    let mut root = Cluster::new(PROPOSALS);
+    while root.step < WARM_UP_STEPS || !root.queue.is_empty() {
+        root.next();
+    }
+    root
+}
--- a/chance/src/model/recovery.rs
+++ b/chance/src/model/recovery.rs
@@ -1,9 +1,10 @@
 //! Liveness: after faults end, a connected majority serves again and confirms a new change.
 
 use super::cluster::Cluster;
-use super::setup::{MACHINES, STEP};
+use super::setup::MACHINES;
 use std::sync::Arc;
 use tenet::base::Time;
+use tenet::disk::{Durable, Seat};
 
 /// How the cluster is after faults end.
 #[derive(Clone, Copy, Debug)]
@@ -33,10 +34,49 @@
             }
         }
         Err(format!(
-            "no tail serves and confirms within {within} ms after faults ended ({rest:?})"
+            "no tail serves and confirms within {within} ms after faults ended ({rest:?}): {}",
+            cluster.describe()
         ))
     }
 
+    /// Whether the loss of `lost` leaves a member that is in sync with the newest view, and with the one
+    /// that may be chosen next. Where it does not, two losses overlapped: the only copy that was in
+    /// sync is gone, and nobody may serve.
+    pub fn keeps_a_copy(&self, rest: Rest) -> bool {
+        let lost = match rest {
+            Rest::All => None,
+            Rest::Without(machine) => Some(machine),
+        };
+        let newest = self.machines.iter().map(|m| m.disk.view.n).max();
+        let may_be_chosen = |durable: &Durable| {
+            let pending = self.machines.iter().filter_map(|m| m.disk.value.as_ref());
+            let next = pending.filter(|view| Some(view.n) > newest);
+            next.into_iter().all(|view| seated(&view.chain, durable))
+        };
+        self.machines.iter().enumerate().any(|(index, machine)| {
+            let durable = &machine.disk;
+            Some(index) != lost
+                && Some(durable.view.n) == newest
+                && durable.whole == durable.view.n
+                && seated(&durable.view.chain, durable)
+                && may_be_chosen(durable)
+        })
+    }
+
+    /// Each machine's view, place and votes, in short.
+    fn describe(&self) -> String {
+        let mut text = format!("at {} ms", self.now());
+        for (index, chain) in self.running() {
+            let durable = &chain.d;
+            let members: Vec<u64> = durable.view.chain.iter().map(|seat| seat.id).collect();
+            text += &format!(
+                "; {index}: view {} chain {members:?} in sync with {} mark {} promised {} accepted {}",
+                durable.view.n, durable.whole, durable.state.mark, durable.promised, durable.accepted
+            );
+        }
+        text
+    }
+
     fn end_faults(&mut self, rest: Rest) {
         self.cut.until = 0;
         self.wrongly = Default::default();
@@ -67,13 +107,12 @@
     }
 }
 
+fn seated(chain: &[Seat], durable: &Durable) -> bool {
+    chain.iter().any(|seat| seat.id == durable.id)
+}
+
 /// The rest that each machine's loss leaves, and that of none.
 pub fn rests() -> Vec<Rest> {
     let without = (0..MACHINES).map(Rest::Without);
     std::iter::once(Rest::All).chain(without).collect()
 }
-
-/// Time as whole steps of the model.
-pub fn steps(count: u32) -> Time {
-    STEP * Time::from(count)
-}
--- a/chance/src/model/safety.rs
+++ b/chance/src/model/safety.rs
@@ -54,19 +54,19 @@
     }
 
     fn one_value_for_each_view(&mut self) -> Result<(), String> {
-        let adopted = self.running().map(|(_, chain)| chain.d.view.clone());
-        let mut settled: Vec<View> = adopted.collect();
-        settled.extend(self.machines.iter().map(|m| m.disk.view.clone()));
-        settled.extend(self.accepted_by_majority());
         let known = |view: &View| self.history.views.get(&view.n) == Some(view);
-        if settled.iter().all(known) {
+        let in_memory = self.running().map(|(_, chain)| &chain.d.view);
+        let on_disk = self.machines.iter().map(|machine| &machine.disk.view);
+        let all = in_memory.chain(on_disk).chain(self.accepted_by_majority());
+        let settled: Vec<View> = all.filter(|view| !known(view)).cloned().collect();
+        if settled.is_empty() {
             return Ok(());
         }
         let history = std::sync::Arc::make_mut(&mut self.history);
         settled.iter().try_for_each(|view| history.settle(view))
     }
 
-    fn accepted_by_majority(&self) -> Option<View> {
+    fn accepted_by_majority(&self) -> Option<&View> {
         let disks = || self.machines.iter().map(|machine| &machine.disk);
         let same = |one: &Durable, other: &Durable| {
             one.view.n == other.view.n && one.accepted == other.accepted
@@ -75,7 +75,7 @@
             let votes = disks().filter(|other| same(disk, other)).count();
             votes > MACHINES / 2
         })?;
-        chosen.value.clone()
+        chosen.value.as_ref()
     }
 
     fn one_change_at_each_mark(&self) -> Result<(), String> {
--- /dev/null
+++ b/chance/tests/agreement_plants.rs
@@ -0,0 +1,55 @@
+#![cfg(plant)]
+//! Each planted bug of the agreement is found by a search.
+
+use chance::model::explore::Search;
+use chance::model::limits::Limits;
+use chance::model::serving;
+use tenet::plant::{plant, Bug};
+
+/// The search must end with a violation that tells of `property`.
+fn found(bug: Bug, limits: Limits, property: &str) {
+    let root = serving();
+    plant(bug);
+    let result = Search::new(root, limits, None).run(1);
+    plant(Bug::None);
+    match result {
+        Ok(report) => panic!("{bug:?} was not found: {report:?}"),
+        Err(violation) => {
+            let told = violation.property.contains(property);
+            assert!(told, "{bug:?} was found as another fault: {violation}");
+        }
+    }
+}
+
+#[test]
+fn a_voter_that_accepts_while_the_lease_that_it_granted_runs_is_found() {
+    let limits = Limits {
+        deviations: 1,
+        cuts: 1,
+        ..Limits::NONE
+    };
+    found(Bug::AcceptsDuringLease, limits, "lease");
+}
+
+#[test]
+fn a_voter_that_forgets_its_votes_when_it_restarts_is_found() {
+    let limits = Limits {
+        deviations: 3,
+        crashes: 1,
+        cuts: 1,
+        messages: 1,
+        ..Limits::NONE
+    };
+    found(Bug::ForgetsVotes, limits, "two values for view");
+}
+
+#[test]
+fn a_joiner_that_is_taken_for_a_member_in_sync_is_found() {
+    let limits = Limits {
+        deviations: 2,
+        cuts: 1,
+        crashes: 1,
+        ..Limits::NONE
+    };
+    found(Bug::JoinerInSync, limits, "lacks change");
+}
--- a/tenet/src/agreement.rs
+++ b/tenet/src/agreement.rs
@@ -9,6 +9,7 @@
 use crate::colleagues::Colleagues;
 use crate::disk::*;
 use crate::membership::{majority, Cause};
+use crate::plant::{planted, Bug};
 use crate::wire::Msg;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -316,7 +317,7 @@
         self.agree.touched = now;
         self.agree.accepting_until = now + ACCEPT_WAIT;
         self.give_tail(c, out);
-        if now < self.tail.granted {
+        if now < self.tail.granted && !planted(Bug::AcceptsDuringLease) {
             return;
         }
         if ballot != self.d.accepted {
--- a/tenet/src/chain.rs
+++ b/tenet/src/chain.rs
@@ -51,6 +51,7 @@
 
 impl Chain {
     pub fn new(me: Seat, d: Durable, now: Time) -> Self {
+        let d = d.recovered();
         let synced = d.state.mark;
         Chain {
             me,
--- a/tenet/src/disk.rs
+++ b/tenet/src/disk.rs
@@ -50,6 +50,14 @@
 }
 
 impl Durable {
+    /// What a process starts with.
+    pub(crate) fn recovered(mut self) -> Self {
+        if planted(Bug::ForgetsVotes) {
+            (self.promised, self.accepted, self.value) = (0, 0, None);
+        }
+        self
+    }
+
     pub fn play(&mut self, r: &Rec) -> Option<Verdict> {
         match r {
             Rec::Born(id) => self.id = *id,
--- a/tenet/src/found.rs
+++ b/tenet/src/found.rs
@@ -4,6 +4,7 @@
 use crate::colleagues::Colleagues;
 use crate::disk::*;
 use crate::lease::TailLease;
+use crate::plant::{planted, Bug};
 use crate::wire::Msg;
 
 impl Chain {
@@ -93,7 +94,8 @@
                 .all(|s| seat(&old.chain, s.id).is_some_and(|p| Some(p) < mine))
         });
         let founding = view.n == 1 && self.d.pledge == view.chain;
-        let whole = match inside && (founding || (was && kept && view.n == old.n + 1)) {
+        let stays = was && kept && view.n == old.n + 1;
+        let whole = match inside && (founding || stays || planted(Bug::JoinerInSync)) {
             true => view.n,
             false => 0,
         };
--- a/tenet/src/plant.rs
+++ b/tenet/src/plant.rs
@@ -18,6 +18,9 @@
     RuleIgnored,
     BoundIgnored,
     LostSentAgain,
+    AcceptsDuringLease,
+    ForgetsVotes,
+    JoinerInSync,
 }
 
 #[cfg(plant)]
