--- a/chance/src/model/cluster.rs
+++ b/chance/src/model/cluster.rs
@@ -150,7 +150,8 @@
             .collect();
         for index in heads {
             let id = u64::from(self.step) * 10 + index as u64;
-            let message = Msg::Propose { ask: proposal(id) };
+            let ask = proposal(id);
+            let message = Box::new(Msg::Propose { ask });
             self.poll(
                 index,
                 Input::Message {
@@ -229,13 +230,14 @@
     fn send(&mut self, from: usize, view: u64, addr: Addr, message: Msg) {
         match (index_of(addr), message) {
             (Some(to), message) if !self.cut.links[from][to] => {
+                let message = Box::new(message);
                 let queued = Queued::new(Event::Deliver { from, to, message });
                 self.queue.push_back(Arc::new(queued));
             }
-            (None, Msg::Outcome { id, verdict }) if addr == client() => {
-                if verdict.reject.is_none() && verdict.mark > 0 {
-                    Arc::make_mut(&mut self.history).confirm(verdict.mark, id, view);
-                }
+            (None, Msg::Outcome { id, verdict })
+                if addr == client() && verdict.reject.is_none() && verdict.mark > 0 =>
+            {
+                Arc::make_mut(&mut self.history).confirm(verdict.mark, id, view);
             }
             _ => (),
         }
--- a/chance/src/model/event.rs
+++ b/chance/src/model/event.rs
@@ -10,7 +10,7 @@
     Deliver {
         from: usize,
         to: usize,
-        message: Msg,
+        message: Box<Msg>,
     },
     /// All batches of writes up to `batch` are on the disk.
     Sync { machine: usize, batch: u64 },
@@ -26,7 +26,7 @@
     /// A message that makes its receiver write nothing, and that is sent again within a step or two.
     pub fn heartbeat(&self) -> bool {
         match self {
-            Event::Deliver { message, .. } => match message {
+            Event::Deliver { message, .. } => match message.as_ref() {
                 Msg::Append { entries, .. } => entries.is_empty(),
                 Msg::Contact { .. } | Msg::Have { .. } | Msg::ViewAsk => true,
                 _ => false,
@@ -43,7 +43,7 @@
         match &event {
             Event::Deliver { from, to, message } => {
                 print.add(&(*from as u64, *to as u64));
-                print.add(message);
+                print.add(message.as_ref());
             }
             Event::Sync { machine, batch } => print.add(&(*machine as u64 + 100, *batch)),
         }
--- a/chance/src/model/machine.rs
+++ b/chance/src/model/machine.rs
@@ -13,7 +13,7 @@
 /// What a machine is given at one poll.
 pub enum Input {
     Tick,
-    Message { from: usize, message: Msg },
+    Message { from: usize, message: Box<Msg> },
     Synced(u64),
 }
 
@@ -85,7 +85,7 @@
         Input::Tick => (),
         Input::Message { from, message } => {
             let sender = seat(from);
-            chain.take(now, sender.id, sender.addr, message, known, &mut out);
+            chain.take(now, sender.id, sender.addr, *message, known, &mut out);
         }
         Input::Synced(batch) => chain.synced(now, batch, &mut out),
     }
@@ -102,7 +102,10 @@
             true => run(
                 chain,
                 now,
-                Input::Message { from: me, message },
+                Input::Message {
+                    from: me,
+                    message: Box::new(message),
+                },
                 known,
                 effects,
             ),
