--- a/chance/src/model/setup.rs
+++ b/chance/src/model/setup.rs
@@ -67,6 +67,7 @@
     };
     Ask {
         id,
+        question: id,
         from: client(),
         at: 0,
         op,
--- a/chance/src/wires.rs
+++ b/chance/src/wires.rs
@@ -53,8 +53,13 @@
                 .iter()
                 .any(|(s, w)| e == End::Server(*s) && (*w == 0 || *w == way))
         };
+        let link = match (a, b) {
+            (End::Node(i), End::Node(j)) => self.lost_links.contains(&(i, j)),
+            _ => false,
+        };
         gone(a)
             || gone(b)
+            || link
             || cut(b, 1)
             || cut(a, 2)
             || self.cut(self.domain_of(a), self.domain_of(b))
@@ -205,39 +210,9 @@
         };
         let life = self.nodes[j].life;
         let stream = by_line(&p, size);
-        let make = |p: Packet| match p.msg {
-            Msg::Carry { go, to, by, load } => Ev::Front(
-                j,
-                life,
-                FrontIn::Carry {
-                    from: p.from,
-                    addr: p.addr,
-                    go,
-                    to,
-                    by,
-                    load,
-                },
-            ),
-            Msg::Echo { reply } => Ev::Front(
-                j,
-                life,
-                FrontIn::Echo {
-                    from: p.from,
-                    addr: p.addr,
-                    reply,
-                },
-            ),
-            Msg::Carried { go, clock, done } => Ev::Front(
-                j,
-                life,
-                FrontIn::Carried {
-                    from: p.from,
-                    go,
-                    clock,
-                    done,
-                },
-            ),
-            _ => Ev::Control(j, life, In::Packet(p)),
+        let make = |p: Packet| match FrontIn::from_packet(p) {
+            Ok(input) => Ev::Front(j, life, input),
+            Err(p) => Ev::Control(j, life, In::Packet(*p)),
         };
         if stream {
             return self.line(i, j, make(p));
--- a/medium/src/dialect.rs
+++ b/medium/src/dialect.rs
@@ -22,6 +22,7 @@
     json!({"conn": conn, "user": s.user, "settings": pairs(&s.settings), "prepared": pairs(&s.prepared)})
 }
 
+/// The path and body that carry a query.
 pub fn ask(q: &Query) -> (&'static str, Value) {
     match q {
         Query::Connect { user, .. } => ("/connect", json!({ "user": user })),
@@ -45,25 +46,30 @@
     }
 }
 
-fn refusal(code: u16) -> Refusal {
-    match code {
+/// A refusal promises that nothing was kept; none for a status that promises nothing.
+fn refusal(code: u16) -> Option<Refusal> {
+    Some(match code {
         403 => Refusal::NotLeading,
         409 => Refusal::OtherBody,
         410 => Refusal::ConnClosed,
         422 => Refusal::Failed,
-        429 => Refusal::Busy,
-        _ => Refusal::Other,
-    }
+        429 | 503 => Refusal::Busy,
+        400..=499 => Refusal::Other,
+        _ => return None,
+    })
 }
 
 fn result(v: &Value) -> String {
     v.get("result").map_or("null".into(), |r| r.to_string())
 }
 
+/// What a server gave, from the response to the query at `path`.
 pub fn got(path: &str, r: HttpRes) -> BackRes {
     let v = match r {
         HttpRes::Ok(v) => v,
-        HttpRes::Rejected(c, w) => return BackRes::Rejected(refusal(c), w),
+        HttpRes::Rejected(c, w) => {
+            return refusal(c).map_or(BackRes::Lost, |r| BackRes::Rejected(r, w))
+        }
         HttpRes::NotSent => return BackRes::NotSent,
         HttpRes::Lost => return BackRes::Lost,
     };
@@ -94,6 +100,7 @@
     })
 }
 
+/// The body that tells a caller an answer.
 pub fn told(a: Answer) -> Value {
     match a {
         Answer::Opened {
--- a/tenet/src/control.rs
+++ b/tenet/src/control.rs
@@ -30,6 +30,7 @@
     pub(crate) chain: Option<Chain>,
     pub(crate) f: Follow,
     pub(crate) watch: Watch,
+    /// Questions to the chain that wait for their outcome, by number.
     pub(crate) pending: BTreeMap<u64, Pending>,
     pub(crate) ids: Ids,
     pub(crate) why: Reasons,
@@ -74,8 +75,9 @@
             c: Colleagues::new(sum, s.seeds, s.wire),
             chain: s
                 .disk
-                .then(|| Chain::new(me, d, now).with(s.found, s.founders, s.copies)),
-            f: Follow::new(view),
+                .then(|| Chain::new(me, d, now).with(s.found, s.founders, s.copies))
+                .map(|c| c.asking_from(first_ask(s.wall, s.seed))),
+            f: Follow::new(view, mix(s.seed ^ 3) >> 1),
             watch: Watch::default(),
             pending: BTreeMap::new(),
             ids: Ids::new(s.seed),
@@ -169,8 +171,8 @@
         }
         self.c.take(now, from, addr, &msg, &mut out.send);
         match msg {
-            Msg::Outcome { id, verdict } => {
-                if let Some(p) = self.pending.remove(&id).filter(|p| p.call != 0) {
+            Msg::Outcome { question, verdict } => {
+                if let Some(p) = self.pending.remove(&question).filter(|p| p.call != 0) {
                     e.response.push((p.call, Reply::Verdict(verdict)));
                 }
             }
@@ -214,12 +216,6 @@
         }
     }
 
-    fn hand_to_chain(&mut self, now: Time, from: NodeId, addr: Addr, m: Msg, out: &mut Out) {
-        if let Some(c) = self.chain.as_mut() {
-            c.take(now, from, addr, m, &self.c, out);
-        }
-    }
-
     fn finish(&mut self, now: Time, mut out: Out, e: &mut Effect) {
         let mut wake = self.c.tick(now, &mut out.send);
         if let Some(c) = self.chain.as_mut() {
--- a/tenet/src/job.rs
+++ b/tenet/src/job.rs
@@ -2,8 +2,7 @@
 use crate::front::*;
 use crate::kind::{Kind, Reject};
 use crate::plant::{planted, Bug};
-use crate::pool::{Conn, Take};
-use crate::session::setup_digest;
+use crate::pool::Conn;
 use crate::wire::*;
 
 fn margin() -> Time {
@@ -17,7 +16,7 @@
 #[derive(Clone, Copy, PartialEq)]
 pub enum Owner {
     Trip(usize, u64),
-    Carry(Addr, u64),
+    Carry(Asker),
 }
 
 #[derive(Clone, Copy, PartialEq, Debug)]
@@ -50,6 +49,8 @@
     pub tries: u32,
     pub lost: u64,
     pub life: u64,
+    /// The life of the server that the job's connection is being opened to.
+    pub opens_to: u64,
     pub sent: Time,
     pub begun: bool,
 }
@@ -73,6 +74,7 @@
             tries: 0,
             lost: 0,
             life: 0,
+            opens_to: 0,
             sent: now,
             begun: false,
         }
@@ -98,85 +100,6 @@
         self.job_take(now, j, out)
     }
 
-    pub(crate) fn job_take(&mut self, now: Time, j: usize, out: &mut FrontOut) {
-        let rules = self.rules();
-        let silent = !self.known[self.jobs[j].server].reach
-            && matches!(self.jobs[j].owner, Owner::Carry(..));
-        if silent {
-            let held = self
-                .jobs
-                .iter()
-                .filter(|(_, x)| x.step == Step::Held)
-                .count();
-            if held >= rules.queue as usize {
-                return self.job_end(
-                    now,
-                    j,
-                    Err(Reject::new(
-                        Kind::Busy,
-                        "too many wait for a silent primary",
-                    )),
-                    out,
-                );
-            }
-            return self.jobs[j].step = Step::Held;
-        }
-        let job = &mut self.jobs[j];
-        let setup = setup_digest(&job.load.setup);
-        let (s, user) = (job.server, job.load.session);
-        let keeps = self
-            .t
-            .as_ref()
-            .is_none_or(|t| t.dbs[job.db].can.keeps_state);
-        match self.pools[s].take(now, user, setup, &rules) {
-            Take::Conn(c) => {
-                let same = (c.user == user || !keeps) && c.setup == setup || planted(Bug::NoReset);
-                job.conn = Some(Conn {
-                    id: c.id,
-                    user,
-                    setup,
-                    idle: now,
-                });
-                match same {
-                    true => self.job_run(now, j, out),
-                    false => self.reset_now(now, j, None, out),
-                }
-            }
-            Take::Open => {
-                let user = job.load.setup.user.clone();
-                let server = self
-                    .t
-                    .as_ref()
-                    .map_or(String::new(), |t| t.servers[s].name.clone());
-                let service = self.jobs[j].load.db.clone();
-                self.job_call(
-                    now,
-                    j,
-                    Step::Open,
-                    Query::Connect {
-                        service,
-                        server,
-                        user,
-                    },
-                    out,
-                );
-            }
-            Take::Wait => {
-                self.jobs[j].step = Step::Queue;
-                self.pools[s].queue.push_back(j);
-            }
-            Take::Full => self.job_end(
-                now,
-                j,
-                Err(Reject::new(
-                    Kind::Busy,
-                    "all connections of this server are taken",
-                )),
-                out,
-            ),
-        }
-    }
-
     pub(crate) fn job_call(
         &mut self,
         now: Time,
@@ -218,18 +141,6 @@
         });
     }
 
-    pub(crate) fn reset_now(
-        &mut self,
-        now: Time,
-        j: usize,
-        from: Option<SetUp>,
-        out: &mut FrontOut,
-    ) {
-        let setup = self.jobs[j].load.setup.clone();
-        let conn = self.jobs[j].conn.as_ref().map_or(0, |c| c.id);
-        self.job_call(now, j, Step::Reset, Query::Reset { conn, from, setup }, out);
-    }
-
     pub(crate) fn job_run(&mut self, now: Time, j: usize, out: &mut FrontOut) {
         let job = &self.jobs[j];
         let fenced = matches!(job.owner, Owner::Carry(..));
@@ -259,6 +170,10 @@
                 out,
             );
         }
+        if self.conn_is_old(j) {
+            return self.job_on_old_conn(now, j, out);
+        }
+        let job = &self.jobs[j];
         if fenced && job.load.act != Act::Pos {
             let t = format!("fencing {:x} sends it to the primary", self.me);
             let id = job.load.id.clone();
@@ -312,36 +227,6 @@
         self.job_call(now, j, step, Query::Outcome { id }, out);
     }
 
-    pub(crate) fn job_put(&mut self, now: Time, j: usize, out: &mut FrontOut) {
-        let s = self.jobs[j].server;
-        if let Some(c) = self.jobs[j].conn.take() {
-            self.pools[s].put(Conn { idle: now, ..c });
-        }
-        self.pump(now, s, out);
-    }
-
-    pub(crate) fn pump(&mut self, now: Time, s: usize, out: &mut FrontOut) {
-        let rules = self.rules();
-        while self.pools[s].used() < self.pools[s].limit(now, &rules) {
-            let Some(j) = self.pools[s].queue.pop_front() else {
-                return;
-            };
-            let waits = self
-                .jobs
-                .get(j)
-                .is_some_and(|x| x.step == Step::Queue && x.server == s);
-            if waits {
-                let was = self.pools[s].used();
-                self.job_take(now, j, out);
-                if self.pools[s].used() == was
-                    && self.jobs.get(j).is_some_and(|x| x.step == Step::Queue)
-                {
-                    return;
-                }
-            }
-        }
-    }
-
     pub(crate) fn job_end(
         &mut self,
         now: Time,
@@ -359,8 +244,12 @@
             let k = match job.load.act {
                 _ if job.load.writes || job.load.act.commits() => Kind::Unknown,
                 Act::First => Kind::Aborted,
+                Act::Step if !planted(Bug::StepSentAgain) => Kind::Aborted,
                 _ => Kind::NotCurrent,
             };
+            if k == Kind::Aborted {
+                self.txn_drop(now, job.load.txn, out);
+            }
             r = Err(Reject::new(
                 k,
                 "the permit ended before success could be told",
@@ -381,7 +270,7 @@
             server,
         });
         match job.owner {
-            Owner::Carry(addr, go) => {
+            Owner::Carry(asker) => {
                 if let Err(e) = &done {
                     self.traces.tell(
                         now,
@@ -389,14 +278,7 @@
                         format!("fencing {:x} rejects it: {e}", self.me),
                     );
                 }
-                out.send.push((
-                    addr,
-                    Msg::Carried {
-                        go,
-                        clock: now,
-                        done,
-                    },
-                ));
+                out.send.push(asker.reply(now, done));
             }
             Owner::Trip(i, g) if self.trips.get(i).is_some_and(|t| t.go_id == g) => {
                 let n = self.trips[i].gos.len();
--- a/tenet/src/plant.rs
+++ b/tenet/src/plant.rs
@@ -21,6 +21,9 @@
     AcceptsDuringLease,
     ForgetsVotes,
     JoinerInSync,
+    IncarnationIgnored,
+    ResetSentAgain,
+    StepSentAgain,
 }
 
 #[cfg(plant)]
