--- a/chance/src/model/machine.rs
+++ b/chance/src/model/machine.rs
@@ -38,7 +38,9 @@
 
 impl Machine {
     pub fn start(disk: Durable, index: usize, now: Time) -> Self {
-        let chain = Chain::new(seat(index), disk.clone(), now).with(true, Vec::new(), COPIES);
+        let chain = Chain::new(seat(index), disk.clone(), now)
+            .with(true, Vec::new(), COPIES)
+            .started_at(now);
         let mut machine = Machine {
             chain: Some(chain),
             disk,
--- a/chance/tests/agreement_plants.rs
+++ b/chance/tests/agreement_plants.rs
@@ -1,6 +1,8 @@
 #![cfg(plant)]
 //! Each planted bug of the agreement is found by a search.
 
+use chance::model::actions::Action;
+use chance::model::cluster::Cluster;
 use chance::model::explore::Search;
 use chance::model::limits::Limits;
 use chance::model::serving;
@@ -8,7 +10,10 @@
 
 /// The search must end with a violation that tells of `property`.
 fn found(bug: Bug, limits: Limits, property: &str) {
-    let root = serving();
+    found_from(serving(), bug, limits, property);
+}
+
+fn found_from(root: Cluster, bug: Bug, limits: Limits, property: &str) {
     plant(bug);
     let result = Search::new(root, limits, None).run(1);
     plant(Bug::None);
@@ -34,14 +39,22 @@
 
 #[test]
 fn a_voter_that_forgets_its_votes_when_it_restarts_is_found() {
+    let mut root = serving();
+    root.deviate(Action::Unlink {
+        from: 0,
+        to: 1,
+        both_ways: true,
+        steps: 12,
+    });
     let limits = Limits {
         deviations: 3,
         crashes: 1,
-        cuts: 1,
-        messages: 1,
+        cuts: 2,
+        calm_from: 18,
+        last_step: 30,
         ..Limits::NONE
     };
-    found(Bug::ForgetsVotes, limits, "two values for view");
+    found_from(root, Bug::ForgetsVotes, limits, "two values for view");
 }
 
 #[test]
--- a/tenet/src/control.rs
+++ b/tenet/src/control.rs
@@ -75,7 +75,11 @@
             c: Colleagues::new(sum, s.seeds, s.wire),
             chain: s
                 .disk
-                .then(|| Chain::new(me, d, now).with(s.found, s.founders, s.copies))
+                .then(|| {
+                    Chain::new(me, d, now)
+                        .with(s.found, s.founders, s.copies)
+                        .started_at(s.wall)
+                })
                 .map(|c| c.asking_from(first_ask(s.wall, s.seed))),
             f: Follow::new(view, mix(s.seed ^ 3) >> 1),
             watch: Watch::default(),
--- a/tenet/src/found.rs
+++ b/tenet/src/found.rs
@@ -121,6 +121,7 @@
         };
         self.tail = TailLease {
             granted: self.tail.granted,
+            seq: self.tail.seq,
             ..TailLease::new(now)
         };
         self.adopted(now);
--- a/tenet/src/lease.rs
+++ b/tenet/src/lease.rs
@@ -8,6 +8,9 @@
 use crate::wire::Msg;
 use std::collections::BTreeMap;
 
+/// How many bits of a request's number count the requests of one life.
+const REQUEST_BITS: u32 = 16;
+
 /// Both sides of the lease: what this machine holds as a tail, and what it granted as a voter.
 #[derive(Clone, speedy::Writable)]
 pub struct TailLease {
@@ -49,6 +52,13 @@
 }
 
 impl Chain {
+    /// Numbers the requests of this process above those of its earlier lives, by the time of day at its
+    /// start, so that a late grant to an earlier life counts for nothing.
+    pub fn started_at(mut self, wall: u64) -> Self {
+        self.tail.seq = wall << REQUEST_BITS;
+        self
+    }
+
     /// Asks the voters for the next lease, when that is due.
     pub(crate) fn ask_for_lease(&mut self, now: Time, c: &Colleagues, out: &mut Out) {
         if !self.is_tail() || now < self.tail.next {
