--- a/chance/src/main.rs
+++ b/chance/src/main.rs
@@ -2,6 +2,7 @@
 use chance::cuts::CUTS;
 use chance::days::{day, run_day, TERMED};
 use chance::fault::Plant;
+use chance::races::DAYS;
 use chance::runs::run_with;
 use chance::scripts::{find, ALL};
 use guise::termed::Flaw;
@@ -66,6 +67,7 @@
             ALL.iter()
                 .chain(CUTS)
                 .chain(TERMED)
+                .chain(DAYS)
                 .map(|s| s.name)
                 .collect::<Vec<_>>()
                 .join(", ")
@@ -85,6 +87,7 @@
         .flat_map(|s| places.iter().map(move |p| (s, *p)));
     let days = TERMED
         .iter()
+        .chain(DAYS)
         .filter(wanted)
         .filter(|_| termed)
         .map(|s| (s, "termed"));
--- a/chance/src/model/event.rs
+++ b/chance/src/model/event.rs
@@ -96,8 +96,13 @@
             entries,
         } => format!("Append view {view} after {prev}, {} entries", entries.len()),
         Msg::Have { view, mark } => format!("Have view {view} mark {mark}"),
-        Msg::FrameAsk { view } => format!("FrameAsk view {view}"),
-        Msg::Frame { view, state } => format!("Frame view {view} mark {}", state.mark),
+        Msg::SnapshotAsk { view, offset, .. } => format!("SnapshotAsk view {view} at {offset}"),
+        Msg::SnapshotOffer { view, id, .. } => {
+            format!("SnapshotOffer view {view} mark {}", id.index)
+        }
+        Msg::SnapshotPart { view, part, .. } => {
+            format!("SnapshotPart view {view} at {}", part.offset)
+        }
         Msg::Contact { hears, disk_ready } => {
             format!("Contact hears {hears:?} disk ready {disk_ready}")
         }
--- a/chance/tests/answers/fleet.rs
+++ b/chance/tests/answers/fleet.rs
@@ -87,7 +87,7 @@
             at: 0,
             op,
         };
-        let verdict = self.state.apply(&Entry { mark, ask });
+        let verdict = self.state.apply(&Entry::unstamped(mark, ask));
         assert_eq!(verdict.reject, None);
     }
 
--- a/tenet/src/bounds.rs
+++ b/tenet/src/bounds.rs
@@ -5,6 +5,28 @@
 pub const REFRESH: Time = 250;
 pub const REFRESH_LATE: Time = 400;
 pub const REFRESH_DOUBT: Time = 600;
+/// Most entries of the replicated log that are kept in memory for those that are behind.
+pub const LOG_KEPT_ENTRIES: usize = 4096;
+/// Most bytes of them: ten seconds of a storm of 50 changes a second of 1 KB each. Who is further behind
+/// takes a snapshot, which then costs about as much as the entries would.
+pub const LOG_KEPT_BYTES: usize = 512 << 10;
+/// Bytes in the log on disk after which the state is written anew, to the other slot. With the state
+/// this bounds the disk: two slots, and two logs of this length and one record.
+pub const DISK_LOG_BYTES: usize = 1 << 20;
+/// Most entries in one message, and most bytes unless a single one is larger: what a link of 1 MB/s
+/// carries well within `LINE_ACK`.
+pub const APPEND_ENTRIES: usize = 256;
+pub const APPEND_BYTES: usize = 64 << 10;
+/// Bytes in one part of a snapshot, for the same reason.
+pub const SNAPSHOT_PART: usize = 48 << 10;
+/// The largest snapshot that a reader begins to collect.
+pub const SNAPSHOT_MOST: usize = 64 << 20;
+/// How long a part of a snapshot may be on its way before it is asked for again.
+pub const SNAPSHOT_AGAIN: Time = 300;
+/// How long a sender keeps a snapshot that nobody asks for: a reader cut off for a while resumes.
+pub const SNAPSHOT_KEPT: Time = 5000;
+/// An answer to a follower of this many bytes is not sent twice while it is on its way.
+pub const LARGE_BYTES: usize = 4 << 10;
 /// How long a large answer to a follower may be on its way before it is sent again.
 pub const LARGE_AGAIN: Time = 600;
 pub const REFRESH_AGAIN: Time = 80;
@@ -12,8 +34,11 @@
 pub const BYTES_LIFE: Time = 500;
 pub const LINE_ACK: Time = 600;
 pub const LINE_OLD: Time = 600;
-/// How long an order without an id may come again, as the platform's operators send it.
-pub const REPEATS: Time = 5200;
+/// How long a node goes on proposing an order that carries no id. Whoever gave it waits no longer
+/// for the answer, and gives it anew elsewhere; a late proposal would be a repeat past its time.
+pub const UNNUMBERED_GIVE_UP: Time = 1000;
+/// What an order may take on its way to the head, beyond the time in which it is given again.
+pub const REPEAT_TRANSIT: Time = 200;
 pub const LEAVING_SERVES: Time = 3000;
 pub const TAIL_PERMIT: Time = 600;
 pub const TAIL_DRIFT: Time = 60;
@@ -111,3 +136,9 @@
 pub fn by_slow_clock(t: Time) -> Time {
     t - t / 20
 }
+
+/// For how long an order that comes again counts as a repeat, when operators repeat it for at most
+/// `repeated_for`: that time as the fastest clock in use counts it, and the way to the head.
+pub const fn repeat_window(repeated_for: Time) -> Time {
+    repeated_for + repeated_for / 20 + REPEAT_TRANSIT
+}
--- a/tenet/src/control.rs
+++ b/tenet/src/control.rs
@@ -115,7 +115,7 @@
                     .into_iter()
                     .for_each(|c| c.synced(now, s, &mut out));
             }
-            In::Ask { call, id, op } => self.ask(now, call, id, op, &mut out),
+            In::Ask { call, id, op } => self.take_order(now, (call, id, op), &mut out, &mut e),
             In::Announce { call, op } => self.announce(now, call, op, &mut out, &mut e),
             In::Show { call, what, arg } => {
                 let r = self.show(now, &what, &arg);
@@ -184,14 +184,6 @@
             Msg::Clean { db, epoch } => {
                 self.watch.clean.insert((from, db), epoch);
             }
-            Msg::Fresh {
-                seq,
-                have,
-                part,
-                view,
-            } => {
-                self.stale |= self.f.fresh(now, seq, have, part, view);
-            }
             Msg::Nudge { mark } => self.f.nudge(mark),
             Msg::Relay { to, packet } if to != self.me.addr => {
                 let (from, addr, cluster) = (self.me.id, self.me.addr, self.f.view.cluster);
@@ -216,7 +208,7 @@
                 self.f.learn(&view);
                 self.hand_to_chain(now, from, addr, Msg::ViewIs { view }, out);
             }
-            m => self.hand_to_chain(now, from, addr, m, out),
+            m => self.follower_takes(now, from, addr, m, out),
         }
     }
 
--- a/tenet/src/fingerprint.rs
+++ b/tenet/src/fingerprint.rs
@@ -37,7 +37,8 @@
             succ_have,
             succ_at,
             resend_at,
-            frame_at,
+            snapshots,
+            incoming,
             agree,
             tail,
             contacts,
@@ -52,18 +53,22 @@
             found,
             founders,
             copies,
+            clock,
         } = self;
         let mut print = Fingerprint::default();
         print.add(me);
         print.add(d);
-        print.add(&log.iter().cloned().collect::<Vec<_>>());
+        print.add(&log.entries());
         print.add(&(*synced, *next_seq, *succ_have));
         print.add(&sync_q.iter().copied().collect::<Vec<(u64, u64)>>());
         for (seq, messages) in late_q {
             print.add(seq);
             add_messages(&mut print, messages);
         }
-        print.add(&[*succ_at, *resend_at, *frame_at, *tick_at, *born]);
+        print.add(&[*succ_at, *resend_at, *tick_at, *born]);
+        print.add(snapshots);
+        print.add(incoming);
+        print.add(clock);
         print.add(agree);
         print.add(tail);
         print.add(contacts);
--- a/tenet/src/plant.rs
+++ b/tenet/src/plant.rs
@@ -24,6 +24,8 @@
     IncarnationIgnored,
     ResetSentAgain,
     StepSentAgain,
+    VersionReused,
+    RepeatByTimeOfDay,
 }
 
 #[cfg(plant)]
--- a/tenet/tests/answers.rs
+++ b/tenet/tests/answers.rs
@@ -141,7 +141,7 @@
 #[test]
 fn an_answer_that_nobody_asked_for_gives_no_lease() {
     let mut follow = Follow::new(view(), 40);
-    let part = Changes::Frame(Box::default());
+    let part = Changes::Entries(vec![]);
     follow.fresh(20, 1, 0, part, view());
     assert!(!follow.holds(21));
 }
--- a/tenet/tests/promote.rs
+++ b/tenet/tests/promote.rs
@@ -72,7 +72,7 @@
     fn put(&mut self, op: Op) {
         let mark = self.state.mark + 1;
         let ask = Ask::unanswered(mark * 31, op);
-        let verdict = self.state.apply(&Entry { mark, ask });
+        let verdict = self.state.apply(&Entry::unstamped(mark, ask));
         assert_eq!(verdict.reject, None);
     }
 
