--- a/chance/src/lib.rs
+++ b/chance/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod fault;
 pub mod lives;
 pub mod losses;
+pub mod model;
 pub mod node;
 pub mod outside;
 pub mod pairs;
--- a/tenet/src/agreement.rs
+++ b/tenet/src/agreement.rs
@@ -13,7 +13,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The part of an agreement that this process keeps in memory.
-#[derive(Default)]
+#[derive(Clone, Default, speedy::Writable)]
 pub struct Agreement {
     /// The ballot that this machine proposes under; 0: it proposes nothing.
     pub ballot: u64,
--- a/tenet/src/chain.rs
+++ b/tenet/src/chain.rs
@@ -15,14 +15,15 @@
 use crate::wire::Msg;
 use std::collections::{BTreeMap, VecDeque};
 
+#[derive(Clone)]
 pub struct Chain {
     pub me: Seat,
     pub d: Durable,
     pub log: ReplicatedLog,
     pub synced: Mark,
     pub(crate) next_seq: u64,
-    sync_q: VecDeque<(u64, Mark)>,
-    late_q: VecDeque<(u64, Vec<(Addr, Msg)>)>,
+    pub(crate) sync_q: VecDeque<(u64, Mark)>,
+    pub(crate) late_q: VecDeque<(u64, Vec<(Addr, Msg)>)>,
     pub(crate) succ_have: Mark,
     pub(crate) succ_at: Time,
     pub(crate) resend_at: Time,
@@ -33,7 +34,7 @@
     pub(crate) contacts: Contacts,
     pub(crate) disk_health: DiskHealth,
     pub(crate) disk_probe_at: Time,
-    now: Time,
+    pub(crate) now: Time,
     pub(crate) pledges: BTreeMap<NodeId, Vec<Seat>>,
     pub(crate) tick_at: Time,
     pub(crate) born: Time,
@@ -48,6 +49,7 @@
 
 impl Chain {
     pub fn new(me: Seat, d: Durable, now: Time) -> Self {
+        let d = d.recovered();
         let synced = d.state.mark;
         Chain {
             me,
@@ -157,19 +159,18 @@
     }
 
     pub(crate) fn succ(&self) -> Option<Seat> {
-        self.place()
-            .and_then(|i| self.d.view.chain.get(i + 1))
-            .copied()
+        let next = self.place()? + 1;
+        self.d.view.chain.get(next).copied()
     }
 
     pub(crate) fn pred(&self) -> Option<Seat> {
-        self.place()
-            .filter(|i| *i > 0)
-            .and_then(|i| self.d.view.chain.get(i - 1))
-            .copied()
+        let before = self.place()?.checked_sub(1)?;
+        self.d.view.chain.get(before).copied()
     }
 
     pub fn adopted(&mut self, now: Time) {
+        // An older one may lack what an earlier view confirmed after it was taken.
+        self.snapshots.clear();
         self.succ_have = 0;
         self.succ_at = now;
         self.resend_at = 0;
--- a/tenet/src/clock.rs
+++ b/tenet/src/clock.rs
@@ -6,7 +6,7 @@
 /// own monotonic clock, so that whoever becomes head goes on from there. Time during which no
 /// member ran is not counted: the clock may lag behind true time, and it runs ahead of it only by
 /// the drift of the head's clock.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, speedy::Writable)]
 pub struct AgreedClock {
     stamp: u64,
     since: Time,
--- a/tenet/src/contact.rs
+++ b/tenet/src/contact.rs
@@ -10,6 +10,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 /// What one machine knows of its contact with another.
+#[derive(Clone, speedy::Writable)]
 struct Peer {
     /// When its last direct message came.
     heard: Time,
@@ -24,6 +25,7 @@
 }
 
 /// The contact graph among control machines, as one of them sees it.
+#[derive(Clone, speedy::Writable)]
 pub struct Contacts {
     me: NodeId,
     started: Time,
--- a/tenet/src/control.rs
+++ b/tenet/src/control.rs
@@ -73,10 +73,11 @@
             http: s.http,
             wall: s.wall.saturating_sub(now),
             c: Colleagues::new(sum, s.seeds, s.wire),
-            chain: s
-                .disk
-                .then(|| Chain::new(me, d, now).with(s.found, s.founders, s.copies))
-                .map(|c| c.asking_from(first_ask(s.wall, s.seed))),
+            chain: s.disk.then(|| {
+                Chain::new(me, d, now)
+                    .with(s.found, s.founders, s.copies)
+                    .requesting_from(first_ask(s.wall, s.seed))
+            }),
             f: Follow::new(view, mix(s.seed ^ 3) >> 1),
             watch: Watch::default(),
             pending: BTreeMap::new(),
@@ -114,8 +115,7 @@
             In::Ask { call, id, op } => self.take_order(now, (call, id, op), &mut out, &mut e),
             In::Announce { call, op } => self.announce(now, call, op, &mut out, &mut e),
             In::Show { call, what, arg } => {
-                let r = self.show(now, &what, &arg);
-                e.response.push((call, r));
+                e.response.push((call, self.show(now, &what, &arg)));
             }
             In::Sights(v) => match self.head() {
                 Some(a) if a != self.me.addr => out.send.push((a, Msg::Sights { v })),
--- a/tenet/src/disk_health.rs
+++ b/tenet/src/disk_health.rs
@@ -4,7 +4,7 @@
 use std::collections::VecDeque;
 
 /// The writes that were handed to the disk and are not synced yet.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct DiskHealth {
     waiting: VecDeque<u64>,
     /// When the disk last finished a batch, or was handed one while idle.
@@ -33,6 +33,11 @@
         self.idle() || now < self.progress + DISK_STALLED
     }
 
+    /// The batches that wait, and when the disk last made progress.
+    pub(crate) fn waiting(&self) -> (Vec<u64>, Time) {
+        (self.waiting.iter().copied().collect(), self.progress)
+    }
+
     /// Whether nothing is on its way to the disk.
     pub fn idle(&self) -> bool {
         self.waiting.is_empty()
--- a/tenet/src/found.rs
+++ b/tenet/src/found.rs
@@ -5,6 +5,7 @@
 use crate::disk::*;
 use crate::lease::TailLease;
 use crate::membership::seats;
+use crate::plant::{planted, Bug};
 use crate::wire::Msg;
 
 impl Chain {
@@ -94,7 +95,8 @@
                 .all(|s| seat(&old.chain, s.id).is_some_and(|p| Some(p) < mine))
         });
         let founding = view.n == 1 && self.d.pledge == view.chain;
-        let whole = match inside && (founding || (was && kept && view.n == old.n + 1)) {
+        let stays = was && kept && view.n == old.n + 1;
+        let whole = match inside && (founding || stays || planted(Bug::JoinerInSync)) {
             true => view.n,
             false => 0,
         };
@@ -120,6 +122,7 @@
         };
         self.tail = TailLease {
             granted: self.tail.granted,
+            seq: self.tail.seq,
             ..TailLease::new(now)
         };
         self.adopted(now);
--- a/tenet/src/lease.rs
+++ b/tenet/src/lease.rs
@@ -9,6 +9,7 @@
 use std::collections::BTreeMap;
 
 /// Both sides of the lease: what this machine holds as a tail, and what it granted as a voter.
+#[derive(Clone, speedy::Writable)]
 pub struct TailLease {
     /// Counts what was asked for.
     pub seq: u64,
@@ -48,6 +49,13 @@
 }
 
 impl Chain {
+    /// Numbers the requests of this life of the process from `first` on, so that a late grant to an
+    /// earlier life counts for nothing.
+    pub fn requesting_from(mut self, first: u64) -> Self {
+        self.tail.seq = first;
+        self
+    }
+
     /// Asks the voters for the next lease, when that is due.
     pub(crate) fn ask_for_lease(&mut self, now: Time, c: &Colleagues, out: &mut Out) {
         if !self.is_tail() || now < self.tail.next {
--- a/tenet/src/lib.rs
+++ b/tenet/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod entry;
 pub mod failover;
 pub mod fence;
+pub mod fingerprint;
 pub mod follow;
 pub mod follow_snapshot;
 pub mod found;
--- a/tenet/src/membership.rs
+++ b/tenet/src/membership.rs
@@ -11,7 +11,7 @@
 use std::fmt;
 
 /// Why a new view is wanted.
-#[derive(Clone, Copy, PartialEq, Debug)]
+#[derive(Clone, Copy, PartialEq, Debug, speedy::Writable)]
 pub enum Cause {
     /// A member of the chain is out of direct contact with another.
     Silent(NodeId),
--- a/tenet/src/replicated_log.rs
+++ b/tenet/src/replicated_log.rs
@@ -5,13 +5,14 @@
 use speedy::{LittleEndian, Writable};
 use std::collections::VecDeque;
 
+#[derive(Clone)]
 struct Kept {
     entry: Entry,
     bytes: usize,
 }
 
 /// Consecutive entries up to the newest one. A reader that is behind the first needs a snapshot.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct ReplicatedLog {
     kept: VecDeque<Kept>,
     bytes: usize,
@@ -22,6 +23,11 @@
 }
 
 impl ReplicatedLog {
+    /// The entries held, oldest first.
+    pub(crate) fn entries(&self) -> Vec<Entry> {
+        self.kept.iter().map(|kept| kept.entry.clone()).collect()
+    }
+
     /// Adds the next entry, and drops the oldest ones beyond the bounds that are synced here.
     pub fn append(&mut self, entry: Entry, synced: u64) {
         let bytes = encoded_bytes(&entry);
--- a/tenet/src/serve.rs
+++ b/tenet/src/serve.rs
@@ -7,13 +7,6 @@
 use crate::wire::{Changes, Msg};
 
 impl Chain {
-    /// Numbers this life's asks for the tail's lease from `first` on, so that a grant to an earlier
-    /// life of the process answers none of them.
-    pub fn asking_from(mut self, first: u64) -> Self {
-        self.tail.seq = first;
-        self
-    }
-
     /// The next in the chain has made no progress for a second.
     pub fn stuck(&self, now: Time) -> bool {
         self.succ().is_some()
@@ -77,6 +70,13 @@
         }
     }
 
+    /// Whether this process is the tail and holds the lease under which readers are answered.
+    pub fn serves_readers(&self, now: Time) -> bool {
+        // A snapshot that is installed and not synced yet leaves nothing to answer from.
+        let nothing_synced = self.synced == 0 && self.d.state.mark > 0;
+        self.is_tail() && self.tail.holds(now) && !nothing_synced
+    }
+
     pub(crate) fn advance(&mut self, now: Time, from: Mark, out: &mut Out) {
         if self.is_tail() && self.d.view.chain.len() >= self.copies {
             let v: Vec<Ask> = self
@@ -114,7 +114,7 @@
         out: &mut Out,
     ) {
         let view = self.d.view.clone();
-        if !self.is_tail() || !self.tail.holds(now) {
+        if !self.serves_readers(now) {
             if view.n > 0 {
                 out.send.push((addr, Msg::ViewIs { view }));
             }
--- a/tenet/src/snapshot.rs
+++ b/tenet/src/snapshot.rs
@@ -33,7 +33,7 @@
 }
 
 /// The snapshot that is being sent, encoded once for all its readers.
-#[derive(Default)]
+#[derive(Clone, Default, Writable)]
 pub struct SnapshotSender {
     current: Option<(SnapshotId, Vec<u8>)>,
     used: Time,
@@ -99,7 +99,7 @@
 }
 
 /// A snapshot on its way to this reader.
-#[derive(Default)]
+#[derive(Clone, Default, Writable)]
 pub struct SnapshotReceiver {
     id: SnapshotId,
     bytes: Vec<u8>,
--- a/tenet/tests/answers.rs
+++ b/tenet/tests/answers.rs
@@ -171,7 +171,7 @@
         whole: 3,
         ..Durable::default()
     };
-    let mut chain = Chain::new(seat(SEATS), durable, 1).asking_from(first);
+    let mut chain = Chain::new(seat(SEATS), durable, 1).requesting_from(first);
     let mut out = Out::default();
     (0..8).for_each(|i| {
         chain.tick(10 + i * 50, &colleagues(), &mut out);
