Let a view that can wait stand for 450 ms; let who stops propose last

Cause: three views within a second, each with another tail, so that followers found no tail with a lease for 1.5 s. Joins, departures and changes of the voters now wait until the present view has stood for 450 ms; losses do not.

A stopping head proposed its own departure and ended before the others heard of the agreed view; they granted no lease until one of them had finished it, 0.6 s later. Who stops now proposes after all others.

--- a/tenet/src/agreement.rs
+++ b/tenet/src/agreement.rs
@@ -84,7 +84,11 @@
 
     fn drive(&mut self, now: Time, c: &Colleagues, out: &mut Out) {
         let lower = self.d.view.voters.iter().filter(|s| s.id < self.me.id);
-        let rank = lower.filter(|s| self.contacts.reaches(s.id, now)).count() as Time;
+        let mut rank = lower.filter(|s| self.contacts.reaches(s.id, now)).count() as Time;
+        if c.me.stopping {
+            // It may end before the others hear of the view that it proposed.
+            rank += self.d.view.voters.len() as Time;
+        }
         if self.agree.ballot == 0 {
             let Some(cause) = self.wanted(now, c) else {
                 return;
--- a/tenet/src/bounds.rs
+++ b/tenet/src/bounds.rs
@@ -50,6 +50,9 @@
 pub const VIEW_ROUND: Time = 50;
 pub const VIEW_HOLD: Time = 300;
 pub const VIEW_OPEN: Time = 1500;
+/// How long a view stands before one that can wait follows, so that every node gets a lease in between:
+/// one round of asking the tail, and what it takes the new tail to get its own.
+pub const VIEW_SETTLE: Time = 450;
 /// How often a control machine tells the others whom it hears.
 pub const CONTACT_ROUND: Time = 120;
 /// How long a control machine may say nothing before direct contact with it counts as lost: four
--- a/tenet/src/chain.rs
+++ b/tenet/src/chain.rs
@@ -38,6 +38,8 @@
     pub(crate) pledges: BTreeMap<NodeId, Vec<Seat>>,
     pub(crate) tick_at: Time,
     pub(crate) born: Time,
+    /// When the present view was adopted; 0: before this process started.
+    pub(crate) adopted_at: Time,
     pub(crate) subs: BTreeMap<Addr, Time>,
     /// What a follower was last given that was large: its last mark, and until when it is on its way.
     pub(crate) under_way: BTreeMap<Addr, (Mark, Time)>,
@@ -73,6 +75,7 @@
             pledges: BTreeMap::new(),
             tick_at: 0,
             born: now,
+            adopted_at: 0,
             subs: BTreeMap::new(),
             under_way: BTreeMap::new(),
             found: true,
@@ -82,13 +85,10 @@
         }
     }
 
-    pub fn with(self, found: bool, founders: Vec<Addr>, copies: usize) -> Self {
-        Chain {
-            found,
-            founders,
-            copies,
-            ..self
-        }
+    pub fn with(mut self, found: bool, founders: Vec<Addr>, copies: usize) -> Self {
+        let set = (found, founders, copies);
+        (self.found, self.founders, self.copies) = set;
+        self
     }
 
     pub fn keep(&mut self, r: Rec, out: &mut Out) -> Option<Verdict> {
@@ -171,6 +171,7 @@
     pub fn adopted(&mut self, now: Time) {
         // An older one may lack what an earlier view confirmed after it was taken.
         self.snapshots.clear();
+        self.adopted_at = now;
         self.succ_have = 0;
         self.succ_at = now;
         self.resend_at = 0;
--- a/tenet/src/fingerprint.rs
+++ b/tenet/src/fingerprint.rs
@@ -48,6 +48,7 @@
             pledges,
             tick_at,
             born,
+            adopted_at,
             subs,
             under_way,
             found,
@@ -65,7 +66,7 @@
             print.add(seq);
             add_messages(&mut print, messages);
         }
-        print.add(&[*succ_at, *resend_at, *tick_at, *born]);
+        print.add(&[*succ_at, *resend_at, *tick_at, *born, *adopted_at]);
         print.add(snapshots);
         print.add(incoming);
         print.add(clock);
--- a/tenet/src/membership.rs
+++ b/tenet/src/membership.rs
@@ -93,11 +93,15 @@
             return Some(Cause::LeftOpen);
         }
         self.place()?;
-        self.member_silent(now)
+        let urgent = self
+            .member_silent(now)
             .or_else(|| self.member_stalled(now))
-            .or_else(|| self.member_stopping(c))
+            .or_else(|| self.member_behind(now));
+        if urgent.is_some() || now < self.adopted_at + VIEW_SETTLE {
+            return urgent;
+        }
+        self.member_stopping(c)
             .or_else(|| self.member_moved(c))
-            .or_else(|| self.member_behind(now))
             .or_else(|| self.resized(now, c))
             .or_else(|| self.can_join(now, c))
     }
