Build the tests' gossip summaries in one place

tenet/tests/voters.rs and support/mod.rs each had the same seat and summary. One copy stays in support. Only test code; assertions are as they were.

--- a/tenet/tests/support/mod.rs
+++ b/tenet/tests/support/mod.rs
@@ -42,9 +42,9 @@
     Chain::new(seat(id), durable, 1)
 }
 
-/// One replica's knowledge of the others, all of them alive.
-pub fn gossip(me: NodeId, members: &[NodeId]) -> Colleagues {
-    let told = |id: NodeId| Summary {
+/// What a machine with a disk, in the present view, tells of itself.
+pub fn summary(id: NodeId, stopping: bool) -> Summary {
+    Summary {
         id,
         addr: seat(id).addr,
         http: Addr::NONE,
@@ -55,11 +55,15 @@
         view: VIEW,
         mark: 0,
         allows: true,
-        stopping: false,
-    };
-    let mut gossip = Colleagues::new(told(me), vec![], WIRE);
+        stopping,
+    }
+}
+
+/// One replica's knowledge of the others, all of them alive.
+pub fn gossip(me: NodeId, members: &[NodeId]) -> Colleagues {
+    let mut gossip = Colleagues::new(summary(me, false), vec![], WIRE);
     for id in members.iter().filter(|id| **id != me) {
-        let news = vec![told(*id)];
+        let news = vec![summary(*id, false)];
         let probe = Msg::Probe { seq: 1, news };
         gossip.take(10, *id, seat(*id).addr, &probe, &mut Vec::new());
     }
--- a/tenet/tests/voters.rs
+++ b/tenet/tests/voters.rs
@@ -1,39 +1,18 @@
 #![cfg(not(loom))]
 //! Which machines vote after a repair, a planned replacement or a loss without successor.
+mod support;
+
+use support::{seat, summary, VIEW};
 use tenet::base::*;
 use tenet::chain::{Chain, Out};
 use tenet::colleagues::{Colleagues, GONE, SUSPECT};
 use tenet::disk::*;
 use tenet::wire::{Msg, Summary, WIRE};
 
-const VIEW: Mark = 3;
-
-fn seat(id: NodeId) -> Seat {
-    let port = id as u16;
-    let addr = Addr { ip: [7; 16], port };
-    Seat { id, addr }
-}
-
 fn seats(ids: &[NodeId]) -> Vec<Seat> {
     ids.iter().map(|i| seat(*i)).collect()
 }
 
-fn told(id: NodeId, stopping: bool) -> Summary {
-    Summary {
-        id,
-        addr: seat(id).addr,
-        http: Addr::NONE,
-        domain: "a".into(),
-        disk: true,
-        life: 1,
-        status: 0,
-        view: VIEW,
-        mark: 0,
-        allows: true,
-        stopping,
-    }
-}
-
 /// Machine 1, which has heard of the others.
 struct Proposer {
     chain: Chain,
@@ -56,7 +35,7 @@
         };
         Proposer {
             chain: Chain::new(seat(1), durable, 1).with(false, vec![], copies),
-            colleagues: Colleagues::new(told(1, false), vec![], WIRE),
+            colleagues: Colleagues::new(summary(1, false), vec![], WIRE),
         }
     }
 
@@ -125,8 +104,11 @@
 
 #[test]
 fn a_voter_that_stops_passes_its_vote_to_a_new_disk_in_the_view_that_lets_it_go() {
-    let mut p =
-        Proposer::new(&[1, 2, 3], 2).hears(&[told(2, false), told(3, true), told(9, false)]);
+    let mut p = Proposer::new(&[1, 2, 3], 2).hears(&[
+        summary(2, false),
+        summary(3, true),
+        summary(9, false),
+    ]);
     let v = p.proposes(&[1, 2, 3], &[1, 2, 3]).unwrap();
     assert_eq!(ids(&v.voters), [1, 2, 9]);
     assert_eq!(ids(&v.chain), [1, 2, 9]);
@@ -134,8 +116,11 @@
 
 #[test]
 fn a_stopping_voter_passes_its_own_vote_on_when_it_proposes() {
-    let mut p =
-        Proposer::new(&[1, 2, 3], 2).hears(&[told(2, false), told(3, false), told(9, false)]);
+    let mut p = Proposer::new(&[1, 2, 3], 2).hears(&[
+        summary(2, false),
+        summary(3, false),
+        summary(9, false),
+    ]);
     p.colleagues.me.stopping = true;
     let v = p.proposes(&[1, 2, 3], &[1, 2, 3]).unwrap();
     assert_eq!(ids(&v.voters), [9, 2, 3]);
@@ -144,8 +129,11 @@
 
 #[test]
 fn a_stopping_machine_that_holds_one_of_too_few_copies_keeps_its_vote_and_its_place() {
-    let mut p =
-        Proposer::new(&[1, 2, 3], 2).hears(&[told(2, false), told(3, true), told(9, false)]);
+    let mut p = Proposer::new(&[1, 2, 3], 2).hears(&[
+        summary(2, false),
+        summary(3, true),
+        summary(9, false),
+    ]);
     let v = p.proposes(&[1, 2, 3], &[1, 3]).unwrap();
     assert_eq!(ids(&v.voters), [1, 2, 3]);
     assert!(ids(&v.chain).contains(&3), "it holds one of two copies");
@@ -156,10 +144,10 @@
     let all = [1, 2, 3, 4, 5];
     let news = |p: Proposer| {
         p.hears(&[
-            told(2, true),
-            told(3, false),
-            told(4, false),
-            told(5, false),
+            summary(2, true),
+            summary(3, false),
+            summary(4, false),
+            summary(5, false),
         ])
     };
     let early = news(Proposer::new(&all, 3)).proposes(&all, &[1, 2, 3]);
@@ -171,7 +159,12 @@
 #[test]
 fn two_of_five_voters_that_stop_without_successors_are_dropped_together() {
     let all = [1, 2, 3, 4, 5];
-    let news = [told(2, true), told(3, true), told(4, false), told(5, false)];
+    let news = [
+        summary(2, true),
+        summary(3, true),
+        summary(4, false),
+        summary(5, false),
+    ];
     let mut p = Proposer::new(&all, 2).hears(&news);
     let v = p.proposes(&all, &all).unwrap();
     assert_eq!(ids(&v.voters), [1, 4, 5]);
@@ -182,10 +175,10 @@
 fn one_of_five_voters_that_stops_without_successor_keeps_its_vote() {
     let all = [1, 2, 3, 4, 5];
     let news = [
-        told(2, true),
-        told(3, false),
-        told(4, false),
-        told(5, false),
+        summary(2, true),
+        summary(3, false),
+        summary(4, false),
+        summary(5, false),
     ];
     let mut p = Proposer::new(&all, 2).hears(&news);
     assert_eq!(ids(&p.proposes(&all, &all).unwrap().voters), all);
@@ -193,31 +186,31 @@
 
 #[test]
 fn a_machine_that_leaves_waits_until_its_vote_is_taken_while_a_new_disk_is_there() {
-    let alone = Proposer::new(&[1, 2, 3], 2).hears(&[told(2, false), told(3, false)]);
+    let alone = Proposer::new(&[1, 2, 3], 2).hears(&[summary(2, false), summary(3, false)]);
     assert!(!alone.chain.hands_over(&alone.colleagues));
-    let relieved = alone.hears(&[told(9, false)]);
+    let relieved = alone.hears(&[summary(9, false)]);
     assert!(relieved.chain.hands_over(&relieved.colleagues));
-    let voteless = Proposer::new(&[2, 3, 4], 2).hears(&[told(9, false)]);
+    let voteless = Proposer::new(&[2, 3, 4], 2).hears(&[summary(9, false)]);
     assert!(!voteless.chain.hands_over(&voteless.colleagues));
 }
 
 #[test]
 fn no_view_is_built_on_votes_of_which_none_holds_the_state() {
-    let mut p = Proposer::new(&[1, 2, 9], 2).hears(&[told(9, false)]);
+    let mut p = Proposer::new(&[1, 2, 9], 2).hears(&[summary(9, false)]);
     p.chain.d.whole = 0;
     assert_eq!(p.proposes(&[1, 9], &[]), None);
 }
 
 #[test]
 fn a_machine_that_started_again_is_not_taken_for_stopping_by_what_its_earlier_life_said() {
-    let mut me = Colleagues::new(told(1, false), vec![], WIRE);
+    let mut me = Colleagues::new(summary(1, false), vec![], WIRE);
     let earlier = Summary {
         life: 7,
-        ..told(1, true)
+        ..summary(1, true)
     };
     let probe = Msg::Probe {
         seq: 1,
-        news: vec![told(2, false), earlier],
+        news: vec![summary(2, false), earlier],
     };
     me.take(10, 2, seat(2).addr, &probe, &mut Vec::new());
     assert!(me.me.life > 7, "its clock fell, its life must not");
@@ -225,10 +218,10 @@
 
 #[test]
 fn a_lost_voter_is_replaced_soon_after_gossip_gave_it_up_and_not_while_it_is_suspect() {
-    let mut p = Proposer::new(&[1, 2, 3], 2).hears(&[told(2, false), told(3, false)]);
+    let mut p = Proposer::new(&[1, 2, 3], 2).hears(&[summary(2, false), summary(3, false)]);
     let status = |status| Summary {
         status,
-        ..told(3, false)
+        ..summary(3, false)
     };
     p = p.hears(&[status(SUSPECT)]);
     assert!(!p.chain.missing(3, 10 + VOTER_REPLACE + 1, &p.colleagues));
