Count a leaving server's time from its word, also on a node that starts later

A node counted the 3 s for which a leaving primary is served on from when it learnt of it. One that was stopped and started meanwhile learnt of it anew: a request 4 s after the acknowledgement was sent, and could be up to 4 + 3 s after it. The state now says since when, by the agreed clock, a server has been leaving or its domain emptied; a statement that waited for a connection is checked again.

The same cause elsewhere: evacuations (the same count); servers that were replaced at their address were not remembered as gone, so that a late announcement brought the old one back and took out the new one; of the servers that left, the first by name was forgotten first, not the first to leave.

The state on disk has form u, packets generation 0x30: see docs/DESIGN.md.

--- a/chance/tests/answers.rs
+++ b/chance/tests/answers.rs
@@ -7,6 +7,7 @@
 mod callers;
 #[path = "answers/clients.rs"]
 mod clients;
+#[allow(dead_code)]
 #[path = "answers/fleet.rs"]
 mod fleet;
 #[path = "answers/lives.rs"]
--- a/chance/tests/answers/fleet.rs
+++ b/chance/tests/answers/fleet.rs
@@ -17,6 +17,8 @@
 pub struct Fleet {
     config: Arc<Config>,
     state: State,
+    /// The agreed clock, with which further changes are stamped.
+    pub clock: u64,
     pub living: Vec<NodeId>,
 }
 
@@ -53,6 +55,7 @@
         let mut fleet = Fleet {
             config: Arc::new(config),
             state: State::default(),
+            clock: 0,
             living: Vec::new(),
         };
         fleet.put(Op::Config { base: 0, text });
@@ -87,7 +90,8 @@
             at: 0,
             op,
         };
-        let verdict = self.state.apply(&Entry::unstamped(mark, ask));
+        let clock = self.clock;
+        let verdict = self.state.apply(&Entry { mark, clock, ask });
         assert_eq!(verdict.reject, None);
     }
 
@@ -107,6 +111,29 @@
     }
 
     pub fn announce(&mut self, server: usize, life: u64) {
+        self.tell_of(server, life, false);
+    }
+
+    /// A server says that it is leaving.
+    pub fn leaves(&mut self, server: usize) {
+        self.tell_of(server, 1, true);
+    }
+
+    /// An operator has a domain evacuated.
+    pub fn evacuate(&mut self, domain: &str) {
+        self.put(Op::Hold {
+            domain: domain.into(),
+            on: true,
+            repeat_window: 1000,
+        });
+    }
+
+    /// The domain of a server.
+    pub fn domain_of(&self, server: usize) -> &'static str {
+        DOMAINS[server % 2]
+    }
+
+    fn tell_of(&mut self, server: usize, life: u64, leaving: bool) {
         self.put(Op::Announce {
             server: SERVERS[server].into(),
             addr: server_address(server, life),
@@ -114,7 +141,7 @@
             labels: [("db".to_string(), DATABASE.to_string())].into(),
             life,
             leads: false,
-            leaving: false,
+            leaving,
             terms: false,
             seq: 0,
         });
@@ -150,6 +177,7 @@
             me: self.living[slot],
             domain: domain(slot),
             now,
+            clock: self.clock,
             cfg: &self.config,
             st: &self.state,
             alive: &alive,
--- a/chance/tests/crowd/machine.rs
+++ b/chance/tests/crowd/machine.rs
@@ -95,10 +95,6 @@
         self.control.as_ref().map(|c| c.me.id)
     }
 
-    pub fn control(&self) -> Option<&Control> {
-        self.control.as_ref()
-    }
-
     pub fn start(&mut self, start: Start, now: Time) -> Effect {
         self.end();
         let (control, effect) = Control::new(start, now.max(1));
--- a/tenet/src/apply.rs
+++ b/tenet/src/apply.rs
@@ -21,8 +21,10 @@
             } => self.confirm(a.at, *version, *document, otherwise),
             Op::Evacuate { domain, on } => {
                 let was = self.evacuated.contains_key(domain);
+                if *on != was {
+                    self.set_evacuated(domain, *on);
+                }
                 if *on && !was {
-                    self.evacuated.insert(domain.clone(), m);
                     self.tell(
                         a.at,
                         domain,
@@ -30,7 +32,6 @@
                     );
                 }
                 if !*on && was {
-                    self.evacuated.remove(domain);
                     self.tell(
                         a.at,
                         domain,
@@ -68,6 +69,7 @@
                         format!("server {server} taken back by an operator"),
                     );
                 }
+                self.note_server_off(server);
                 Ok(m)
             }
             Op::Enrol {
@@ -148,6 +150,7 @@
             if leaving && o.is_none_or(|o| !o.leaving) {
                 self.tell(a.at, server, format!("server {server} says it is leaving"));
             }
+            self.note_server_off(server);
         }
         Ok(self.mark)
     }
--- a/tenet/src/control.rs
+++ b/tenet/src/control.rs
@@ -1,5 +1,6 @@
 use crate::base::*;
 use crate::chain::{Chain, Out};
+use crate::clock::AgreedClock;
 use crate::colleagues::Colleagues;
 use crate::config::Config;
 use crate::disk::*;
@@ -39,6 +40,7 @@
     pub(crate) stopping: bool,
     pub(crate) stale: bool,
     pub(crate) told: Mark,
+    pub(crate) clock: AgreedClock,
     pilot_at: Time,
     table_at: Time,
 }
@@ -88,6 +90,7 @@
             stopping: false,
             stale: true,
             told: 0,
+            clock: AgreedClock::default(),
             pilot_at: 0,
             table_at: 0,
         };
--- a/tenet/src/disk.rs
+++ b/tenet/src/disk.rs
@@ -86,7 +86,7 @@
 }
 
 const MAGIC: u32 = 0x6669_7200;
-const FORM: u8 = b't';
+const FORM: u8 = b'u';
 const HEAD: usize = 24;
 pub const SLOTS: [&str; 2] = ["slot.0", "slot.1"];
 pub const LOGS: [&str; 2] = ["log.0", "log.1"];
--- a/tenet/src/front.rs
+++ b/tenet/src/front.rs
@@ -252,7 +252,7 @@
                 }
             }
             self.off_at[i] = if s.off.is_some() {
-                self.off_at[i].min(now)
+                self.off_at[i].min(now.saturating_sub(s.off_for))
             } else {
                 Time::MAX
             };
--- a/tenet/src/job.rs
+++ b/tenet/src/job.rs
@@ -1,4 +1,5 @@
 use crate::base::*;
+use crate::fence::OFF_LONG;
 use crate::front::*;
 use crate::kind::{Kind, Reject};
 use crate::plant::{planted, Bug};
@@ -170,6 +171,12 @@
                 out,
             );
         }
+        let job = &self.jobs[j];
+        let may_wait = !job.load.act.inside() && !job.load.look_up && job.load.act != Act::Pos;
+        if fenced && may_wait && self.off_long(now, job.server) {
+            let reject = Reject::new(Kind::NoPrimary, OFF_LONG);
+            return self.job_end(now, j, Err(reject), out);
+        }
         if self.conn_is_old(j) {
             return self.job_on_old_conn(now, j, out);
         }
--- a/tenet/src/lib.rs
+++ b/tenet/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod connections;
 pub mod contact;
 pub mod control;
+pub mod departed;
 pub mod disk;
 pub mod disk_health;
 pub mod document;
--- a/tenet/src/publish.rs
+++ b/tenet/src/publish.rs
@@ -82,25 +82,50 @@
         }
         let held = holds.n > 0;
         if held != self.evacuated.contains_key(domain) {
-            match held {
-                true => self.evacuated.insert(domain.into(), self.mark),
-                false => self.evacuated.remove(domain),
-            };
+            self.set_evacuated(domain, held);
             let what = if held { "evacuated" } else { "taken back" };
             self.tell(at, domain, format!("domain {domain} {what} by an operator"));
         }
         self.mark
     }
 
+    /// Empties a domain, or takes it back.
+    pub(crate) fn set_evacuated(&mut self, domain: &str, on: bool) {
+        if on {
+            self.evacuated.insert(domain.into(), self.mark);
+            self.domains_off_since.insert(domain.into(), self.clock);
+        } else {
+            self.evacuated.remove(domain);
+            self.domains_off_since.remove(domain);
+        }
+    }
+
+    /// Notes since when a server has been leaving or drained.
+    pub(crate) fn note_server_off(&mut self, server: &str) {
+        let leaving = self.servers.get(server).is_some_and(|s| s.leaving);
+        if leaving || self.drained.contains_key(server) {
+            let since = self.servers_off_since.entry(server.into());
+            since.or_insert(self.clock);
+        } else {
+            self.servers_off_since.remove(server);
+        }
+    }
+
+    /// For how long, by the agreed clock, new work should not have gone to a server. A node that learns
+    /// of it late, since it started or was cut off, must not count from then.
+    pub fn off_for(&self, server: &Server, clock: u64) -> u64 {
+        let own = self.servers_off_since.get(&server.name);
+        let domain = self.domains_off_since.get(&server.domain);
+        let since = own.into_iter().chain(domain).min();
+        since.map_or(0, |since| clock.saturating_sub(*since))
+    }
+
     pub(crate) fn late(&self, s: &Server) -> bool {
-        let gone = self
-            .departed
-            .get(&s.name)
-            .is_some_and(|q| s.seq > 0 && s.seq <= *q);
-        gone || self
-            .servers
-            .get(&s.name)
-            .is_some_and(|o| o.life == s.life && s.seq > 0 && s.seq < o.seq)
+        self.departed.is_late(&s.name, s.seq)
+            || self
+                .servers
+                .get(&s.name)
+                .is_some_and(|o| o.life == s.life && s.seq > 0 && s.seq < o.seq)
     }
 
     pub(crate) fn displace(&mut self, at: u64, s: &Server) {
@@ -112,6 +137,7 @@
             .map(|o| o.name.clone())
             .collect();
         for n in v {
+            self.departed.add(&n, 0);
             self.forget(
                 at,
                 &n,
@@ -122,15 +148,12 @@
 
     pub(crate) fn depart(&mut self, at: u64, server: &str, seq: u64) -> Res {
         self.forget(at, server, format!("server {server} has left"));
-        self.departed
-            .insert(server.into(), seq.max(u64::MAX * (seq == 0) as u64));
-        if self.departed.len() > DEPARTED {
-            self.departed.pop_first();
-        }
+        self.departed.add(server, seq);
         Ok(self.mark)
     }
 
     fn forget(&mut self, at: u64, server: &str, why: String) {
+        self.servers_off_since.remove(server);
         if self.servers.remove(server).is_some() {
             self.tell(at, server, why);
         }
@@ -141,5 +164,3 @@
         }
     }
 }
-
-const DEPARTED: usize = 1024;
--- a/tenet/src/state.rs
+++ b/tenet/src/state.rs
@@ -1,5 +1,6 @@
 use crate::amend::{fingerprint, DocumentOrder};
 use crate::base::*;
+use crate::departed::DepartedServers;
 use crate::document::Document;
 use crate::document_delta::DocumentDelta;
 use crate::kind::{Kind, Reject};
@@ -207,7 +208,10 @@
     pub drained: BTreeMap<String, Mark>,
     pub members: BTreeMap<NodeId, Member>,
     pub servers: BTreeMap<String, Server>,
-    pub departed: BTreeMap<String, u64>,
+    pub departed: DepartedServers,
+    /// Since when (agreed clock, ms) servers have been leaving or drained, and domains evacuated.
+    pub servers_off_since: BTreeMap<String, u64>,
+    pub domains_off_since: BTreeMap<String, u64>,
     pub holds: BTreeMap<String, Holds>,
     pub dbs: BTreeMap<String, Db>,
     pub recent: Vec<(u64, u64, Verdict)>,
--- a/tenet/src/wire.rs
+++ b/tenet/src/wire.rs
@@ -8,7 +8,7 @@
 use speedy::{Readable, Writable};
 
 pub const WIRE: u8 = 2;
-const GENERATION: u8 = 0x20;
+const GENERATION: u8 = 0x30;
 
 #[derive(Clone, PartialEq, Debug, Readable, Writable)]
 pub struct Summary {
