--- a/chance/tests/crowd.rs
+++ b/chance/tests/crowd.rs
@@ -16,10 +16,8 @@
         seed,
     };
     let mut crowd = Crowd::new(scene);
-    for k in 0..6 {
-        let op = crowd.scene.configuration(1);
-        crowd.order(4000 + k * 500, k as usize, op);
-    }
+    let configuration = crowd.scene.configuration(1);
+    crowd.order(4000, configuration);
     crowd.run(14_000);
     crowd
 }
@@ -100,3 +98,45 @@
         );
     }
 }
+
+/// Stops and starts all machines with a disk, two at a time.
+fn roll_disks(crowd: &mut Crowd, from: Time, gap: Time) {
+    for i in 0..6 {
+        crowd.act(from + (i as Time / 2) * gap, Act::Restart(i));
+    }
+}
+
+#[test]
+fn orders_are_answered_soon_while_machines_restart() {
+    for seed in 1..=2 {
+        let mut crowd = settled(seed);
+        let end = roll(&mut crowd, 15_000, 48, 6, 3000);
+        roll_disks(&mut crowd, 16_000, 7000);
+        for k in 0..40 {
+            let at = 15_000 + (k / 4) * 2400;
+            let op = crowd.scene.configuration(2 + k);
+            crowd.order(at, op);
+        }
+        crowd.run(end + 8000);
+        report(&crowd, "orders");
+        let mut times = crowd.order_times();
+        times.sort_unstable();
+        println!("orders took {times:?}");
+        assert!(times.iter().all(|t| *t <= 4000), "seed {seed}: {times:?}");
+        assert_eq!(crowd.wrong, [], "seed {seed}");
+    }
+}
+
+#[test]
+fn orders_are_answered_within_two_seconds_in_a_storm() {
+    let mut crowd = settled(3);
+    for k in 0..200 {
+        let op = crowd.scene.configuration(2 + k);
+        crowd.order(15_000 + k * 50, op);
+    }
+    crowd.run(27_000);
+    let times = crowd.order_times();
+    let longest = times.iter().max().copied();
+    println!("longest {longest:?}");
+    assert!(longest.is_some_and(|t| t <= 2000), "{times:?}");
+}
--- a/chance/tests/crowd/mod.rs
+++ b/chance/tests/crowd/mod.rs
@@ -61,10 +61,9 @@
     Pause(usize),
     /// Asks a process to stop; it ends `STOP_TAKES` later and starts again `START_TAKES` after that.
     Restart(usize),
-    Order {
-        at: usize,
-        call: u64,
-        op: Op,
+    /// An operator gives an order, for the first time or again.
+    Attempt {
+        order: u64,
     },
     Beat {
         server: usize,
@@ -76,14 +75,21 @@
 /// How long the next process at its machine takes to start.
 pub const START_TAKES: Time = 700;
 
-/// How an order went.
-#[derive(Clone, Copy, Debug, PartialEq)]
+/// An order of an operator, and how it went.
 pub struct Order {
+    op: Op,
     pub given: Time,
-    pub answered: Option<Time>,
-    pub accepted: bool,
+    attempts: u64,
+    pub accepted: Option<Time>,
 }
 
+/// Attempts of one order are numbered below this.
+const ATTEMPTS: u64 = 1000;
+/// How long an operator waits for an answer before the order goes to another machine.
+const OPERATOR_WAITS: Time = 1000;
+/// How soon an order that was refused for now is given again.
+const OPERATOR_AGAIN: Time = 100;
+
 pub struct Crowd {
     pub scene: Scene,
     /// In microseconds.
@@ -154,21 +160,63 @@
         self.push(at * MILLI, Event::Act(act));
     }
 
-    /// An order of an operator to a control machine.
-    pub fn order(&mut self, at: Time, machine: usize, op: Op) {
-        let call = 1 + self.orders.len() as u64;
+    /// Has an operator give an order, at this time.
+    pub fn order(&mut self, at: Time, op: Op) {
+        let number = 1 + self.orders.len() as u64;
         let order = Order {
+            op,
             given: at,
-            answered: None,
-            accepted: false,
+            attempts: 0,
+            accepted: None,
         };
-        self.orders.insert(call, order);
-        let order = Act::Order {
-            at: machine,
-            call,
-            op,
+        self.orders.insert(number, order);
+        self.act(at, Act::Attempt { order: number });
+    }
+
+    /// Gives an order to some control machine, unless it was accepted; and again after a silence.
+    fn attempt(&mut self, number: u64) {
+        let on_disk: Vec<usize> = (0..self.machines.len())
+            .filter(|i| self.machines[*i].disk)
+            .collect();
+        let at = on_disk[self.roll(on_disk.len() as u64) as usize];
+        let Some(order) = self.orders.get_mut(&number) else {
+            return;
+        };
+        if order.accepted.is_some() {
+            return;
+        }
+        order.attempts += 1;
+        let call = number * ATTEMPTS + order.attempts;
+        let op = order.op.clone();
+        self.input(at, In::Ask { call, id: None, op }, 0);
+        let wait = match self.machines[at].up() {
+            true => OPERATOR_WAITS,
+            false => OPERATOR_AGAIN,
         };
-        self.act(at, order);
+        let next = self.now() + wait;
+        self.act(next, Act::Attempt { order: number });
+    }
+
+    fn answered(&mut self, call: u64, accepted: bool) {
+        let now = self.now();
+        let number = call / ATTEMPTS;
+        let Some(order) = self.orders.get_mut(&number) else {
+            return;
+        };
+        if accepted {
+            order.accepted = order.accepted.or(Some(now));
+        } else if order.attempts == call % ATTEMPTS {
+            self.act(now + OPERATOR_AGAIN, Act::Attempt { order: number });
+        }
+    }
+
+    /// How long each order took until it was accepted; one that was not counts until now.
+    pub fn order_times(&self) -> Vec<Time> {
+        let now = self.now();
+        let orders = self.orders.values().filter(|o| o.given < now);
+        orders
+            .map(|o| o.accepted.unwrap_or(now) - o.given)
+            .collect()
     }
 
     pub fn run(&mut self, until: Time) {
@@ -212,9 +260,7 @@
             Act::Kill(i) => self.end(i),
             Act::Pause(i) => self.pause(i),
             Act::Restart(i) => self.restart(i),
-            Act::Order { at, call, op } => {
-                self.input(at, In::Ask { call, id: None, op }, 0);
-            }
+            Act::Attempt { order } => self.attempt(order),
             Act::Beat { server } => self.beat(server),
         }
     }
@@ -301,11 +347,8 @@
     fn note(&mut self, i: usize, effect: &Effect) {
         let now = self.now();
         for (call, reply) in &effect.response {
-            if let Some(order) = self.orders.get_mut(call) {
-                order.answered = order.answered.or(Some(now));
-                order.accepted =
-                    matches!(reply, Reply::Verdict(verdict) if verdict.reject.is_none());
-            }
+            let accepted = matches!(reply, Reply::Verdict(verdict) if verdict.reject.is_none());
+            self.answered(*call, accepted);
         }
         if let Some((table, until)) = &effect.news {
             self.machines[i].table = Some((table.clone(), *until));
--- a/tenet/src/probe.rs
+++ b/tenet/src/probe.rs
@@ -217,7 +217,7 @@
                 i += 1;
             }
         }
-        self.give_up_suspects(now);
+        self.give_up_suspects(now, send);
         self.all
             .retain(|_, c| c.s.status != GONE || now < c.since + FORGET);
     }
@@ -252,8 +252,8 @@
         };
         let settled = now >= started.max(peer.first_seen) + PROBE_SETTLE;
         let (status, stopping) = (peer.s.status, peer.s.stopping);
-        if status == SUSPECT {
-            peer.witnessed = true;
+        if status == SUSPECT && !peer.witnessed {
+            (peer.witnessed, peer.since) = (true, now);
         }
         if status == ALIVE && stopping {
             self.turn(id, "silent", "it was stopping and answers no more", now);
@@ -273,8 +273,8 @@
     }
 
     /// Gives up those that did not refute. Who was only told of a suspicion waits for the verdict of those
-    /// who probed, and for much longer if none comes.
-    fn give_up_suspects(&mut self, now: Time) {
+    /// who probed; if none comes, it probes itself.
+    fn give_up_suspects(&mut self, now: Time, send: &mut Vec<(Addr, Msg)>) {
         let own = self.suspicion();
         let late = |c: &Colleague| {
             let span = if c.witnessed {
@@ -284,14 +284,18 @@
             };
             c.s.status == SUSPECT && now >= c.since + span
         };
-        let late: Vec<NodeId> = self
+        let late: Vec<(NodeId, Addr, bool)> = self
             .all
             .iter()
             .filter(|(_, c)| late(c))
-            .map(|(id, _)| *id)
+            .map(|(id, c)| (*id, c.s.addr, c.witnessed))
             .collect();
-        for id in late {
-            self.turn(id, "silent", "suspicion was not refuted", now);
+        for (id, addr, witnessed) in late {
+            if witnessed {
+                self.turn(id, "silent", "suspicion was not refuted", now);
+            } else if !self.open.iter().any(|o| o.id == id) {
+                self.probe(now, id, addr, send);
+            }
         }
     }
 }
