--- a/tenet/src/bounds.rs
+++ b/tenet/src/bounds.rs
@@ -166,8 +166,9 @@
 /// How long a node passes requests on for a database after it ceased to be a gateway of it: until every
 /// node with a lease knows the new ones.
 pub const GATEWAY_GRACE: Time = 2000;
-/// Most placements in a round of 50 ms.
-pub const PLACE_MOST: usize = 6;
+/// How often placements are looked at, and how many change in a round at most.
+pub const PLACE_ROUND: Time = 100;
+pub const PLACE_MOST: usize = 12;
 /// How long an accepted promotion may take before it is asked for again.
 pub const LEADS_WITHIN: Time = 2500;
 /// How long a promotion whose answer nobody has may still take effect, on servers with terms.
--- a/tenet/src/control.rs
+++ b/tenet/src/control.rs
@@ -151,9 +151,7 @@
             In::Seeds(v) => self.c.seeds = v,
             In::Stopping => {
                 self.stopping = true;
-                self.c.me.stopping = true;
-                self.c.me.life += 1;
-                self.c.spread();
+                self.c.stop(now, &mut out.send);
                 self.stale = true;
             }
         }
--- a/tenet/src/pilot.rs
+++ b/tenet/src/pilot.rs
@@ -1,6 +1,7 @@
 use crate::base::*;
 use crate::colleagues::Colleagues;
 use crate::config::Config;
+use crate::placement::Round;
 pub use crate::promotion::*;
 use crate::state::*;
 use crate::table::{db_servers, server_off};
@@ -21,6 +22,8 @@
     pub(crate) placed: BTreeMap<String, (Vec<NodeId>, Time)>,
     /// When a placement of each database was last proposed.
     pub(crate) proposed: BTreeMap<String, Time>,
+    /// When placements are looked at next.
+    pub(crate) place_at: Time,
     pub(crate) asks: BTreeMap<String, (Mark, AskPhase)>,
     pub(crate) unknown: BTreeMap<String, (Mark, Time)>,
     pub(crate) chosen: BTreeMap<String, Mark>,
@@ -78,8 +81,10 @@
         let mut ops = Vec::new();
         let mut calls = Vec::new();
         let began = *self.began.get_or_insert(k.now);
-        self.members(k, began, &mut ops);
-        self.place_all(k, began, &mut ops);
+        let occupants = k.occupants();
+        let round = Round { began, occupants };
+        self.members(k, &round, &mut ops);
+        self.place_all(k, &round, &mut ops);
         for n in k.cfg.databases.keys() {
             if let Some(d) = k.st.dbs.get(n) {
                 let at = since(&mut self.learned, n.clone(), d.since, k.now);
@@ -96,15 +101,15 @@
         (ops, calls)
     }
 
-    fn members(&mut self, k: &Sky, began: Time, ops: &mut Vec<Op>) {
+    fn members(&mut self, k: &Sky, round: &Round, ops: &mut Vec<Op>) {
         self.member_at.retain(|id, _| k.st.members.contains_key(id));
         for m in k.st.members.values() {
             let due = k.now > since(&mut self.member_at, m.id, m.at, k.now) + FULL;
             let lost = k.c.quiet(m.id, k.now).is_some_and(|q| q > MEMBER_LOST)
                 || (!k.c.alive(m.id)
                     && !k.c.all.contains_key(&m.id)
-                    && k.now > began + MEMBER_UNSEEN);
-            let twin = k.replaced(m);
+                    && k.now > round.began + MEMBER_UNSEEN);
+            let twin = round.occupants.replace(m);
             let ev = match m.phase.as_str() {
                 "joining" if due => Some("settle"),
                 "leaving" if due => Some("forget"),
--- a/tenet/src/place.rs
+++ b/tenet/src/place.rs
@@ -5,6 +5,7 @@
 use crate::config::Config;
 use crate::state::*;
 use crate::table::db_servers;
+use std::collections::BTreeMap;
 
 /// The holders of a database's roles.
 pub struct Seats {
@@ -92,28 +93,34 @@
     let at = at.or(lone);
     let region = |s: &String| st.servers.get(s).and_then(|s| c.region(&s.domain));
     let home = at.and_then(region).unwrap_or(&cfg.homes[0]);
-    let members: Vec<&Member> = st.members.values().filter(|m| !m.disk).collect();
-    let of = |region: &str, keep: Fit| {
-        let here = |m: &&&Member| c.region(&m.domain) == Some(region);
-        let ids = |fit: Fit| -> Vec<NodeId> {
-            let fitting = members.iter().filter(here).filter(|m| fit(m));
+    let mut by_region: BTreeMap<&str, Vec<&Member>> = BTreeMap::new();
+    for member in st.members.values().filter(|m| !m.disk) {
+        let region = c.region(&member.domain).unwrap_or("");
+        by_region.entry(region).or_default().push(member);
+    }
+    let of = |region: &str, old: &[NodeId], keep: Fit| {
+        let here = by_region.get(region).map_or(&[][..], |v| &v[..]);
+        let holders = here.iter().filter(|m| old.contains(&m.id));
+        let holders: Vec<&Member> = holders.copied().collect();
+        let ids = |members: &[&Member], fit: Fit| -> Vec<NodeId> {
+            let fitting = members.iter().filter(|m| fit(m));
             fitting.map(|m| m.id).collect()
         };
         Candidates {
-            from: ids(roles.take_over),
-            stay: ids(keep),
-            leaving: ids(roles.stopping),
+            from: ids(here, roles.take_over),
+            stay: ids(&holders, keep),
+            leaving: ids(&holders, roles.stopping),
         }
     };
     let salt = digest(name.as_bytes());
     let want = if cfg.homes.len() == 1 { 3 } else { 2 };
-    let fencing = |region: &str| of(region, roles.keep_fencing);
+    let fencing = |region: &str| of(region, &db.fencers, roles.keep_fencing);
     let mut fencers = pick(want, &db.fencers, &fencing(home), salt);
     let mut others = cfg.homes.iter().filter(|h| *h != home);
     while fencers.is_empty() {
         fencers = pick(want, &db.fencers, &fencing(others.next()?), salt);
     }
-    let gating = |region: &String| of(region, roles.keep_gateway);
+    let gating = |region: &String| of(region, &db.gateways, roles.keep_gateway);
     let gateways = match cfg.homes.len() {
         1 => fencers.clone(),
         _ => cfg
--- a/tenet/src/placement.rs
+++ b/tenet/src/placement.rs
@@ -9,11 +9,24 @@
 use crate::place::{place, Roles, Seats};
 use crate::state::*;
 use crate::table::server_off;
+use std::collections::BTreeSet;
 
-impl Sky<'_> {
+/// The live processes by address.
+pub(crate) struct Occupants(BTreeSet<(Addr, NodeId)>);
+
+impl Occupants {
     /// Another process lives at the address of this member.
-    pub(crate) fn replaced(&self, m: &Member) -> bool {
-        self.c.live().any(|s| s.addr == m.addr && s.id != m.id)
+    pub(crate) fn replace(&self, m: &Member) -> bool {
+        let mut here = self.0.range((m.addr, NodeId::MIN)..=(m.addr, NodeId::MAX));
+        here.any(|(_, id)| *id != m.id)
+    }
+}
+
+impl Sky<'_> {
+    /// Who lives at which address, as gossip has it.
+    pub(crate) fn occupants(&self) -> Occupants {
+        let live = self.c.live().map(|s| (s.addr, s.id));
+        Occupants(live.collect())
     }
 
     /// It may take over work: it runs, does not stop, and its domain is not being emptied.
@@ -23,26 +36,34 @@
 
     /// Nothing says that it is lost. A suspect is not lost while another one of the `role` serves, and who
     /// began to watch a moment ago has not heard of everybody yet.
-    fn holds_on(&self, m: &Member, role: &[NodeId], began: Time) -> bool {
-        let unheard = !self.c.all.contains_key(&m.id) && self.now < began + PLACE_UNHEARD;
+    fn holds_on(&self, m: &Member, role: &[NodeId], round: &Round) -> bool {
+        let unheard = !self.c.all.contains_key(&m.id) && self.now < round.began + PLACE_UNHEARD;
         let others = || role.iter().any(|id| *id != m.id && self.c.serves(*id));
         let suspect = self.c.suspect(m.id) && others();
         let runs = self.c.alive(m.id) || suspect || unheard;
-        m.phase != "leaving" && runs && !self.replaced(m)
+        m.phase != "leaving" && runs && !round.occupants.replace(m)
     }
 }
 
+/// What all placements of a round share.
+pub(crate) struct Round {
+    /// Since when this process leads the chain.
+    pub(crate) began: Time,
+    pub(crate) occupants: Occupants,
+}
+
 impl Watch {
-    pub(crate) fn place_all(&mut self, k: &Sky, began: Time, ops: &mut Vec<Op>) {
-        if k.now < began + PILOT_FIRST {
+    pub(crate) fn place_all(&mut self, k: &Sky, round: &Round, ops: &mut Vec<Op>) {
+        if k.now < round.began + PILOT_FIRST || k.now < self.place_at {
             return;
         }
+        self.place_at = k.now + PLACE_ROUND;
         let mut wanted: Vec<(bool, &String, Seats)> = k
             .cfg
             .databases
             .keys()
             .filter_map(|name| {
-                let seats = self.wanted_seats(k, name, began)?;
+                let seats = self.wanted_seats(k, name, round)?;
                 Some((!served(k, name), name, seats))
             })
             .collect();
@@ -58,7 +79,7 @@
     }
 
     /// Who should hold a database's roles, if that is to change now.
-    fn wanted_seats(&mut self, k: &Sky, name: &str, began: Time) -> Option<Seats> {
+    fn wanted_seats(&mut self, k: &Sky, name: &str, round: &Round) -> Option<Seats> {
         let blank = Db::default();
         let db = k.st.dbs.get(name).unwrap_or(&blank);
         since(&mut self.placed, name.into(), db.fencers.clone(), k.now);
@@ -74,9 +95,9 @@
         let emptied = |m: &Member| !moving && k.st.evacuated.contains_key(&m.domain);
         let roles = Roles {
             take_over: &|m| k.can_take_over(m),
-            keep_fencing: &|m| k.holds_on(m, &db.fencers, began) && !emptied(m),
+            keep_fencing: &|m| k.holds_on(m, &db.fencers, round) && !emptied(m),
             keep_gateway: &|m| {
-                k.holds_on(m, &db.gateways, began) && !emptied(m) && !k.c.stops(m.id)
+                k.holds_on(m, &db.gateways, round) && !emptied(m) && !k.c.stops(m.id)
             },
             stopping: &|m| k.c.stops(m.id),
         };
--- a/tenet/src/suspicion.rs
+++ b/tenet/src/suspicion.rs
@@ -5,6 +5,21 @@
 use crate::wire::Msg;
 
 impl Colleagues {
+    /// This process stops. Those that place work hear it at once, the others by gossip.
+    pub(crate) fn stop(&mut self, now: Time, send: &mut Vec<(Addr, Msg)>) {
+        self.me.stopping = true;
+        self.me.life += 1;
+        self.spread();
+        let placing: Vec<(NodeId, Addr)> = self
+            .live()
+            .filter(|s| s.disk)
+            .map(|s| (s.id, s.addr))
+            .collect();
+        for (id, addr) in placing {
+            self.probe(now, id, addr, send);
+        }
+    }
+
     /// While this process did not run, answers could not be taken: that is no silence of the others.
     pub(crate) fn excuse_own_pause(&mut self, now: Time) {
         let gap = now.saturating_sub(self.ticked.max(1));
