--- a/tenet/src/bounds.rs
+++ b/tenet/src/bounds.rs
@@ -4,7 +4,8 @@
 pub const PERMIT_DRIFT: Time = 150;
 pub const REFRESH: Time = 250;
 pub const REFRESH_LATE: Time = 400;
-pub const REFRESH_DOUBT: Time = 600;
+/// How old the newest lease is when the link to the tail is probed.
+pub const REFRESH_DOUBT: Time = 450;
 /// Most entries of the replicated log that are kept in memory for those that are behind.
 pub const LOG_KEPT_ENTRIES: usize = 4096;
 /// Most bytes of them: ten seconds of a storm of 50 changes a second of 1 KB each. Who is further behind
--- a/tenet/src/colleagues.rs
+++ b/tenet/src/colleagues.rs
@@ -27,6 +27,8 @@
     pub wire: u8,
     /// This process reaches it without help.
     pub direct: bool,
+    /// It let a probe of this process wait, and answered none since.
+    pub(crate) missed: bool,
     /// This process probed it in vain since it became a suspect.
     pub(crate) witnessed: bool,
     /// When this process first learnt of it.
@@ -39,6 +41,8 @@
     pub addr: Addr,
     pub at: Time,
     pub helped: bool,
+    /// It only tells a suspect of the suspicion: its silence accuses nobody.
+    pub(crate) tells: bool,
 }
 
 pub struct Colleagues {
--- a/tenet/src/follow.rs
+++ b/tenet/src/follow.rs
@@ -95,11 +95,15 @@
         }
     }
 
-    /// How long until the next question. Who gets no answer asks less often, and not all at once.
+    /// How long until the next question. Who is about to lose its lease asks often; who has none and gets
+    /// no answer asks less often, and not all at once.
     fn pause(&mut self, now: Time) -> Time {
         if self.holds(now + PERMIT - REFRESH_LATE) {
             return REFRESH;
         }
+        if self.holds(now) {
+            return REFRESH_AGAIN;
+        }
         let again = REFRESH_AGAIN << self.unanswered.min(REFRESH_DOUBLINGS);
         self.unanswered += 1;
         again + mix(self.seq) % (again / 2)
--- a/tenet/src/gossip.rs
+++ b/tenet/src/gossip.rs
@@ -46,6 +46,7 @@
             let wire = self.all.get(&id).map_or(1, |c| c.wire);
             // What others tell of it says nothing of the way to it.
             let direct = self.all.get(&id).is_none_or(|c| c.direct);
+            let missed = self.all.get(&id).is_some_and(|c| c.missed);
             let first_seen = self.all.get(&id).map_or(now, |c| c.first_seen);
             let witnessed = self.all.get(&id).is_some_and(|c| c.witnessed && !turned);
             self.all.insert(
@@ -57,6 +58,7 @@
                     why: "told".into(),
                     wire,
                     direct,
+                    missed,
                     witnessed,
                     first_seen,
                 },
@@ -135,6 +137,7 @@
                     let reached = if o.addr == addr { from } else { o.id };
                     if let Some(peer) = self.all.get_mut(&reached) {
                         peer.direct = o.addr == addr;
+                        peer.missed = !peer.direct;
                     }
                     self.health.improve();
                     let same = o.id == from || o.addr != addr;
--- a/tenet/src/probe.rs
+++ b/tenet/src/probe.rs
@@ -42,6 +42,7 @@
             addr,
             at: now,
             helped: false,
+            tells: false,
         });
     }
 
--- a/tenet/src/reach.rs
+++ b/tenet/src/reach.rs
@@ -12,7 +12,11 @@
             .values()
             .find(|c| c.s.addr == to && !c.direct && c.s.status != GONE)?;
         let fit = |c: &&Colleague| {
-            c.direct && c.s.status == ALIVE && c.s.domain != t.s.domain && c.s.id != t.s.id
+            c.direct
+                && !c.missed
+                && c.s.status == ALIVE
+                && c.s.domain != t.s.domain
+                && c.s.id != t.s.id
         };
         let far = |c: &&Colleague| c.s.domain != self.me.domain;
         let v: Vec<&Colleague> = self.all.values().filter(fit).collect();
@@ -61,7 +65,7 @@
         }
         let count = others.len().max(1);
         others.rotate_left(self.seq as usize % count);
-        others.sort_by_key(|s| !self.all.get(&s.id).is_some_and(|c| c.direct));
+        others.sort_by_key(|s| !self.all.get(&s.id).is_some_and(|c| c.direct && !c.missed));
         let zone_rank = |i: usize| {
             let before = others[..i].iter();
             before.filter(|s| s.domain == others[i].domain).count()
--- a/tenet/src/suspicion.rs
+++ b/tenet/src/suspicion.rs
@@ -48,7 +48,7 @@
             self.open
                 .last_mut()
                 .into_iter()
-                .for_each(|o| o.helped = true);
+                .for_each(|o| (o.helped, o.tells) = (true, true));
         }
     }
 
@@ -58,9 +58,9 @@
         let indirect = self.health.stretched(PROBE_DIRECT + PROBE_INDIRECT);
         let mut i = 0;
         while i < self.open.len() {
-            let (id, at, helped) = {
+            let (id, at, helped, tells) = {
                 let o = &self.open[i];
-                (o.id, o.at, o.helped)
+                (o.id, o.at, o.helped, o.tells)
             };
             let gone = self.all.get(&id).is_none_or(|c| c.s.status == GONE);
             if !helped && now >= at + direct && !gone {
@@ -68,7 +68,9 @@
             }
             if now >= at + indirect {
                 self.open.swap_remove(i);
-                self.unanswered(id, now);
+                if !tells {
+                    self.unanswered(id, now);
+                }
             } else {
                 i += 1;
             }
@@ -85,6 +87,9 @@
             let o = &self.open[open];
             (o.id, o.addr, o.seq)
         };
+        if let Some(peer) = self.all.get_mut(&id) {
+            peer.missed = true;
+        }
         for (to, via) in self.helpers(id) {
             let news = self.news();
             let message = match self.all.get(&via).is_some_and(|c| c.wire >= 2) {
