--- a/review/world/service.rs
+++ b/review/world/service.rs
@@ -397,7 +397,10 @@
         let (name, more) = cut(rest);
         match word {
             "BEGIN" => {
-                let (leads, term) = (self.state().lead == Some(i), self.state().term);
+                let (leads, term) = {
+                    let g = self.state();
+                    (g.lead == Some(i), g.term)
+                };
                 if rest != "FETCH" && !leads {
                     return Out::Refused("READONLY");
                 }
