--- a/review/world/loss.rs
+++ b/review/world/loss.rs
@@ -40,6 +40,11 @@
     let s = &stage.service;
     let acknowledged: Arc<Mutex<Vec<String>>> = Arc::default();
     let over = AtomicBool::new(false);
+    let near = stage.argument("near") == "1";
+    if near {
+        // Server 1 stands in the primary's region, in another zone, and hears everything.
+        s.state().servers[1].net = Duration::from_millis(1);
+    }
     let mut checked = String::new();
     let mut broken = Vec::new();
     thread::scope(|scope| {
@@ -76,8 +81,10 @@
         sleep(1500);
         if stage.trouble {
             // Server 2, the other replica, receives nothing for a while, and the primary crashes meanwhile.
-            s.note("server 2 receives nothing");
-            s.state().servers[2].deaf = true;
+            if !near {
+                s.note("server 2 receives nothing");
+                s.state().servers[2].deaf = true;
+            }
             sleep(1000);
             s.note("server 0, the primary, crashes");
             s.crash(0);
@@ -88,7 +95,7 @@
             sleep(20);
         }
         sleep(500);
-        if stage.trouble {
+        if stage.trouble && !near {
             s.note("server 2 receives again");
             s.state().servers[2].deaf = false;
         }
--- a/review/world/service.rs
+++ b/review/world/service.rs
@@ -30,6 +30,8 @@
     pub up: bool,
     /// It receives nothing.
     pub deaf: bool,
+    /// How long entries take to it.
+    pub net: Duration,
     pub draining: bool,
     /// Its announcements have ended with a DELETE.
     pub gone: bool,
@@ -64,6 +66,7 @@
     lag: Duration,
 }
 
+/// How long entries take to the other servers, where nothing else is said.
 const NET: Duration = Duration::from_millis(12);
 const WORK: Duration = Duration::from_millis(3);
 const HELLO: Duration = Duration::from_millis(12);
@@ -101,6 +104,7 @@
             term: 1,
             up: true,
             deaf: false,
+            net: NET,
             draining: false,
             gone: false,
             life: 0,
@@ -155,7 +159,7 @@
         self.broken.lock().unwrap().push(text);
     }
 
-    /// What was committed `NET` ago arrives, what arrived `lag` ago is applied.
+    /// What was committed `net` ago arrives, what arrived `lag` ago is applied.
     fn replicate(&self) {
         loop {
             thread::sleep(Duration::from_millis(1));
@@ -171,7 +175,8 @@
                 if source && !st.servers[i].deaf {
                     let from = st.servers[i].log.len();
                     let log = st.servers[src].log.get(from..).unwrap_or(&[]);
-                    let due = log.iter().take_while(|(_, at)| *at + NET <= now);
+                    let net = st.servers[i].net;
+                    let due = log.iter().take_while(|(_, at)| *at + net <= now);
                     let new: Vec<_> = due.map(|(e, _)| (e.clone(), now)).collect();
                     st.servers[i].log.extend(new);
                     st.servers[i].term = term;
