Promote the longest of enough logs where replicas acknowledge commits

Cause: the failover controller sorted replicas by (in service, position), so that one in service went before a leaving or evacuated one with a longer log.

Change: tenet/src/successor.rs chooses for databases whose commits are acknowledged by a quorum of logs. The target must hold the longest of enough logs, seen since nothing can be acknowledged any more, or as much as the old primary; being in service decides between equal logs only. Any acknowledged commit is in one of that many logs, and the longest holds all that the others do. Replicas outside the homes count too, and a planned change no longer promotes a replica that lags. Other databases: unchanged.

--- a/tenet/src/belongs.rs
+++ b/tenet/src/belongs.rs
@@ -29,26 +29,54 @@
     l
 }
 
-/// Which servers each database has: the first by name that selects a server, in a home of it.
-pub fn assigned<'a>(c: &Config, st: &'a State) -> BTreeMap<String, Vec<&'a Server>> {
+/// Why a replica outside the homes of its database gets no work.
+const OUTSIDE_HOMES: &str = "outside the homes of its database";
+
+/// The database that a server holds a copy of, wherever it stands: the first by name that selects it.
+pub fn database_of<'a>(c: &'a Config, s: &Server) -> Option<&'a str> {
+    let labels = labels_of(c, s);
+    let selected = c.selectors().iter().find(|x| x.1.matches(&labels));
+    selected.map(|(database, _)| database.as_str())
+}
+
+fn at_home(c: &Config, db: &str, s: &Server) -> bool {
+    let region = c.region(&s.domain);
+    let database = c.databases.get(db);
+    region
+        .zip(database)
+        .is_some_and(|(r, d)| d.homes.iter().any(|h| h == r))
+}
+
+/// The servers that hold a copy of each database, also outside its homes.
+pub fn replicas<'a>(c: &Config, st: &'a State) -> BTreeMap<String, Vec<&'a Server>> {
     let mut m: BTreeMap<String, Vec<&Server>> = BTreeMap::new();
     for s in st.servers.values() {
-        let l = labels_of(c, s);
-        let of = c.selectors().iter().find(|x| x.1.matches(&l));
-        let home = |d: &str| {
-            c.region(&s.domain).is_some_and(|r| {
-                c.databases
-                    .get(d)
-                    .is_some_and(|d| d.homes.iter().any(|h| h == r))
-            })
-        };
-        if let Some((d, _)) = of.filter(|x| home(&x.0)) {
-            m.entry(d.clone()).or_default().push(s);
+        if let Some(d) = database_of(c, s) {
+            m.entry(d.into()).or_default().push(s);
         }
     }
     m
 }
 
+/// Which servers each database has: those that it selects, in a home of it.
+pub fn assigned<'a>(c: &Config, st: &'a State) -> BTreeMap<String, Vec<&'a Server>> {
+    let mut m = replicas(c, st);
+    for (db, servers) in &mut m {
+        servers.retain(|s| at_home(c, db, s));
+    }
+    m
+}
+
+/// Why a server that holds a log which counts gets no work from where it stands. Only where commits are
+/// acknowledged by a quorum of logs: elsewhere such a server is not looked at.
+pub fn away(c: &Config, db: &str, s: &Server) -> Option<&'static str> {
+    let counts = c
+        .databases
+        .get(db)
+        .is_some_and(|d| d.can.acknowledges_by_quorum());
+    (counts && !at_home(c, db, s)).then_some(OUTSIDE_HOMES)
+}
+
 /// The servers of one database.
 pub fn db_servers<'a>(c: &Config, st: &'a State, db: &str) -> Vec<&'a Server> {
     assigned(c, st).remove(db).unwrap_or_default()
--- a/tenet/src/bounds.rs
+++ b/tenet/src/bounds.rs
@@ -182,6 +182,8 @@
 pub const PAUSE_OVER: Time = 400;
 /// How long who granted a lease waits until it has surely run out.
 pub const FULL: Time = PERMIT + PERMIT_DRIFT;
+/// How long an observation of a server may be on its way to the head.
+pub const SIGHT_TRANSIT: Time = 300;
 /// How old an observation of a server may be to count.
 pub const SIGHT_STALE: Time = 1500;
 /// How long a node that is leaving serves sessions that it has.
--- a/tenet/src/database_row.rs
+++ b/tenet/src/database_row.rs
@@ -68,6 +68,7 @@
             heirs: list(b.heirs.keys().filter(|h| st.heir(b, h)).collect()),
             joining: list(b.joining.keys().collect()),
             servers: mine,
+            away: Vec::new(),
             fencers: b.fencers.clone(),
             gateways: b.gateways.clone(),
             fence_region: home.unwrap_or("").into(),
--- a/tenet/src/entry.rs
+++ b/tenet/src/entry.rs
@@ -46,6 +46,14 @@
     pub synced: u32,
 }
 
+impl Abilities {
+    /// Whether servers acknowledge a commit by themselves once `synced` replicas hold it. Which ones do is not
+    /// told, so that only enough logs together are known to hold every acknowledged commit.
+    pub fn acknowledges_by_quorum(&self) -> bool {
+        self.synced > 0 && !self.confirms
+    }
+}
+
 impl Default for Abilities {
     fn default() -> Self {
         Abilities {
--- a/tenet/src/failover.rs
+++ b/tenet/src/failover.rs
@@ -10,7 +10,7 @@
 
 impl Watch {
     /// Those who asked it lately got no answer.
-    fn dark(&self, k: &Sky, server: &str) -> bool {
+    pub(crate) fn dark(&self, k: &Sky, server: &str) -> bool {
         let mut v = self
             .seen
             .iter()
@@ -29,7 +29,7 @@
         let (db, epoch) = (n.to_string(), d.epoch);
         let grace = k.cfg.timeouts.transaction_drain_ms + CLOSE_EXTRA;
         let p = d.primary.as_ref().and_then(|p| k.st.servers.get(p));
-        let back = p.is_some_and(|p| server_off(k.st, p).is_none());
+        let back = p.is_some_and(|p| k.off(n, p).is_none());
         let dead = p.is_some_and(|p| self.sight(k, &p.name, p.life, 0).is_none());
         if back {
             ops.push(Op::Reopen {
@@ -54,6 +54,9 @@
         if !sure {
             return;
         }
+        if k.counts_logs(n) {
+            return self.choose_by_logs(k, n, d, at, ops);
+        }
         let (db, epoch) = (n.to_string(), d.epoch);
         let since = at;
         let old = d.old.as_ref().and_then(|o| k.st.servers.get(o));
@@ -78,16 +81,7 @@
             })
         };
         let unseen = heirs.iter().filter(awaited).any(|h| !self.dark(k, h));
-        let held = heirs
-            .iter()
-            .filter(|h| {
-                k.st.servers
-                    .get(**h)
-                    .is_some_and(|s| self.sight(k, h, s.life, since).is_some())
-            })
-            .count();
-        let short = can.synced > 0 && held + (can.synced as usize) < heirs.len() + 1;
-        if !confirms && (short || unseen && k.now < at + HEIR_LOOK) {
+        if !confirms && unseen && k.now < at + HEIR_LOOK {
             return;
         }
         let mut best: Vec<(bool, u64, &String)> = heirs
--- a/tenet/src/lib.rs
+++ b/tenet/src/lib.rs
@@ -93,6 +93,7 @@
 pub mod snapshot;
 pub mod snapshot_transfer;
 pub mod state;
+pub mod successor;
 pub mod suspicion;
 pub mod table;
 pub mod trace;
--- a/tenet/src/pilot.rs
+++ b/tenet/src/pilot.rs
@@ -8,7 +8,7 @@
 use crate::placement::Round;
 pub use crate::promotion::*;
 use crate::state::*;
-use crate::table::{db_servers, server_off};
+use crate::table::{away, db_servers, server_off};
 use crate::wire::Sight;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -40,6 +40,8 @@
     pub(crate) member_at: BTreeMap<NodeId, (Mark, Time)>,
     pub(crate) join_at: BTreeMap<(String, String), (Mark, Time)>,
     pub(crate) gone_at: BTreeMap<(String, String), Time>,
+    /// By database: since when no work of the present failover step can be acknowledged any more.
+    pub(crate) sealed: BTreeMap<String, (Mark, Time)>,
     pub(crate) began: Option<Time>,
 }
 
@@ -57,6 +59,19 @@
     pub c: &'a Colleagues,
 }
 
+impl Sky<'_> {
+    /// Why new work is kept from a server of a database; none if it is not.
+    pub(crate) fn off(&self, db: &str, server: &Server) -> Option<&'static str> {
+        server_off(self.st, server).or_else(|| away(self.cfg, db, server))
+    }
+
+    /// Whether the logs of a database's replicas are counted to know what was acknowledged.
+    pub(crate) fn counts_logs(&self, db: &str) -> bool {
+        let database = self.cfg.databases.get(db);
+        database.is_some_and(|d| d.can.acknowledges_by_quorum())
+    }
+}
+
 pub(crate) fn since<K: Ord, V: PartialEq>(
     m: &mut BTreeMap<K, (V, Time)>,
     k: K,
@@ -181,7 +196,7 @@
             ops.push(Op::Offline { db, epoch, why });
             return;
         }
-        let off = server_off(k.st, ps);
+        let off = k.off(n, ps);
         let other = |h: &String| {
             k.st.servers.get(h).is_some_and(|s| {
                 server_off(k.st, s).is_none() && self.sight(k, h, s.life, 0).is_some()
--- a/tenet/src/polls.rs
+++ b/tenet/src/polls.rs
@@ -8,7 +8,7 @@
 use crate::ledger::Plan;
 use crate::plan::blank;
 use crate::route;
-use crate::table::Table;
+use crate::table::{DbRow, Table};
 use crate::trip::{For, Trip};
 use crate::wire::*;
 
@@ -100,7 +100,8 @@
     fn sights(&self, now: Time, t: &Table) -> Vec<Sight> {
         let late = |i: usize| now >= self.polled[i].max(self.known[i].heard) + SIGHT_STALE;
         let mine = |i: &usize| {
-            t.dbs.iter().any(|d| d.servers.contains(i)) && self.polled[*i] > 0 && !late(*i)
+            let counts = |d: &DbRow| d.servers.contains(i) || d.away.contains(i);
+            t.dbs.iter().any(counts) && self.polled[*i] > 0 && !late(*i)
         };
         (0..t.servers.len())
             .filter(mine)
--- a/tenet/src/table.rs
+++ b/tenet/src/table.rs
@@ -3,7 +3,7 @@
 //! nodes that do not fence its database.
 
 use crate::base::*;
-use crate::config::{Config, RequestKind};
+use crate::config::{Config, Database, RequestKind};
 use crate::entry::{Abilities, Entry, EntryRow};
 use crate::labels::{Labels, Selector};
 use crate::plant::{planted, Bug};
@@ -35,6 +35,8 @@
     pub heirs: Vec<usize>,
     pub joining: Vec<usize>,
     pub servers: Vec<usize>,
+    /// Replicas outside the homes whose logs count; they are polled and get no work.
+    pub away: Vec<usize>,
     pub fencers: Vec<NodeId>,
     pub gateways: Vec<NodeId>,
     pub fence_region: String,
@@ -129,12 +131,17 @@
         });
         extend(&mut order, c.databases.keys());
         let of = assigned(c, st);
+        let mut away_of = self.away(&ix);
         let mut dbs = Vec::new();
         for n in &order {
             let mine = of.get(n).map_or(Vec::new(), |v| {
                 v.iter().filter_map(|s| ix(&s.name)).collect()
             });
-            let row = self.db(n, mine, &ix, &mut servers, count, full(&self.me));
+            let mut row = self.db(n, mine, &ix, &mut servers, count, full(&self.me));
+            row.away = away_of.remove(n).unwrap_or_default();
+            for i in &row.away {
+                self.cover(n, *i, &row, &mut servers);
+            }
             dbs.push(row);
         }
         let kinds: Vec<KindRow> = c
@@ -214,6 +221,35 @@
         }
     }
 
+    /// Rows of the replicas outside the homes of their database, where their logs count.
+    fn away(&self, ix: &dyn Fn(&str) -> Option<usize>) -> HashMap<String, Vec<usize>> {
+        let counts = |d: &Database| d.can.acknowledges_by_quorum();
+        if !self.cfg.databases.values().any(counts) {
+            return HashMap::new();
+        }
+        let mut rows: HashMap<String, Vec<usize>> = HashMap::new();
+        for (db, servers) in replicas(self.cfg, self.st) {
+            let outside = servers
+                .iter()
+                .filter(|s| away(self.cfg, &db, s).is_some())
+                .filter_map(|s| ix(&s.name))
+                .collect();
+            rows.insert(db, outside);
+        }
+        rows
+    }
+
+    /// Keeps work from a replica outside the homes, and its address from nodes that do not fence its database
+    /// while it leads.
+    fn cover(&self, db: &str, i: usize, row: &DbRow, servers: &mut [ServerRow]) {
+        if let Some(s) = self.st.servers.get(&servers[i].name) {
+            servers[i].off = servers[i].off.or(away(self.cfg, db, s));
+        }
+        if !row.fences && row.primary == Some(i) {
+            servers[i].addr = Addr::NONE;
+        }
+    }
+
     fn left(&self, i: usize, n: &str) -> ServerRow {
         let life = self
             .old
--- a/tenet/src/watch.rs
+++ b/tenet/src/watch.rs
@@ -38,7 +38,7 @@
                     .jobs
                     .iter()
                     .any(|(_, j)| j.db == i && j.step == Step::Acks);
-            for s in &d.servers {
+            for s in d.servers.iter().chain(&d.away) {
                 let row = &t.servers[*s];
                 let near = d.fences || d.homes.contains(&row.region);
                 let last = match d.can.guards && d.primary == Some(*s) {
--- /dev/null
+++ b/tenet/tests/successor.rs
@@ -0,0 +1,285 @@
+#![cfg(not(loom))]
+//! Who takes over where a commit is acknowledged once one of two replicas holds it: only a log that is known to hold
+//! every acknowledged commit. Each test guards against an acknowledged commit that is missing after a promotion.
+use std::sync::Arc;
+use tenet::base::*;
+use tenet::colleagues::Colleagues;
+use tenet::config::Config;
+use tenet::pilot::{Sky, Watch};
+use tenet::state::*;
+use tenet::wire::{Sight, Summary, WIRE};
+
+const DATABASE: &str = "orders";
+const ME: NodeId = 1;
+const OTHER: NodeId = 2;
+/// Between two rounds of the controller, in ms.
+const ROUND: Time = 50;
+
+fn configuration(homes: &str) -> String {
+    format!(
+        r#"{{"name": "test",
+        "domains": {{"zone-a": {{"region": "east"}}, "zone-b": {{"region": "west"}}}},
+        "databases": {{"orders": {{"servers": "service=orders", "homes": {homes}, "cap": 80,
+            "can": {{"outcomes": false, "guards": true, "keeps_state": false, "confirms": false, "synced": 1}}}}}},
+        "kinds": {{"write": {{"writes": true}}, "current": {{}}}}}}"#
+    )
+}
+
+fn parsed(homes: &str) -> Config {
+    Config::parse(&configuration(homes)).unwrap_or_else(|e| panic!("{e:?}"))
+}
+
+/// The head of the chain with what fencing nodes tell it; `a` is the primary, `b` and `c` are its replicas.
+struct Fleet {
+    config: Arc<Config>,
+    state: State,
+    peers: Colleagues,
+    watch: Watch,
+    now: Time,
+}
+
+impl Fleet {
+    fn new() -> Fleet {
+        let me = Summary {
+            id: ME,
+            addr: Addr::NONE,
+            http: Addr::NONE,
+            domain: "zone-a".into(),
+            disk: true,
+            life: 1,
+            status: 0,
+            view: 1,
+            mark: 1,
+            allows: true,
+            stopping: false,
+        };
+        let mut fleet = Fleet {
+            config: Arc::new(parsed(r#"["east", "west"]"#)),
+            state: State::default(),
+            peers: Colleagues::new(me, vec![], WIRE),
+            watch: Watch::default(),
+            now: 10_000,
+        };
+        fleet.configure(r#"["east", "west"]"#);
+        for (server, port) in [("a", 1), ("b", 2), ("c", 3)] {
+            fleet.announce(server, port, false);
+        }
+        fleet.put(Op::Place {
+            db: DATABASE.into(),
+            fencers: vec![OTHER],
+            gateways: vec![],
+        });
+        fleet.put(Op::Adopt {
+            db: DATABASE.into(),
+            server: "a".into(),
+        });
+        fleet
+    }
+
+    fn configure(&mut self, homes: &str) {
+        let text = configuration(homes);
+        self.config = Arc::new(parsed(homes));
+        let base = self.state.cfg_mark;
+        self.put(Op::Config { base, text });
+    }
+
+    fn announce(&mut self, server: &str, port: u16, leaving: bool) {
+        let domain = if server == "b" { "zone-b" } else { "zone-a" };
+        self.put(Op::Announce {
+            server: server.into(),
+            addr: Addr { ip: [9; 16], port },
+            domain: domain.into(),
+            labels: [("service".to_string(), DATABASE.to_string())].into(),
+            life: digest(server.as_bytes()),
+            leads: server == "a",
+            leaving,
+            terms: true,
+            seq: 0,
+        });
+    }
+
+    fn put(&mut self, op: Op) {
+        let mark = self.state.mark + 1;
+        let ask = Ask::unanswered(mark * 31, op);
+        let verdict = self.state.apply(&Entry::unstamped(mark, ask));
+        assert_eq!(verdict.reject, None);
+    }
+
+    fn database(&self) -> &Db {
+        &self.state.dbs[DATABASE]
+    }
+
+    /// The fencing node lost the primary, and every lease that names it has run out.
+    fn primary_is_lost(&mut self) {
+        let epoch = self.database().epoch;
+        self.put(Op::Offline {
+            db: DATABASE.into(),
+            epoch,
+            why: "lost".into(),
+        });
+        self.round();
+        self.now += FULL;
+    }
+
+    /// The fencing node sees a server with a log up to a position.
+    fn see(&mut self, server: &str, position: u64, leads: bool) {
+        self.observe(server, Some(position), leads, 0);
+    }
+
+    fn observe(&mut self, server: &str, position: Option<u64>, leads: bool, age: Time) {
+        let sight = Sight {
+            server: server.into(),
+            life: digest(server.as_bytes()),
+            age,
+            reach: position.is_some(),
+            pos: position.unwrap_or(0),
+            follows: "a".into(),
+            leads,
+            link: position.is_some(),
+        };
+        self.watch.sights(self.now, OTHER, vec![sight]);
+    }
+
+    /// One round of the controller; what it proposes takes effect.
+    fn round(&mut self) -> Vec<Op> {
+        self.now += ROUND;
+        let sky = Sky {
+            now: self.now,
+            me: ME,
+            st: &self.state,
+            cfg: &self.config,
+            c: &self.peers,
+        };
+        let (ops, _) = self.watch.tick(&sky);
+        for op in &ops {
+            self.put(op.clone());
+        }
+        ops
+    }
+
+    /// Rounds for a span of time in which the fencing node sees these logs; the target, if one is chosen.
+    fn target_within(&mut self, span: Time, logs: &[(&str, u64)]) -> Option<String> {
+        let end = self.now + span;
+        while self.now < end && self.database().target.is_none() {
+            for (server, position) in logs {
+                self.see(server, *position, false);
+            }
+            self.round();
+        }
+        self.database().target.clone()
+    }
+}
+
+/// Guards against case 1 of the review: a replica in service was promoted before a leaving one with a longer log.
+#[test]
+fn the_longest_log_is_promoted_although_its_server_is_leaving() {
+    let mut fleet = Fleet::new();
+    fleet.announce("b", 2, true);
+    fleet.primary_is_lost();
+    let target = fleet.target_within(3_000, &[("b", 300), ("c", 40)]);
+    assert_eq!(target.as_deref(), Some("b"));
+}
+
+/// The same for a replica in an evacuated zone.
+#[test]
+fn the_longest_log_is_promoted_although_its_zone_is_evacuated() {
+    let mut fleet = Fleet::new();
+    fleet.put(Op::Evacuate {
+        domain: "zone-b".into(),
+        on: true,
+    });
+    fleet.primary_is_lost();
+    let target = fleet.target_within(3_000, &[("b", 300), ("c", 40)]);
+    assert_eq!(target.as_deref(), Some("b"));
+}
+
+/// Between equal logs the one that may serve is promoted.
+#[test]
+fn of_equal_logs_the_one_in_service_is_promoted() {
+    let mut fleet = Fleet::new();
+    fleet.announce("c", 3, true);
+    fleet.primary_is_lost();
+    let target = fleet.target_within(3_000, &[("b", 300), ("c", 300)]);
+    assert_eq!(target.as_deref(), Some("b"));
+}
+
+/// Guards against a choice by a log that was looked at while a commit could still be acknowledged.
+#[test]
+fn a_log_that_was_seen_before_the_old_primary_was_fenced_does_not_decide() {
+    let mut fleet = Fleet::new();
+    fleet.announce("b", 2, true);
+    let epoch = fleet.database().epoch;
+    fleet.put(Op::Offline {
+        db: DATABASE.into(),
+        epoch,
+        why: "lost".into(),
+    });
+    fleet.round();
+    fleet.now += FULL - 2 * ROUND;
+    // Both hold as much as yet; a commit that is under way is acknowledged by the leaving one after this.
+    fleet.see("b", 300, false);
+    fleet.see("c", 300, false);
+    assert_eq!(fleet.target_within(SIGHT_TRANSIT, &[]), None);
+    let target = fleet.target_within(3_000, &[("b", 301), ("c", 300)]);
+    assert_eq!(target.as_deref(), Some("b"));
+}
+
+impl Fleet {
+    /// Rounds for a span of time in which these logs are seen while the old primary goes on; the first proposal that
+    /// ends the failover step.
+    fn planned_within(&mut self, span: Time, old: u64, logs: &[(&str, u64)]) -> Option<Op> {
+        let end = self.now + span;
+        while self.now < end {
+            self.see("a", old, true);
+            for (server, position) in logs {
+                self.see(server, *position, false);
+            }
+            let ends = |op: &Op| matches!(op, Op::Target { .. } | Op::Reopen { .. });
+            if let Some(op) = self.round().into_iter().find(ends) {
+                return Some(op);
+            }
+        }
+        None
+    }
+
+    fn planned_change(&mut self) {
+        self.announce("a", 1, true);
+        let epoch = self.database().epoch;
+        let (db, why) = (DATABASE.to_string(), "a is leaving".to_string());
+        self.put(Op::Close { db, epoch, why });
+        self.primary_is_lost();
+    }
+}
+
+/// Guards against a planned change that promoted a replica which had not caught up.
+#[test]
+fn a_planned_change_goes_back_to_the_old_primary_when_no_replica_catches_up() {
+    let mut fleet = Fleet::new();
+    fleet.planned_change();
+    let ended = fleet.planned_within(8_000, 300, &[("c", 299)]);
+    assert!(matches!(ended, Some(Op::Reopen { .. })), "{ended:?}");
+    assert_eq!(fleet.database().primary.as_deref(), Some("a"));
+}
+
+/// A replica that caught up holds all that the old primary has: no other log is needed.
+#[test]
+fn a_planned_change_needs_only_the_replica_that_caught_up() {
+    let mut fleet = Fleet::new();
+    fleet.planned_change();
+    let ended = fleet.planned_within(3_000, 300, &[("c", 300)]);
+    assert!(
+        matches!(&ended, Some(Op::Target { server, .. }) if server == "c"),
+        "{ended:?}"
+    );
+}
+
+/// Guards against a replica outside the homes, which acknowledges like the others, that was not counted.
+#[test]
+fn a_replica_outside_the_homes_counts_and_is_promoted_when_its_log_is_the_longest() {
+    let mut fleet = Fleet::new();
+    fleet.configure(r#"["east"]"#);
+    fleet.primary_is_lost();
+    assert_eq!(fleet.target_within(3_000, &[("c", 40)]), None);
+    let target = fleet.target_within(3_000, &[("b", 300), ("c", 40)]);
+    assert_eq!(target.as_deref(), Some("b"));
+}
