Count a replica that has sent DELETE until its process has ended

Cause: Depart took the server out of the state at once, and with it out of the number of logs that a failover must see. Until its process ends it receives and acknowledges.

Change: DELETE at the platform's door says that the process may still run. Where a quorum of logs acknowledges commits, such a server stays listed as leaving: no new work, polled, counted, and promoted if its log is the longest. The head takes it out when it was silent for 10 s and enough other replicas hold what the primary has since; a server at its address takes its place. Elsewhere it is taken out at once. With too few logs known, an old primary that is back goes on after 3 s.

--- a/tenet/src/bounds.rs
+++ b/tenet/src/bounds.rs
@@ -257,6 +257,9 @@
 pub const UNKNOWN_OVER: Time = 8000;
 /// Pause before a promotion that was refused, or whose answer is not known, is asked for again.
 pub const PROMOTE_AGAIN: Time = 500;
+/// How long a server that said it is gone must be silent to count as ended: beyond the 7 s for which one that
+/// leaves serves on.
+pub const DEPARTED_SILENT: Time = 10_000;
 /// How long observations of servers are kept.
 pub const SIGHT_KEPT: Time = 5000;
 /// How long a proposal may take before it is given up.
--- a/tenet/src/departed.rs
+++ b/tenet/src/departed.rs
@@ -3,6 +3,9 @@
 use speedy::{Readable, Writable};
 use std::collections::BTreeMap;
 
+/// Instead of the number of an announcement: the server says that it is gone, but its process may still run
+/// and hold commits that no other one has. All of its announcements count as late.
+pub const STILL_RUNNING: u64 = u64::MAX - 1;
 /// How many are remembered; the one that left first is forgotten first.
 const REMEMBERED: usize = 1024;
 
@@ -27,6 +30,11 @@
         }
     }
 
+    /// Whether a server said that it is gone, and was not yet found to have ended.
+    pub fn may_still_run(&self, server: &str) -> bool {
+        self.sequences.get(server) == Some(&STILL_RUNNING)
+    }
+
     /// Whether an announcement of that number was made before the server left.
     pub fn is_late(&self, server: &str, sequence: u64) -> bool {
         let last = self.sequences.get(server);
--- a/tenet/src/lib.rs
+++ b/tenet/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod control;
 pub mod database_row;
 pub mod departed;
+pub mod departures;
 pub mod disk;
 pub mod disk_health;
 pub mod document;
--- a/tenet/src/op.rs
+++ b/tenet/src/op.rs
@@ -71,7 +71,8 @@
     /// A server has left.
     Depart {
         server: String,
-        /// The last announcement that counts as late; 0: all of them do.
+        /// The last announcement that counts as late; 0: all of them do. `departed::STILL_RUNNING`: all of
+        /// them do, and its process may still run.
         seq: u64,
     },
     /// Who fences a database, and who are its gateways.
--- a/tenet/src/pilot.rs
+++ b/tenet/src/pilot.rs
@@ -5,6 +5,7 @@
 use crate::base::*;
 use crate::colleagues::Colleagues;
 use crate::config::Config;
+use crate::departures::Silence;
 use crate::placement::Round;
 pub use crate::promotion::*;
 use crate::state::*;
@@ -42,6 +43,8 @@
     pub(crate) gone_at: BTreeMap<(String, String), Time>,
     /// By database: since when no work of the present failover step can be acknowledged any more.
     pub(crate) sealed: BTreeMap<String, (Mark, Time)>,
+    /// Servers that said they are gone and are silent.
+    pub(crate) ended: BTreeMap<String, Silence>,
     pub(crate) began: Option<Time>,
 }
 
@@ -119,6 +122,7 @@
         let round = Round { began, occupants };
         self.members(k, &round, &mut ops);
         self.place_all(k, &round, &mut ops);
+        self.departures(k, &mut ops);
         for n in k.cfg.databases.keys() {
             if let Some(d) = k.st.dbs.get(n) {
                 let at = since(&mut self.learned, n.clone(), d.since, k.now);
@@ -184,7 +188,8 @@
     fn steady(&mut self, k: &Sky, n: &str, d: &Db, at: Time, ops: &mut Vec<Op>) {
         let Some(p) = d.primary.as_ref() else { return };
         let (db, epoch) = (n.to_string(), d.epoch);
-        let Some(ps) = k.st.servers.get(p) else {
+        let serves = |s: &&Server| k.counts_logs(n) || !k.st.may_still_run(&s.name);
+        let Some(ps) = k.st.servers.get(p).filter(serves) else {
             ops.push(Op::Offline {
                 db,
                 epoch,
--- a/tenet/src/publish.rs
+++ b/tenet/src/publish.rs
@@ -3,6 +3,7 @@
 
 use crate::apply::{stale, Res};
 use crate::base::*;
+use crate::departed::STILL_RUNNING;
 use crate::kind::{Kind, Reject};
 use crate::plant::{planted, Bug};
 use crate::state::*;
@@ -144,12 +145,38 @@
         }
     }
 
+    /// A server has left. While its process may still run it stays in the state as one that is leaving: it
+    /// may acknowledge commits until it ends, so its log counts.
     pub(crate) fn depart(&mut self, at: u64, server: &str, seq: u64) -> Res {
-        self.forget(at, server, format!("server {server} has left"));
-        self.departed.add(server, seq);
+        if seq == STILL_RUNNING && self.servers.contains_key(server) {
+            self.say_gone(at, server);
+        } else {
+            self.forget(at, server, format!("server {server} has left"));
+            self.departed.add(server, seq);
+        }
         Ok(self.mark)
     }
 
+    fn say_gone(&mut self, at: u64, server: &str) {
+        if self.may_still_run(server) {
+            return;
+        }
+        if let Some(held) = self.servers.get_mut(server) {
+            held.leaving = true;
+        }
+        self.departed.add(server, STILL_RUNNING);
+        self.note_server_off(server);
+        let text =
+            format!("server {server} says that it is gone; its log counts until it has ended");
+        self.tell(at, server, text);
+    }
+
+    /// Whether a server is listed only since it may still run: it said that it is gone.
+    pub fn may_still_run(&self, server: &str) -> bool {
+        let leaving = self.servers.get(server).is_some_and(|s| s.leaving);
+        leaving && self.departed.may_still_run(server)
+    }
+
     fn forget(&mut self, at: u64, server: &str, why: String) {
         self.servers_off_since.remove(server);
         if self.servers.remove(server).is_some() {
--- a/tenet/src/watch.rs
+++ b/tenet/src/watch.rs
@@ -19,7 +19,9 @@
             } else {
                 FENCE_POLL
             }),
-            _ if d.can.guards && d.phase == "steady" => self.failing(d).then_some(WATCH_REPLICA),
+            _ if d.can.guards && d.phase == "steady" => {
+                (self.failing(d) || self.counts_one_that_leaves(d)).then_some(WATCH_REPLICA)
+            }
             _ if d.fences => Some(FENCE_POLL),
             _ => Some(READ_POLL),
         }
@@ -31,6 +33,12 @@
         d.primary.is_none_or(off)
     }
 
+    /// A replica is leaving whose log counts until the others are known to hold as much.
+    fn counts_one_that_leaves(&self, d: &DbRow) -> bool {
+        let leaves = |s: &usize| self.new_work[*s] != NewWork::Given;
+        d.can.acknowledges_by_quorum() && d.servers.iter().chain(&d.away).any(leaves)
+    }
+
     pub(crate) fn poll_servers(&mut self, now: Time, t: &Table, out: &mut FrontOut) {
         for (i, d) in t.dbs.iter().enumerate() {
             let acks = d.can.confirms
--- a/tenet/tests/successor.rs
+++ b/tenet/tests/successor.rs
@@ -5,6 +5,7 @@
 use tenet::base::*;
 use tenet::colleagues::Colleagues;
 use tenet::config::Config;
+use tenet::departed::STILL_RUNNING;
 use tenet::pilot::{Sky, Watch};
 use tenet::state::*;
 use tenet::wire::{Sight, Summary, WIRE};
@@ -273,6 +274,77 @@
     );
 }
 
+/// Guards against case 2 of the review: a replica that sent DELETE and serves on was not counted any more.
+#[test]
+fn a_replica_that_said_it_is_gone_counts_while_it_may_still_run() {
+    let mut fleet = Fleet::new();
+    fleet.says_gone("b");
+    fleet.primary_is_lost();
+    assert_eq!(fleet.target_within(8_000, &[("c", 40)]), None);
+    let target = fleet.target_within(3_000, &[("b", 300), ("c", 40)]);
+    assert_eq!(target.as_deref(), Some("b"));
+}
+
+/// The service goes on when the old primary is back with its log, although the others do not suffice.
+#[test]
+fn the_old_primary_goes_on_when_it_is_back_and_no_log_is_known_to_be_complete() {
+    let mut fleet = Fleet::new();
+    fleet.says_gone("b");
+    fleet.primary_is_lost();
+    let ended = fleet.planned_within(8_000, 300, &[("c", 40)]);
+    assert!(matches!(ended, Some(Op::Reopen { .. })), "{ended:?}");
+}
+
+impl Fleet {
+    fn says_gone(&mut self, server: &str) {
+        self.put(Op::Depart {
+            server: server.into(),
+            seq: STILL_RUNNING,
+        });
+    }
+
+    /// Rounds in which `b` does not answer and the others hold these logs; whether it is taken out.
+    fn is_taken_out_within(&mut self, span: Time, primary: u64, replica: u64) -> bool {
+        let end = self.now + span;
+        while self.now < end {
+            self.see("a", primary, true);
+            self.see("c", replica, false);
+            self.observe("b", None, false, DARK);
+            self.round();
+            if !self.state.servers.contains_key("b") {
+                return true;
+            }
+        }
+        false
+    }
+}
+
+/// One that has ended leaves the count, but not before the others hold what the primary has.
+#[test]
+fn a_replica_that_has_ended_leaves_the_count_when_the_others_hold_its_log() {
+    let mut fleet = Fleet::new();
+    fleet.says_gone("b");
+    assert!(!fleet.is_taken_out_within(DEPARTED_SILENT - ROUND, 300, 300));
+    assert!(!fleet.is_taken_out_within(5_000, 300, 299));
+    assert!(fleet.is_taken_out_within(1_000, 300, 300));
+    fleet.primary_is_lost();
+    let target = fleet.target_within(3_000, &[("c", 300)]);
+    assert_eq!(target.as_deref(), Some("c"));
+}
+
+/// A server that starts at the address has the log of the one before it, and counts in its place.
+#[test]
+fn a_new_server_at_the_address_takes_the_place_of_one_that_said_it_is_gone() {
+    let mut fleet = Fleet::new();
+    fleet.says_gone("b");
+    fleet.announce("d", 2, false);
+    assert!(!fleet.state.servers.contains_key("b"));
+    fleet.primary_is_lost();
+    assert_eq!(fleet.target_within(3_000, &[("c", 40)]), None);
+    let target = fleet.target_within(3_000, &[("d", 300), ("c", 40)]);
+    assert_eq!(target.as_deref(), Some("d"));
+}
+
 /// Guards against a replica outside the homes, which acknowledges like the others, that was not counted.
 #[test]
 fn a_replica_outside_the_homes_counts_and_is_promoted_when_its_log_is_the_longest() {
