Keep a session's own commits for each database that it wrote to

Cause: a session held one position and set it to 0 when its route had another database. Back at the first one, reads were guarded by the position for bounded reads only.

Change: tenet/src/own_commits.rs holds the newest own position for each database, for as long as the session lasts; a move changes only which one guards the next read.

--- a/chance/tests/sessions.rs
+++ b/chance/tests/sessions.rs
@@ -12,12 +12,15 @@
 use serde_json::{json, Value};
 use tenet::base::*;
 use tenet::front::*;
+use tenet::session::{Req, Want};
 use tenet::table::DbRow;
-use tenet::wire::{Act, Load, SetUp};
+use tenet::wire::{Act, Done, Load, SetUp};
 
 const ALUMNI: &str = include_str!("../../examples/alumni.json");
 const ROUTE: &str = "records";
 const OTHER_DATABASE: &str = "events";
+/// The number of each call of the session: it has one at a time.
+const CALL: u64 = 7;
 
 /// Servers that keep no state beside options and prepared statements, and check positions before reads; a route
 /// whose reads see the session's own commits, to this database.
@@ -81,3 +84,120 @@
     assert!(is_set_up(&mut node, 3, statement));
     assert!(is_set_up(&mut node, 4, option));
 }
+
+/// The traffic side of a node with one session on the route.
+struct Caller {
+    node: Node,
+    session: u64,
+}
+
+impl Caller {
+    fn new() -> Caller {
+        let collects = |row: &DbRow| row.name == DATABASE && !row.fences;
+        let mut node = Node::of(Fleet::configured(configuration(DATABASE)), collects);
+        let enter = Req::Enter {
+            entry: ROUTE.into(),
+            user: "u".into(),
+        };
+        let input = FrontIn::Call {
+            call: CALL,
+            req: enter,
+        };
+        let told = node.front.poll(node.now, input).response.pop();
+        let Some((_, Ok(Answer::Opened { session, .. }))) = told else {
+            panic!("no session was opened");
+        };
+        Caller { node, session }
+    }
+
+    fn asks(&mut self, req: Req) {
+        self.node.poll(FrontIn::Call { call: CALL, req });
+    }
+
+    fn run(&mut self, kind: Want) {
+        self.asks(Req::Run {
+            session: self.session,
+            kind,
+            id: None,
+            body: "null".into(),
+            prepared: None,
+            budget: None,
+        });
+    }
+
+    /// A transaction without statements: the session is bound to what its route says now.
+    fn begins_and_rolls_back(&mut self) {
+        let session = self.session;
+        self.asks(Req::Begin {
+            session,
+            kind: None,
+            id: None,
+            lazy: true,
+            budget: None,
+        });
+        self.asks(Req::Rollback { session });
+    }
+
+    /// A write that the primary acknowledges, at this position of its log.
+    fn writes(&mut self, position: u64) {
+        self.node.passed.clear();
+        self.run(Want::Writes);
+        let (go, gateway) = self.node.passed.pop().expect("the write is passed on");
+        let done = Done {
+            body: "done".into(),
+            epoch: self.node.front.t.as_ref().unwrap().dbs[self.database()].epoch,
+            pos: position,
+            age: 0,
+            fence: gateway,
+            repeat: false,
+            hops: Vec::new(),
+            server: "a".into(),
+        };
+        let answer = FrontIn::Carried {
+            from: gateway,
+            to: self.node.front.me,
+            asked: gateway,
+            go,
+            clock: self.node.now,
+            done: Ok(done),
+        };
+        self.node.poll(answer);
+    }
+
+    fn database(&self) -> usize {
+        self.node.front.t.as_ref().unwrap().db_ix[DATABASE]
+    }
+
+    fn route_to(&mut self, database: &str) {
+        self.node.fleet.configure(configuration(database));
+        self.node.lease(PERMIT);
+    }
+
+    /// The position that a read's replica must hold; none when the read goes to the primary.
+    fn reads_after(&mut self) -> Option<u64> {
+        self.node.calls.clear();
+        self.node.passed.clear();
+        self.run(Want::Reads);
+        if !self.node.passed.is_empty() {
+            return None;
+        }
+        self.node.connects(1);
+        match self.node.queries()[..] {
+            [Query::Run { after, .. }] => Some(*after),
+            ref other => panic!("{other:?}"),
+        }
+    }
+}
+
+/// Guards against case 4 of the review: a session forgot its own commit when its route moved away and back.
+#[test]
+fn a_session_sees_its_own_commit_when_its_route_moved_away_and_back() {
+    let mut caller = Caller::new();
+    caller.writes(10);
+    caller.node.wait(GUARD_SETTLED);
+    caller.writes(20);
+    caller.route_to(OTHER_DATABASE);
+    caller.begins_and_rolls_back();
+    caller.route_to(DATABASE);
+    assert_eq!(caller.reads_after(), Some(20));
+}
--- a/tenet/src/collect.rs
+++ b/tenet/src/collect.rs
@@ -102,7 +102,7 @@
             setup,
             txn: None,
             deferred: None,
-            mark: 0,
+            own_commits: Default::default(),
             last: now,
             busy: false,
         };
@@ -237,14 +237,14 @@
             return self.step(now, call, sid, body, budget, out);
         }
         self.welcome(now, true)?;
-        let (db, mark) = (s.db, s.mark);
+        let (db, own_position) = (s.db, s.own_commits.position(s.db));
         let mut load = self.load(&t, sid, rid, Act::Single);
         load.body = body;
         load.writes = row.cfg.writes;
         let loose = !row.cfg.writes && row.cfg.fresh.within_ms.is_some();
         let bound = row.cfg.fresh.within_ms.filter(|_| loose);
         let own = if row.cfg.fresh.own_changes && !planted(Bug::OwnIgnored) {
-            mark
+            own_position
         } else {
             0
         };
--- a/tenet/src/entry.rs
+++ b/tenet/src/entry.rs
@@ -119,7 +119,7 @@
             setup,
             txn: None,
             deferred: None,
-            mark: 0,
+            own_commits: Default::default(),
             last: now,
             busy: false,
         };
@@ -143,7 +143,7 @@
             None => None,
         };
         if let Some(r) = row.filter(|r| r.db != s.db && s.txn.is_none()) {
-            (s.db, s.mark) = (r.db, 0);
+            s.db = r.db;
         }
         match (want, row) {
             (Want::Kind(k), _) => t
--- a/tenet/src/lib.rs
+++ b/tenet/src/lib.rs
@@ -69,6 +69,7 @@
 pub mod order;
 pub mod out;
 pub mod outlook;
+pub mod own_commits;
 pub mod peers;
 pub mod pilot;
 pub mod place;
--- a/tenet/src/session.rs
+++ b/tenet/src/session.rs
@@ -1,6 +1,7 @@
 //! A caller's session and transaction as this node holds them, the requests of a session, and their answers.
 
 use crate::base::*;
+use crate::own_commits::OwnCommits;
 use crate::wire::{Done, SetUp};
 
 #[derive(Clone, PartialEq)]
@@ -26,7 +27,7 @@
     pub txn: Option<TxnAt>,
     /// The id of a transaction whose begin waits for its first statement.
     pub deferred: Option<String>,
-    pub mark: u64,
+    pub own_commits: OwnCommits,
     pub last: Time,
     pub busy: bool,
 }
--- a/tenet/src/trip_end.rs
+++ b/tenet/src/trip_end.rs
@@ -72,7 +72,7 @@
         s.last = now;
         if let Ok(d) = r {
             if t.load.writes || t.load.act.commits() {
-                s.mark = s.mark.max(d.pos);
+                s.own_commits.add(s.db, d.pos);
             }
         }
         match (&t.load.act, r) {
