--- a/tenet/tests/place.rs
+++ b/tenet/tests/place.rs
@@ -1,6 +1,7 @@
 //! Who holds the roles of a database, and what each node's table says of it.
 #![cfg(not(loom))]
 
+mod peers;
 mod placed;
 
 use placed::*;
@@ -94,19 +95,7 @@
         },
     );
     put(&mut s, announce("b", DOMAINS[1], 99));
-    let me = Summary {
-        id: 1,
-        addr: Addr::NONE,
-        http: Addr::NONE,
-        domain: DOMAINS[1].into(),
-        disk: true,
-        life: 1,
-        status: 0,
-        view: 1,
-        mark: 1,
-        allows: true,
-        stopping: false,
-    };
+    let me = peers::control_machine(1, DOMAINS[1]);
     let peers = Colleagues::new(me, vec![], 2);
     let sight = |n: &str, life, leads: bool| Sight {
         server: n.into(),
@@ -218,19 +207,7 @@
             why: String::new(),
         },
     );
-    let me = Summary {
-        id: 1,
-        addr: Addr::NONE,
-        http: Addr::NONE,
-        domain: DOMAINS[1].into(),
-        disk: true,
-        life: 1,
-        status: 0,
-        view: 1,
-        mark: 1,
-        allows: true,
-        stopping: false,
-    };
+    let me = peers::control_machine(1, DOMAINS[1]);
     let peers = Colleagues::new(me, vec![], 2);
     let sight = |n: &str, life, pos| Sight {
         server: n.into(),
--- a/tenet/tests/promote.rs
+++ b/tenet/tests/promote.rs
@@ -1,12 +1,15 @@
 #![cfg(not(loom))]
 //! The platform's answer to a promotion counts for the ask that it answers.
+mod peers;
+
+use peers::control_machine;
 use std::sync::Arc;
 use tenet::base::*;
 use tenet::colleagues::Colleagues;
 use tenet::config::Config;
 use tenet::pilot::{Promote, Sky, Watch};
 use tenet::state::*;
-use tenet::wire::{Summary, WIRE};
+use tenet::wire::WIRE;
 
 const ALUMNI: &str = include_str!("../../examples/alumni.json");
 const DATABASE: &str = "members";
@@ -21,19 +24,7 @@
 
 impl Fleet {
     fn new() -> Fleet {
-        let me = Summary {
-            id: ME,
-            addr: Addr::NONE,
-            http: Addr::NONE,
-            domain: "geneva-1".into(),
-            disk: true,
-            life: 1,
-            status: 0,
-            view: 1,
-            mark: 1,
-            allows: true,
-            stopping: false,
-        };
+        let me = control_machine(ME, "geneva-1");
         let mut fleet = Fleet {
             config: Arc::new(Config::parse(ALUMNI).unwrap_or_else(|e| panic!("{e:?}"))),
             state: State::default(),
--- a/tenet/tests/successor.rs
+++ b/tenet/tests/successor.rs
@@ -1,6 +1,9 @@
 #![cfg(not(loom))]
 //! Who takes over where a commit is acknowledged once one of two replicas holds it: only a log that is known to hold
 //! every acknowledged commit. Each test guards against an acknowledged commit that is missing after a promotion.
+mod peers;
+
+use peers::control_machine;
 use std::sync::Arc;
 use tenet::base::*;
 use tenet::colleagues::Colleagues;
@@ -8,7 +11,7 @@
 use tenet::departed::STILL_RUNNING;
 use tenet::pilot::{Sky, Watch};
 use tenet::state::*;
-use tenet::wire::{Sight, Summary, WIRE};
+use tenet::wire::{Sight, WIRE};
 
 const DATABASE: &str = "orders";
 const ME: NodeId = 1;
@@ -41,19 +44,7 @@
 
 impl Fleet {
     fn new() -> Fleet {
-        let me = Summary {
-            id: ME,
-            addr: Addr::NONE,
-            http: Addr::NONE,
-            domain: "zone-a".into(),
-            disk: true,
-            life: 1,
-            status: 0,
-            view: 1,
-            mark: 1,
-            allows: true,
-            stopping: false,
-        };
+        let me = control_machine(ME, "zone-a");
         let mut fleet = Fleet {
             config: Arc::new(parsed(r#"["east", "west"]"#)),
             state: State::default(),
