End a failover once its target leads, whatever the platform answers

Cause: the controller learnt from the answer alone that a promotion was done. A late one counted as lost and was asked for again, for good; a body that is no JSON counted as lost too.

Change: from the first ask on, the target's own word that it leads, observed after that ask, ends the failover in any phase; an answer with a status of success accepts the order. PromotionAsk and AskPhase in tenet/src/promotion.rs, which drives the asks now. What is observed before the ask does not count.

--- a/chance/src/fault.rs
+++ b/chance/src/fault.rs
@@ -66,8 +66,13 @@
     LosesAnswer,
     Slow,
     Quick,
+    /// It does what it is asked, and answers, this many ms later; who asks waits `PROMOTION_ANSWER_WAIT_MS`.
+    Late(u64),
 }
 
+/// How long a controller waits for the platform's answer, in ms, as the platform's adapter does.
+pub const PROMOTION_ANSWER_WAIT_MS: u64 = 800;
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Plant {
     None,
--- a/chance/src/sim.rs
+++ b/chance/src/sim.rs
@@ -47,6 +47,8 @@
         epoch: Mark,
         token: Mark,
         until: Time,
+        /// Whether who asked still waits for the answer.
+        heard: bool,
     },
     Ask {
         node: usize,
--- a/chance/src/step.rs
+++ b/chance/src/step.rs
@@ -69,7 +69,12 @@
                 epoch,
                 token,
                 until,
+                heard,
             } if self.termed.is_some() => match self.nodes[node].local(self.now) < until {
+                _ if !heard => {
+                    let now = self.now;
+                    let _ = self.termed().fleet.accept(now, &server, token);
+                }
                 true => self.moved(node, life, (db, server, epoch, token)),
                 false => self.control(
                     node,
@@ -152,9 +157,21 @@
             let wait = match self.mood {
                 Mood::Slow => 4000,
                 Mood::Quick => 1,
+                Mood::Late(wait) => wait,
                 _ if self.termed.is_some() => 20 + self.roll(100),
                 _ => 1000,
             };
+            let heard = !matches!(self.mood, Mood::Late(wait) if wait > PROMOTION_ANSWER_WAIT_MS);
+            if !heard {
+                let unknown = In::Promoted {
+                    db: p.db.clone(),
+                    server: p.server.clone(),
+                    epoch: p.epoch,
+                    done: Err(true),
+                };
+                let at = self.now + PROMOTION_ANSWER_WAIT_MS;
+                self.at(at, Ev::Control(i, life, unknown));
+            }
             self.at(
                 self.now + wait,
                 Ev::Promote {
@@ -165,6 +182,7 @@
                     epoch: p.epoch,
                     token: p.token,
                     until: p.not_after,
+                    heard,
                 },
             );
         }
--- a/guise/src/callers/outcome.rs
+++ b/guise/src/callers/outcome.rs
@@ -99,6 +99,6 @@
             }
         }
         HttpRes::NotSent => (Out::Nothing, Value::Null),
-        HttpRes::Lost => (Out::Unknown, Value::Null),
+        HttpRes::NotJson | HttpRes::Lost => (Out::Unknown, Value::Null),
     }
 }
--- a/medium/src/back.rs
+++ b/medium/src/back.rs
@@ -21,6 +21,8 @@
 pub enum HttpRes {
     /// The other side answered 200 with this body.
     Ok(Value),
+    /// The other side answered 200, and the body is not JSON.
+    NotJson,
     /// The other side answered another status, with this text.
     Rejected(u16, String),
     /// Nothing was sent.
@@ -169,7 +171,7 @@
 
 fn told(code: u16, b: &[u8]) -> HttpRes {
     match code {
-        200 => serde_json::from_slice(b).map_or(HttpRes::Lost, HttpRes::Ok),
+        200 => serde_json::from_slice(b).map_or(HttpRes::NotJson, HttpRes::Ok),
         _ => HttpRes::Rejected(code, String::from_utf8_lossy(b).into()),
     }
 }
--- a/medium/src/dialect.rs
+++ b/medium/src/dialect.rs
@@ -71,7 +71,7 @@
             return refusal(c).map_or(BackRes::Lost, |r| BackRes::Rejected(r, w))
         }
         HttpRes::NotSent => return BackRes::NotSent,
-        HttpRes::Lost => return BackRes::Lost,
+        HttpRes::NotJson | HttpRes::Lost => return BackRes::Lost,
     };
     BackRes::Ok(match path {
         "/connect" if v.get("conn").is_some() => Got::Connected {
--- a/medium/src/threads.rs
+++ b/medium/src/threads.rs
@@ -51,6 +51,7 @@
             };
             match r {
                 HttpRes::Ok(_) => Ok(true),
+                HttpRes::NotJson => Ok(false),
                 HttpRes::Lost => Err(true),
                 _ => Err(false),
             }
--- a/tenet/src/pilot.rs
+++ b/tenet/src/pilot.rs
@@ -7,7 +7,8 @@
 use crate::config::Config;
 use crate::departures::Silence;
 use crate::placement::Round;
-pub use crate::promotion::*;
+pub use crate::promotion::Promote;
+use crate::promotion::PromotionAsk;
 use crate::state::*;
 use crate::table::{away, db_servers, server_off};
 use crate::wire::Sight;
@@ -35,7 +36,8 @@
     pub(crate) proposed: BTreeMap<String, Time>,
     /// When placements are looked at next.
     pub(crate) place_at: Time,
-    pub(crate) asks: BTreeMap<String, (Mark, AskPhase)>,
+    /// What the platform was asked for, by database.
+    pub(crate) asks: BTreeMap<String, PromotionAsk>,
     pub(crate) unknown: BTreeMap<String, (Mark, Time)>,
     pub(crate) chosen: BTreeMap<String, Mark>,
     pub(crate) member_at: BTreeMap<NodeId, (Mark, Time)>,
--- a/tenet/tests/promote.rs
+++ b/tenet/tests/promote.rs
@@ -9,11 +9,12 @@
 use tenet::config::Config;
 use tenet::pilot::{Promote, Sky, Watch};
 use tenet::state::*;
-use tenet::wire::WIRE;
+use tenet::wire::{Sight, WIRE};
 
 const ALUMNI: &str = include_str!("../../examples/alumni.json");
 const DATABASE: &str = "members";
 const ME: NodeId = 1;
+const OTHER: NodeId = 2;
 
 struct Fleet {
     config: Arc<Config>,
@@ -38,7 +39,10 @@
         for (i, server) in ["a", "b", "c"].iter().enumerate() {
             fleet.put(Op::Announce {
                 server: server.to_string(),
-                addr: Addr::NONE,
+                addr: Addr {
+                    ip: [9; 16],
+                    port: 1 + i as u16,
+                },
                 domain: "geneva-1".into(),
                 labels: [("db".to_string(), DATABASE.to_string())].into(),
                 life: 10 + i as u64,
@@ -102,6 +106,26 @@
         self.watch.tick(&sky)
     }
 
+    /// A fencing node tells at `now` that it saw the server lead `age` ms ago.
+    fn seen_to_lead(&mut self, now: Time, server: &str, age: Time) {
+        let sight = Sight {
+            server: server.into(),
+            life: self.state.servers[server].life,
+            age,
+            reach: true,
+            pos: 1,
+            follows: String::new(),
+            leads: true,
+            link: true,
+        };
+        self.watch.sights(now, OTHER, vec![sight]);
+    }
+
+    fn ends(&mut self, now: Time) -> bool {
+        let promoted = |op: &Op| matches!(op, Op::Promoted { server, .. } if server == "b");
+        self.tick(now).0.iter().any(promoted)
+    }
+
     fn answered(&mut self, now: Time, ask: &Promote, done: Result<bool, bool>) -> Option<Op> {
         let terms = self.state.numbers_terms(&ask.server);
         self.watch
@@ -168,3 +192,26 @@
         assert!(!reopened, "at {now}");
     }
 }
+
+/// Guards against a failover that hung while the platform took longer to answer than it was waited for.
+#[test]
+fn a_target_that_leads_ends_the_failover_although_the_answer_is_not_there() {
+    let mut fleet = Fleet::new();
+    fleet.fail_over("b");
+    let ask = fleet.asks(1000).pop().expect("an ask");
+    assert!(!fleet.ends(1100), "not seen to lead yet");
+    fleet.seen_to_lead(1500, "b", 0);
+    assert!(fleet.ends(1500), "while the answer is awaited");
+    assert!(fleet.answered(1800, &ask, Err(true)).is_none());
+    assert!(fleet.ends(1850), "when its answer was lost");
+}
+
+/// Guards against a failover that counts what was observed before it asked: the target may have led in an earlier term.
+#[test]
+fn a_lead_observed_before_the_ask_ends_nothing() {
+    let mut fleet = Fleet::new();
+    fleet.fail_over("b");
+    fleet.asks(1000).pop().expect("an ask");
+    fleet.seen_to_lead(1300, "b", 400);
+    assert!(!fleet.ends(1300));
+}
