Tell a caller a server's error word for word, its code first

Cause: a refused attempt was noted by its printed form, kind and text, and the refusal was made of that.

Change: the text is kept as it came. The kind of the last attempt stands before it only where the caller is told another kind; traces show it as before.

Evidence: "a servers error reaches the caller word for word" (chance/tests/sessions.rs) failed before ("failed: NOTFOUND i-1") and passes. The golden files of the platform's answers are unchanged.

--- a/chance/tests/sessions.rs
+++ b/chance/tests/sessions.rs
@@ -12,7 +12,8 @@
 use serde_json::{json, Value};
 use tenet::base::*;
 use tenet::front::*;
-use tenet::session::{Req, Want};
+use tenet::kind::{Kind, Reject};
+use tenet::session::{Answer, Req, Want};
 use tenet::table::DbRow;
 use tenet::wire::{Act, Done, Load, SetUp};
 
@@ -25,13 +26,18 @@
 /// Servers that keep no state beside options and prepared statements, and check positions before reads; a route
 /// whose reads see the session's own commits, to this database.
 fn configuration(database: &str) -> String {
+    configuration_bounded(database, 800)
+}
+
+/// The same, with this time limit for a statement.
+fn configuration_bounded(database: &str, statement_ms: Time) -> String {
     let mut text: Value = serde_json::from_str(ALUMNI).unwrap();
     for name in [DATABASE, OTHER_DATABASE] {
         text["databases"][name]["can"] = json!({"outcomes": false, "confirms": false, "guards": true,
             "keeps_state": false});
     }
     text["entries"] = json!({ROUTE: {"database": database, "reads": "record-view", "writes": "renewal",
-        "statement_ms": 800, "request_ms": 2000, "patience_ms": 800}});
+        "statement_ms": statement_ms, "request_ms": statement_ms + 1200, "patience_ms": 800}});
     text.to_string()
 }
 
@@ -93,8 +99,12 @@
 
 impl Caller {
     fn new() -> Caller {
+        Caller::of(configuration(DATABASE))
+    }
+
+    fn of(configuration: String) -> Caller {
         let collects = |row: &DbRow| row.name == DATABASE && !row.fences;
-        let mut node = Node::of(Fleet::configured(configuration(DATABASE)), collects);
+        let mut node = Node::of(Fleet::configured(configuration), collects);
         let enter = Req::Enter {
             entry: ROUTE.into(),
             user: "u".into(),
@@ -138,12 +148,16 @@
         self.asks(Req::Rollback { session });
     }
 
-    /// A write that the primary acknowledges, at this position of its log.
-    fn writes(&mut self, position: u64) {
+    /// A write that is passed on; its attempt, and the gateway that has it.
+    fn sends_a_write(&mut self) -> (u64, NodeId) {
         self.node.passed.clear();
         self.run(Want::Writes);
-        let (go, gateway) = self.node.passed.pop().expect("the write is passed on");
-        let done = Done {
+        self.node.passed.pop().expect("the write is passed on")
+    }
+
+    /// What the primary acknowledges a write with, at this position of its log.
+    fn acknowledged(&self, gateway: NodeId, position: u64) -> Done {
+        Done {
             body: "done".into(),
             epoch: self.node.front.t.as_ref().unwrap().dbs[self.database()].epoch,
             pos: position,
@@ -152,16 +166,32 @@
             repeat: false,
             hops: Vec::new(),
             server: "a".into(),
-        };
+        }
+    }
+
+    /// What the caller is told when the gateway gives this.
+    fn told(
+        &mut self,
+        (go, gateway): (u64, NodeId),
+        done: Result<Done, Reject>,
+    ) -> Option<Result<Answer, Reject>> {
         let answer = FrontIn::Carried {
             from: gateway,
             to: self.node.front.me,
             asked: gateway,
             go,
             clock: self.node.now,
-            done: Ok(done),
+            done,
         };
-        self.node.poll(answer);
+        let out = self.node.front.poll(self.node.now, answer);
+        out.response.into_iter().map(|(_, told)| told).next()
+    }
+
+    /// A write that the primary acknowledges, at this position of its log.
+    fn writes(&mut self, position: u64) {
+        let attempt = self.sends_a_write();
+        let done = self.acknowledged(attempt.1, position);
+        self.told(attempt, Ok(done));
     }
 
     fn database(&self) -> usize {
@@ -201,3 +231,17 @@
     caller.route_to(DATABASE);
     assert_eq!(caller.reads_after(), Some(20));
 }
+
+/// Guards against an error of a server that reaches its client with our word before the server's code.
+#[test]
+fn a_servers_error_reaches_the_caller_word_for_word() {
+    for error in ["NOTFOUND i-1", "FAILED", "MALFORMED no such text"] {
+        let mut caller = Caller::new();
+        let attempt = caller.sends_a_write();
+        let told = caller.told(attempt, Err(Reject::new(Kind::Failed, error)));
+        assert_eq!(
+            told.and_then(Result::err),
+            Some(Reject::new(Kind::Failed, error))
+        );
+    }
+}
--- a/tenet/src/gate.rs
+++ b/tenet/src/gate.rs
@@ -182,9 +182,7 @@
         }
         let n = self.trips[i].gos.len();
         match done {
-            Err(r) if r.kind == Kind::Unknown => {
-                self.go_end(now, i, n, End::Lost, r.to_string(), out)
-            }
+            Err(r) if r.kind == Kind::Unknown => self.go_end(now, i, n, End::Lost, r.why, out),
             d => self.trip_back(now, i, n, d, out),
         }
     }
--- a/tenet/src/trip.rs
+++ b/tenet/src/trip.rs
@@ -42,6 +42,16 @@
             why,
         }
     }
+
+    /// What the caller of a request that is given up is told: why the last attempt led to nothing, word for word.
+    pub fn refusal(&self, given: Kind) -> Reject {
+        match self.gos.last().map(|attempt| attempt.end) {
+            Some(End::Rejected(last)) if last != given => {
+                Reject::new(given, format!("{last}: {}", self.why))
+            }
+            _ => Reject::new(given, self.why.clone()),
+        }
+    }
 }
 
 impl Front {
@@ -192,9 +202,13 @@
             g.end_at = now;
         }
         if end != End::Done {
-            t.why = why.clone();
+            let told = match end {
+                End::Rejected(kind) => format!("{kind}: {why}"),
+                _ => why.clone(),
+            };
+            t.why = why;
             let id = t.load.id.clone();
-            self.traces.tell(now, &id, format!("go {n} ended: {why}"));
+            self.traces.tell(now, &id, format!("go {n} ended: {told}"));
         }
         self.trip_next(now, i, out);
     }
@@ -221,7 +235,7 @@
                     out,
                 );
             }
-            Err(r) => self.go_end(now, i, n, End::Rejected(r.kind), r.to_string(), out),
+            Err(r) => self.go_end(now, i, n, End::Rejected(r.kind), r.why, out),
         }
     }
 }
--- a/tenet/src/trip_end.rs
+++ b/tenet/src/trip_end.rs
@@ -40,7 +40,7 @@
                 let (call, session) = (*call, *session);
                 let r = match (give, &t.done) {
                     (None, Some(d)) => Ok(d.clone()),
-                    (k, _) => Err(Reject::new(k.unwrap_or(Kind::Unknown), t.why.clone())),
+                    (kind, _) => Err(t.refusal(kind.unwrap_or(Kind::Unknown))),
                 };
                 let text = match &r {
                     Ok(d) => format!("answered from {} after {} ms", d.server, now - t.born),
