Await an answer for as long as its route allows

Cause: while an answer was awaited, an attempt was bounded by the configuration's statement_ms and a second, and not by the limit of the route.

Change: the longer of the two limits, and the second. Shorter limits of routes hold at the connection to the server as before; a gateway that falls silent is noticed by its echo and not by this bound.

Evidence: "an answer is awaited for as long as the route allows" (chance/tests/sessions.rs) failed before and passes.

--- a/chance/tests/sessions.rs
+++ b/chance/tests/sessions.rs
@@ -245,3 +245,28 @@
         );
     }
 }
+
+/// Guards against a route's time limit that is not looked at while an answer is awaited: the write was given up, with
+/// an unknown outcome, after 2.5 s.
+#[test]
+fn an_answer_is_awaited_for_as_long_as_the_route_allows() {
+    let limit = 8_000;
+    let mut caller = Caller::of(configuration_bounded(DATABASE, limit));
+    let attempt = caller.sends_a_write();
+    let until = caller.node.now + limit - 200;
+    while caller.node.now < until {
+        caller.node.lease(PERMIT);
+        caller.node.poll(FrontIn::Echo {
+            from: attempt.1,
+            addr: Addr::NONE,
+            reply: true,
+        });
+        caller.node.wait(100);
+    }
+    let done = caller.acknowledged(attempt.1, 10);
+    let told = caller.told(attempt, Ok(done));
+    assert!(
+        matches!(told, Some(Ok(Answer::Ran(_)))),
+        "not awaited any more"
+    );
+}
--- a/tenet/src/trip.rs
+++ b/tenet/src/trip.rs
@@ -121,6 +121,7 @@
                     .t
                     .as_ref()
                     .map_or(1500, |t| t.cfg.timeouts.statement_ms)
+                    .max(t.load.limit)
                     + ANSWER_WAIT;
                 let at = t.gos.last().map_or(now, |g| g.at);
                 if now >= at + limit {
