Look for databases with the same servers in one pass

Databases are gathered by their parsed selector; the errors and their order stay.

Evidence: tests of tenet (config, golden) pass.

--- a/tenet/src/labels.rs
+++ b/tenet/src/labels.rs
@@ -5,7 +5,7 @@
 
 pub type Labels = BTreeMap<String, String>;
 
-#[derive(Clone, PartialEq, Debug)]
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Debug)]
 enum Term {
     Is(String, Vec<String>),
     Not(String, Vec<String>),
@@ -13,7 +13,7 @@
     Lacks(String),
 }
 
-#[derive(Clone, PartialEq, Debug, Default)]
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Debug, Default)]
 pub struct Selector {
     terms: Vec<Term>,
 }
--- a/tenet/src/rules.rs
+++ b/tenet/src/rules.rs
@@ -8,6 +8,7 @@
 use crate::table::labels_of;
 use garde::Validate;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 
 #[derive(Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -199,6 +200,7 @@
         self.ruled(out);
         self.entered(out);
         let regions: Vec<&String> = self.domains.values().map(|d| &d.region).collect();
+        let mut by_selector: BTreeMap<Option<Selector>, Vec<&String>> = BTreeMap::new();
         for (n, d) in &self.databases {
             let at = format!("databases.{n}");
             selector(&format!("{at}.servers"), &d.servers, out);
@@ -213,11 +215,15 @@
                     out.push(format!("{at}: '{r}' is no home of the database"));
                 });
             }
-            for (m, e) in self.databases.iter().take_while(|x| x.0 < n) {
-                if Selector::parse(&e.servers).ok() == Selector::parse(&d.servers).ok() {
-                    out.push(format!("{at}.servers: the same servers as databases.{m}"));
-                }
+            let alike = by_selector
+                .entry(Selector::parse(&d.servers).ok())
+                .or_default();
+            for earlier in alike.iter() {
+                out.push(format!(
+                    "{at}.servers: the same servers as databases.{earlier}"
+                ));
             }
+            alike.push(n);
         }
         for (n, k) in &self.kinds {
             let at = format!("kinds.{n}");
