--- a/medium/src/lib.rs
+++ b/medium/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod http;
 pub mod line;
 pub mod link;
+pub mod message_budget;
 pub mod net;
 pub mod own;
 pub mod paths;
