Close the connection of a call at the moment when it is given up

Cause: dropping a link aborted hyper's task, which takes effect when the runtime comes to it, and a second descriptor of the socket stood in that task. Until then the kernel went on sending.

Change: hyper and the link share the stream, and dropping the link closes it at once, with a reset.

--- a/medium/src/link.rs
+++ b/medium/src/link.rs
@@ -7,12 +7,15 @@
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, Socket};
 use std::collections::HashMap;
-use std::io;
+use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, Weak};
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tenet::base::{Time, BYTES_ACK};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
@@ -42,16 +45,90 @@
         .is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
 }
 
-/// An HTTP connection, closed when it is dropped.
+/// A stream that two hold: hyper, which reads and writes, and the link, which closes it at once. Aborting hyper's task
+/// would close it only when the runtime comes to that, and what the kernel held could arrive meanwhile.
+#[derive(Clone)]
+struct SharedStream(Arc<Mutex<Option<TcpStream>>>);
+
+impl SharedStream {
+    fn new(stream: TcpStream) -> SharedStream {
+        SharedStream(Arc::new(Mutex::new(Some(stream))))
+    }
+
+    fn locked(&self) -> MutexGuard<'_, Option<TcpStream>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn close(&self) {
+        drop(self.locked().take());
+    }
+
+    fn is_quiet(&self) -> bool {
+        let stream = self.locked();
+        stream.as_ref().is_some_and(|s| is_quiet(&SockRef::from(s)))
+    }
+
+    fn poll<T>(
+        &self,
+        work: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<T>>,
+    ) -> Poll<io::Result<T>> {
+        match self.locked().as_mut() {
+            Some(stream) => work(Pin::new(stream)),
+            None => Poll::Ready(Err(io::ErrorKind::NotConnected.into())),
+        }
+    }
+}
+
+impl AsyncRead for SharedStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        self.poll(|stream| stream.poll_read(context, buffer))
+    }
+}
+
+impl AsyncWrite for SharedStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.poll(|stream| stream.poll_write(context, bytes))
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.poll(|stream| stream.poll_write_vectored(context, slices))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.poll(|stream| stream.poll_flush(context))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.poll(|stream| stream.poll_shutdown(context))
+    }
+}
+
+/// An HTTP connection, closed when it is dropped: what was not sent by then is never sent.
 pub struct Link {
     send: SendRequest<Full<Bytes>>,
-    /// The connection's socket, while hyper holds the connection.
-    socket: Weak<Socket>,
+    stream: SharedStream,
     task: AbortHandle,
 }
 
 impl Drop for Link {
     fn drop(&mut self) {
+        self.stream.close();
         self.task.abort();
     }
 }
@@ -70,22 +147,23 @@
     /// Connects.
     pub async fn open(to: SocketAddr) -> io::Result<Link> {
         let s = connect(to, CONNECT, BYTES_ACK).await?;
-        let socket = Arc::new(SockRef::from(&s).try_clone()?);
-        let weak = Arc::downgrade(&socket);
-        let (send, conn) = handshake(TokioIo::new(s)).await.map_err(io::Error::other)?;
+        let stream = SharedStream::new(s);
+        let shared = TokioIo::new(stream.clone());
+        let (send, conn) = handshake(shared).await.map_err(io::Error::other)?;
+        let ended = stream.clone();
         let task = tokio::spawn(async move {
             let _ = conn.await;
-            drop(socket);
+            ended.close();
         });
         Ok(Link {
             send,
-            socket: weak,
+            stream,
             task: task.abort_handle(),
         })
     }
 
     fn is_quiet(&self) -> bool {
-        self.socket.upgrade().is_some_and(|s| is_quiet(&s))
+        self.stream.is_quiet()
     }
 
     /// Sends a request and waits for its answer.
