Count a transaction that only began as open when its node is told to end

What callers saw: BEGIN was answered by READY T, then the client's machine got SIGTERM. The connection was closed 2.7 s later with the transaction open; a first statement after 2.5 s was refused.

Cause: a platform transaction is deferred until its first statement. `Front::drained` looked only at transactions that a server has begun, so `Drain::done` ended the process at the time meant for sessions at rest; `Front::whole` asked `welcome`, which turns new work away 2.5 s after a node began to leave.

Change: `Session::in_transaction` answers whether a transaction is open, sent or not, and `drained` asks it; the first statement of an acknowledged transaction needs a confirmed configuration, and is no new work. So the process waits for it as for any other open transaction, and takes its statement.

--- a/chance/tests/sessions.rs
+++ b/chance/tests/sessions.rs
@@ -135,17 +135,32 @@
         });
     }
 
-    /// A transaction without statements: the session is bound to what its route says now.
-    fn begins_and_rolls_back(&mut self) {
-        let session = self.session;
+    /// Begins a transaction; nothing is sent before its first statement.
+    fn begins(&mut self) {
         self.asks(Req::Begin {
-            session,
+            session: self.session,
             kind: None,
             id: None,
             lazy: true,
             budget: None,
         });
-        self.asks(Req::Rollback { session });
+    }
+
+    /// A transaction without statements: the session is bound to what its route says now.
+    fn begins_and_rolls_back(&mut self) {
+        self.begins();
+        self.asks(Req::Rollback {
+            session: self.session,
+        });
+    }
+
+    /// Lets time pass, with a node that may serve.
+    fn waits(&mut self, span: Time) {
+        let until = self.node.now + span;
+        while self.node.now < until {
+            self.node.lease(PERMIT);
+            self.node.wait(100);
+        }
     }
 
     /// A write that is passed on; its attempt, and the gateway that has it.
@@ -246,6 +261,42 @@
     }
 }
 
+/// Guards against case 10 of the second review: a transaction that only began did not count as open, so that its node
+/// ended under it 2.7 s after SIGTERM, and refused its first statement from 2.5 s on.
+#[test]
+fn a_stopping_node_waits_for_a_transaction_that_only_began() {
+    let mut caller = Caller::new();
+    let session = caller.session;
+    caller.begins();
+    caller.node.poll(FrontIn::Stopping);
+    caller.waits(SEE_OFF + 350);
+    assert!(!caller.node.front.drained(), "nothing open is counted");
+    let (attempt, gateway) = caller.sends_a_write();
+    let done = caller.acknowledged(gateway, 10);
+    let told = caller.told((attempt, gateway), Ok(done));
+    assert!(matches!(told, Some(Ok(Answer::Ran(_)))), "its statement");
+    assert!(!caller.node.front.drained(), "the transaction goes on");
+    caller.asks(Req::Rollback { session });
+    assert!(caller.node.front.drained(), "it has ended");
+}
+
+/// A transaction that only began and was then rolled back or left keeps no node from ending.
+#[test]
+fn a_stopping_node_does_not_wait_for_what_has_ended() {
+    let ends: [fn(u64) -> Req; 2] = [
+        |session| Req::Rollback { session },
+        |session| Req::Close { session },
+    ];
+    for end in ends {
+        let mut caller = Caller::new();
+        caller.begins();
+        caller.node.poll(FrontIn::Stopping);
+        assert!(!caller.node.front.drained());
+        caller.asks(end(caller.session));
+        assert!(caller.node.front.drained());
+    }
+}
+
 /// Guards against a route's time limit that is not looked at while an answer is awaited: the write was given up, with
 /// an unknown outcome, after 2.5 s.
 #[test]
--- a/tenet/src/begin.rs
+++ b/tenet/src/begin.rs
@@ -27,7 +27,7 @@
         budget: Option<Time>,
         out: &mut FrontOut,
     ) -> Result<(), Reject> {
-        let t = self.welcome(now, true)?;
+        let t = self.confirmed_table(now)?;
         let commits = act.commits();
         let mut load = self.load(&t, sid, Some(id), act);
         (load.txn, load.body, load.writes) = (self.ids.take(), body, commits);
--- a/tenet/src/collect.rs
+++ b/tenet/src/collect.rs
@@ -10,6 +10,7 @@
 use crate::table::*;
 use crate::wire::*;
 use serde_json::{json, Value};
+use std::sync::Arc;
 
 /// What a caller says when it opens a transaction.
 struct BeginRequest {
@@ -53,7 +54,8 @@
         out.response.push((call, r));
     }
 
-    pub(crate) fn welcome(&self, now: Time, known: bool) -> Result<std::sync::Arc<Table>, Reject> {
+    /// The table of a configuration that this node has confirmed of late.
+    pub(crate) fn confirmed_table(&self, now: Time) -> Result<Arc<Table>, Reject> {
         let t = self.table()?;
         if !self.allows(now) {
             return Err(reject(
@@ -61,6 +63,13 @@
                 "this node could not confirm its configuration in time",
             ));
         }
+        Ok(t)
+    }
+
+    /// The same for new work: a new session, or (`known`) what a session asks outside a transaction. A node that leaves
+    /// takes none after a time.
+    pub(crate) fn welcome(&self, now: Time, known: bool) -> Result<Arc<Table>, Reject> {
+        let t = self.confirmed_table(now)?;
         let late = self.leaving.is_some_and(|at| !known || now > at + SEE_OFF);
         let why = t.closed.unwrap_or("this node is stopping");
         if late {
@@ -288,7 +297,7 @@
         let t = self.welcome(now, true)?;
         let want = want.or(self.sessions[&sid].entry.is_some().then_some(Want::Writes));
         want.map_or(Ok(0), |w| self.bind(&t, sid, &w))?;
-        if self.sessions[&sid].txn.is_some() || self.sessions[&sid].deferred.is_some() {
+        if self.sessions[&sid].in_transaction() {
             return Err(reject(Kind::BadState, "a transaction is open already"));
         }
         if lazy {
--- a/tenet/src/entry.rs
+++ b/tenet/src/entry.rs
@@ -142,7 +142,7 @@
             ),
             None => None,
         };
-        if let Some(r) = row.filter(|r| r.db != s.db && s.txn.is_none()) {
+        if let Some(r) = row.filter(|r| r.db != s.db && !s.in_transaction()) {
             s.db = r.db;
         }
         match (want, row) {
--- a/tenet/src/polls.rs
+++ b/tenet/src/polls.rs
@@ -8,6 +8,7 @@
 use crate::ledger::Plan;
 use crate::plan::blank;
 use crate::route;
+use crate::session::Session;
 use crate::table::{DbRow, Table};
 use crate::trip::{For, Trip};
 use crate::wire::*;
@@ -169,7 +170,7 @@
             .trips
             .iter()
             .any(|(_, t)| matches!(t.owner, For::Caller { .. }));
-        let open = self.sessions.values().any(|s| s.txn.is_some());
+        let open = self.sessions.values().any(Session::in_transaction);
         !work && !calls && !open && self.txns.is_empty()
     }
 
--- a/tenet/src/session.rs
+++ b/tenet/src/session.rs
@@ -32,6 +32,14 @@
     pub busy: bool,
 }
 
+impl Session {
+    /// Whether its caller was told that a transaction began and did not end it, also while nothing was sent to a
+    /// server.
+    pub fn in_transaction(&self) -> bool {
+        self.txn.is_some() || self.deferred.is_some()
+    }
+}
+
 /// The kind of a request: by its name, or one of the two that the session's entry gives.
 pub enum Want {
     Kind(String),
