Count the log of a replica whose address a server of another service takes

Cause: `State::displace` forgot every server listed at an announced address, whatever its service. `choose_by_logs` then counted one log too few, so that the deaf replica alone was a quorum of the replicas.

Change: only a server with the same labels takes the place, and the log, of the one before. Any other leaves it in the state without an address, as one that has left; `departures` takes it out once the other replicas hold all that the primary had after that, at once where logs are not counted. So no promotion is possible on fewer logs than can hold an acknowledged commit, and the count ends as soon as the primary and the other replicas prove it needless.

Related: a replica that said nothing; a later server of the service at the address; a position seen too early.

--- a/tenet/src/departures.rs
+++ b/tenet/src/departures.rs
@@ -1,8 +1,8 @@
 //! When a server that said it is gone leaves the state.
 //!
 //! Its process may run on for a while. Where servers acknowledge commits by a quorum of logs, it may hold what no other
-//! replica has, so it is counted until it is silent and the other replicas hold all that the primary had then.
-//! Elsewhere it is taken out at once.
+//! replica has, so it is counted until it is silent, or another server stands at its address, and the other replicas
+//! hold all that the primary had then. Elsewhere it is taken out at once.
 
 use crate::base::*;
 use crate::pilot::*;
@@ -38,7 +38,9 @@
             return true;
         };
         let primary = d.primary.as_ref().filter(|p| **p != server.name);
-        let Some(primary) = primary.filter(|_| self.dark(k, &server.name)) else {
+        let ended = server.has_no_address();
+        let silent = ended || self.dark(k, &server.name);
+        let Some(primary) = primary.filter(|_| silent) else {
             self.ended.remove(&server.name);
             return false;
         };
@@ -46,7 +48,10 @@
             since: k.now,
             primary_position: None,
         });
-        let ended_at = silence.since + DEPARTED_SILENT;
+        let ended_at = match ended {
+            true => silence.since,
+            false => silence.since + DEPARTED_SILENT,
+        };
         if silence.primary_position.is_none() {
             let primary = k.st.servers.get(primary);
             let seen = primary.and_then(|p| self.sight(k, &p.name, p.life, ended_at));
--- a/tenet/src/pilot.rs
+++ b/tenet/src/pilot.rs
@@ -190,7 +190,8 @@
     fn steady(&mut self, k: &Sky, n: &str, d: &Db, at: Time, ops: &mut Vec<Op>) {
         let Some(p) = d.primary.as_ref() else { return };
         let (db, epoch) = (n.to_string(), d.epoch);
-        let serves = |s: &&Server| k.counts_logs(n) || !k.st.may_still_run(&s.name);
+        let serves =
+            |s: &&Server| !s.has_no_address() && (k.counts_logs(n) || !k.st.may_still_run(&s.name));
         let Some(ps) = k.st.servers.get(p).filter(serves) else {
             ops.push(Op::Offline {
                 db,
--- a/tenet/src/publish.rs
+++ b/tenet/src/publish.rs
@@ -127,22 +127,41 @@
             || held.is_some_and(|held| held.life == announced.life && overtaken(held))
     }
 
+    /// A server stands at an address: those listed there before have ended. One that announced the same labels passed
+    /// its log on to it, and is forgotten. The log of any other went with it.
     pub(crate) fn displace(&mut self, at: u64, s: &Server) {
         let old = |o: &&Server| s.terms && o.addr == s.addr && o.name != s.name;
-        let v: Vec<String> = self
+        let displaced: Vec<(String, bool)> = self
             .servers
             .values()
             .filter(old)
-            .map(|o| o.name.clone())
+            .map(|o| (o.name.clone(), o.labels == s.labels))
             .collect();
-        for n in v {
-            self.departed.add(&n, 0);
-            self.forget(
-                at,
-                &n,
-                format!("server {n} is gone, {} stands at its address", s.name),
-            );
+        for (name, log_passed_on) in displaced {
+            if log_passed_on {
+                self.departed.add(&name, 0);
+                let why = format!("server {name} is gone, {} stands at its address", s.name);
+                self.forget(at, &name, why);
+            } else {
+                self.lose_address(at, &name, &s.name);
+            }
+        }
+    }
+
+    /// A server has ended, and its log with it. It stays in the state without an address, as one that has left: it may
+    /// have acknowledged what no other one holds, which counts until the others hold all that the primary has.
+    fn lose_address(&mut self, at: u64, server: &str, successor: &str) {
+        if let Some(held) = self.servers.get_mut(server) {
+            held.leaving = true;
+            held.addr = Addr::NONE;
         }
+        self.departed.add(server, STILL_RUNNING);
+        self.note_server_off(server);
+        let text = format!(
+            "server {server} has ended, {successor} of another service stands at its address; \
+             its log counts until the others hold what the primary has"
+        );
+        self.tell(at, server, text);
     }
 
     /// A server has left. While its process may still run it stays in the state as one that is leaving: it
--- a/tenet/src/server.rs
+++ b/tenet/src/server.rs
@@ -39,6 +39,11 @@
 }
 
 impl Server {
+    /// Whether it has ended for sure: another server stands at its address.
+    pub fn has_no_address(&self) -> bool {
+        self.addr == Addr::NONE
+    }
+
     /// Whether `o` says the same, but for its number.
     pub fn says(&self, o: &Server) -> bool {
         Server {
--- a/tenet/tests/successor.rs
+++ b/tenet/tests/successor.rs
@@ -76,12 +76,17 @@
     }
 
     fn announce(&mut self, server: &str, port: u16, leaving: bool) {
+        self.announce_of(DATABASE, server, port, leaving);
+    }
+
+    /// An announcement of a server of any service.
+    fn announce_of(&mut self, service: &str, server: &str, port: u16, leaving: bool) {
         let domain = if server == "b" { "zone-b" } else { "zone-a" };
         self.put(Op::Announce {
             server: server.into(),
             addr: Addr { ip: [9; 16], port },
             domain: domain.into(),
-            labels: [("service".to_string(), DATABASE.to_string())].into(),
+            labels: [("service".to_string(), service.to_string())].into(),
             life: digest(server.as_bytes()),
             leads: server == "a",
             leaving,
@@ -346,3 +351,77 @@
     let target = fleet.target_within(3_000, &[("b", 300), ("c", 40)]);
     assert_eq!(target.as_deref(), Some("b"));
 }
+
+const OTHER_SERVICE: &str = "events";
+
+/// Guards against case 6 of the second review: a server of another service came at the address of a replica that left,
+/// the replica's log was not counted any more, and a shorter one was promoted.
+#[test]
+fn a_server_of_another_service_does_not_take_the_place_of_a_replica_that_said_it_is_gone() {
+    let mut fleet = Fleet::new();
+    fleet.says_gone("b");
+    fleet.announce_of(OTHER_SERVICE, "x", 2, false);
+    fleet.primary_is_lost();
+    assert_eq!(fleet.target_within(8_000, &[("c", 40)]), None);
+    let ended = fleet.planned_within(8_000, 300, &[("c", 40)]);
+    assert!(matches!(ended, Some(Op::Reopen { .. })), "{ended:?}");
+}
+
+/// The same for a replica that ended without a word.
+#[test]
+fn a_server_of_another_service_does_not_take_the_place_of_a_replica_that_said_nothing() {
+    let mut fleet = Fleet::new();
+    fleet.announce_of(OTHER_SERVICE, "x", 2, false);
+    fleet.primary_is_lost();
+    assert_eq!(fleet.target_within(8_000, &[("c", 40)]), None);
+}
+
+/// A replica whose address was taken has ended: it is counted only until the others hold what the primary has.
+#[test]
+fn a_replica_whose_address_was_taken_leaves_the_count_when_the_others_hold_its_log() {
+    let mut fleet = Fleet::new();
+    fleet.announce_of(OTHER_SERVICE, "x", 2, false);
+    assert!(!fleet.is_taken_out_within(5_000, 300, 299));
+    assert!(fleet.is_taken_out_within(1_000, 300, 300));
+    fleet.primary_is_lost();
+    let target = fleet.target_within(3_000, &[("c", 300)]);
+    assert_eq!(target.as_deref(), Some("c"));
+}
+
+/// A position of the primary that was seen before the address was taken proves nothing: the replica may have
+/// acknowledged a commit after it.
+#[test]
+fn what_was_seen_before_the_address_was_taken_does_not_end_the_count() {
+    let mut fleet = Fleet::new();
+    fleet.see("a", 300, true);
+    fleet.see("c", 300, false);
+    fleet.announce_of(OTHER_SERVICE, "x", 2, false);
+    fleet.round();
+    assert!(fleet.state.servers.contains_key("b"));
+}
+
+/// The log went with the one before: what comes at the address after a server of another service does not have it.
+#[test]
+fn a_later_server_of_the_service_at_the_address_does_not_have_the_log() {
+    let mut fleet = Fleet::new();
+    fleet.says_gone("b");
+    fleet.announce_of(OTHER_SERVICE, "x", 2, false);
+    fleet.announce("d", 2, false);
+    fleet.primary_is_lost();
+    assert_eq!(fleet.target_within(8_000, &[("c", 40), ("d", 0)]), None);
+}
+
+/// Guards against a database whose logs are not counted that waits for a server whose address was taken.
+#[test]
+fn a_primary_whose_address_was_taken_is_replaced() {
+    let mut fleet = Fleet::new();
+    fleet.announce_of(OTHER_SERVICE, "x", 1, false);
+    let end = fleet.now + 20_000;
+    while fleet.now < end && fleet.database().target.is_none() {
+        fleet.observe("a", None, false, DARK);
+        fleet.see("b", 300, false);
+        fleet.see("c", 40, false);
+        fleet.round();
+    }
+    assert_eq!(fleet.database().target.as_deref(), Some("b"));
+}
