Make no view that can wait before enough control machines are in sync

Cause, by trace: a view that confirmed nothing stood from 24.5 to 27.5 s. Meanwhile the orders piled up.

Change: while a view confirms nothing and has members enough, only one that moved has another made; the confirming view holds those in sync alone, and the others join after it.

--- a/tenet/src/membership.rs
+++ b/tenet/src/membership.rs
@@ -101,6 +101,7 @@
         if self.place().is_none() {
             return self.chain_lost(now);
         }
+        let view = &self.d.view;
         let urgent = self
             .member_silent(now)
             .or_else(|| self.member_stalled(now))
@@ -109,6 +110,10 @@
         if urgent.is_some() || now < self.adopted_at + VIEW_SETTLE {
             return urgent;
         }
+        if !view.confirms() && view.chain.len() >= self.copies {
+            // Another view would have those that join begin anew, and changes wait for them.
+            return self.member_moved(c);
+        }
         self.member_stopping(c)
             .or_else(|| self.member_moved(c))
             .or_else(|| self.resized(now, c))
--- a/tenet/src/next_view.rs
+++ b/tenet/src/next_view.rs
@@ -32,7 +32,10 @@
         if chain.is_empty() || !chain.iter().all(votes) {
             return None;
         }
-        chain.extend(self.next_joiners(&voters, &chain, now, c));
+        if self.agree.cause != Some(Cause::EnoughHold) {
+            // Changes would wait until those that join are in sync.
+            chain.extend(self.next_joiners(&voters, &chain, now, c));
+        }
         for seat in chain.iter_mut().chain(voters.iter_mut()) {
             seat.addr = self.now_at(seat, c);
         }
