Set the overlapping losses of the model up in one place

The search and the planted bug of it built the same cluster and limits. Test support only; agreement and agreement_plants pass with it, with the same assertions.

--- a/chance/src/model/mod.rs
+++ b/chance/src/model/mod.rs
@@ -18,7 +18,9 @@
 pub mod safety;
 pub mod setup;
 
+use actions::Action;
 use cluster::Cluster;
+use limits::Limits;
 
 const WARM_UP_STEPS: u32 = 8;
 const PROPOSALS: &[u32] = &[9, 14];
@@ -31,3 +33,25 @@
     }
     root
 }
+
+/// A cluster of which one machine is down for a while from the start on, and limits of a search in which two more crashes
+/// overlap with that.
+pub fn overlapping_losses(machine: usize) -> (Cluster, Limits) {
+    const STEPS_DOWN: u32 = 9;
+    let mut root = serving();
+    root.deviate(Action::Crash {
+        machine,
+        keep_unsynced: false,
+        steps_down: STEPS_DOWN,
+    });
+    let limits = Limits {
+        deviations: 3,
+        crashes: 3,
+        down: &[STEPS_DOWN],
+        calm_from: 22,
+        last_step: 28,
+        last_view: 8,
+        ..Limits::NONE
+    };
+    (root, limits)
+}
--- a/chance/tests/agreement.rs
+++ b/chance/tests/agreement.rs
@@ -2,13 +2,12 @@
 //! the night, by `MODEL_DEVIATIONS`, `MODEL_MESSAGES`, `MODEL_HEARTBEATS`,
 //! `MODEL_CALM_FROM` and `MODEL_LAST_STEP`.
 
-use chance::model::actions::Action;
 use chance::model::cluster::Cluster;
 use chance::model::explore::{Recovery, Search};
 use chance::model::limits::Limits;
 use chance::model::report::Report;
-use chance::model::serving;
 use chance::model::setup::MACHINES;
+use chance::model::{overlapping_losses, serving};
 use std::time::Instant;
 
 const THREADS: usize = 3;
@@ -91,21 +90,7 @@
         within: 8000,
     };
     for machine in 0..MACHINES {
-        let mut root = serving();
-        root.deviate(Action::Crash {
-            machine,
-            keep_unsynced: false,
-            steps_down: 9,
-        });
-        let limits = Limits {
-            deviations: 3,
-            crashes: 3,
-            down: &[9],
-            calm_from: 22,
-            last_step: 28,
-            last_view: 8,
-            ..Limits::NONE
-        };
+        let (root, limits) = overlapping_losses(machine);
         let report = search_from(root, limits, Some(recovery));
         assert!(report.highest_view >= 3, "{report:?}");
         assert!(report.recoveries > 0, "{report:?}");
--- a/chance/tests/agreement_plants.rs
+++ b/chance/tests/agreement_plants.rs
@@ -5,7 +5,7 @@
 use chance::model::cluster::Cluster;
 use chance::model::explore::{Recovery, Search};
 use chance::model::limits::Limits;
-use chance::model::serving;
+use chance::model::{overlapping_losses, serving};
 use tenet::plant::{plant, Bug};
 
 /// The search must end with a violation that tells of `property`.
@@ -72,31 +72,13 @@
     found(Bug::JoinerInSync, limits, "lacks change");
 }
 
-/// A machine is down for a while from the start on, crashes overlap with that, and then one machine is lost for good.
-fn overlapping_losses() -> Search {
-    let mut root = serving();
-    root.deviate(Action::Crash {
-        machine: 0,
-        keep_unsynced: false,
-        steps_down: 9,
-    });
-    let limits = Limits {
-        deviations: 3,
-        crashes: 3,
-        down: &[9],
-        calm_from: 22,
-        last_step: 28,
-        last_view: 8,
-        ..Limits::NONE
-    };
+#[test]
+fn a_view_with_too_few_holders_of_every_change_is_found() {
+    let (root, limits) = overlapping_losses(0);
     let recovery = Recovery {
         one_in: 1,
         within: 8000,
     };
-    Search::new(root, limits, Some(recovery))
-}
-
-#[test]
-fn a_view_with_too_few_holders_of_every_change_is_found() {
-    found_in(overlapping_losses(), Bug::FewHolders, "no tail serves");
+    let search = Search::new(root, limits, Some(recovery));
+    found_in(search, Bug::FewHolders, "no tail serves");
 }
